--- /dev/null
+++ b/cmd/trefoillanding/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/core/tlverdict/reason.go
@@ -0,0 +1,40 @@
+package tlverdict
+
+// Reason names why a request was refused or failed; it is also the name of the
+// counter that the refusal raises.
+type Reason string
+
+// The reasons for which a request is refused or fails.
+const (
+	BadBody           Reason = "BadBody"
+	BadHeader         Reason = "BadHeader"
+	BadEventID        Reason = "BadEventID"
+	MissingKey        Reason = "MissingKey"
+	KeyTooOld         Reason = "KeyTooOld"
+	KeyReused         Reason = "KeyReused"
+	UnknownService    Reason = "UnknownService"
+	UnknownModel      Reason = "UnknownModel"
+	UnknownPath       Reason = "UnknownPath"
+	UnknownMethod     Reason = "UnknownMethod"
+	BodyTooLarge      Reason = "BodyTooLarge"
+	PromptTooLong     Reason = "PromptTooLong"
+	QueueFull         Reason = "QueueFull"
+	WaitTooLong       Reason = "WaitTooLong"
+	OrganisationLimit Reason = "OrganisationLimit"
+	TooManyRequests   Reason = "TooManyRequests"
+	NoEndpoint        Reason = "NoEndpoint"
+	NoHome            Reason = "NoHome"
+	NoConfig          Reason = "NoConfig"
+	LogUnavailable    Reason = "LogUnavailable"
+	LogBehind         Reason = "LogBehind"
+	Draining          Reason = "Draining"
+	CallerGone        Reason = "CallerGone"
+	EngineFailed      Reason = "EngineFailed"
+	EndpointFailed    Reason = "EndpointFailed"
+	RetriesSpent      Reason = "RetriesSpent"
+	EndpointTimeout   Reason = "EndpointTimeout"
+	StreamGone        Reason = "StreamGone"
+	StreamTaken       Reason = "StreamTaken"
+	ClaimHeld         Reason = "ClaimHeld"
+	Internal          Reason = "Internal"
+)
