--- /dev/null
+++ b/core/tlsched/scheduler_test.go
@@ -0,0 +1,93 @@
+package tlsched
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"trefoillanding/core/tlwire"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	pool  = tlwire.Pool{Name: "p", Engines: []tlwire.Engine{
+		{Name: "p1", Role: tlwire.RolePrefill},
+		{Name: "d1", Role: tlwire.RoleDecode},
+		{Name: "d2", Role: tlwire.RoleDecode},
+	}}
+)
+
+func newScheduler() *Scheduler {
+	return New(pool, tlwire.Service{Name: "s"}, nil, rand.New(rand.NewPCG(1, 1)))
+}
+
+func submission(name string) tlwire.Submission {
+	return tlwire.Submission{
+		Pool: "p", Request: name, Owner: "o", Organisation: "g",
+		PromptTokens: 1500, MaxTokens: 400, Arrived: start, Due: start.Add(time.Second),
+	}
+}
+
+func report(k tlwire.ReportKind, attempt string) tlwire.Report {
+	return tlwire.Report{Request: "r", Attempt: attempt, Kind: k, HeldFor: 500 * time.Millisecond, Bytes: 1 << 20}
+}
+
+func kinds(l []tlwire.Step) []tlwire.StepKind {
+	var k []tlwire.StepKind
+	for _, t := range l {
+		k = append(k, t.Kind)
+	}
+	return k
+}
+
+func TestReportsLeadToSteps(t *testing.T) {
+	const (
+		prefill  = tlwire.StepKindStartPrefill
+		transfer = tlwire.StepKindStartTransfer
+		abandon  = tlwire.StepKindAbandon
+	)
+	type act struct {
+		kind    tlwire.ReportKind
+		attempt string
+		want    []tlwire.StepKind
+	}
+	done := act{tlwire.ReportKindPrefillDone, "r/1", []tlwire.StepKind{transfer}}
+	cases := []struct {
+		name string
+		acts []act
+		left int
+	}{
+		{"whole answer", []act{done, {tlwire.ReportKindTransferDone, "r/1", nil}, {tlwire.ReportKindFinished, "r/1", nil}}, 0},
+		{"stale attempt", []act{{tlwire.ReportKindPrefillDone, "r/0", nil}}, 1},
+		{"second destination", []act{done, {tlwire.ReportKindTransferStalled, "r/1", []tlwire.StepKind{transfer}}}, 1},
+		{"decode fails", []act{done, {tlwire.ReportKindTransferDone, "r/1", nil}, {tlwire.ReportKindDecodeFailed, "r/1", []tlwire.StepKind{abandon, prefill}}}, 1},
+		{"cancelled in transfer", []act{done, {tlwire.ReportKindCancelled, "r/1", []tlwire.StepKind{abandon}}}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScheduler()
+			require.Equal(t, []tlwire.StepKind{prefill}, kinds(s.Submit(start, submission("r"))))
+			for _, a := range c.acts {
+				assert.Equal(t, a.want, kinds(s.Report(start, report(a.kind, a.attempt))))
+			}
+			assert.Len(t, s.requests, c.left)
+		})
+	}
+}
+
+func TestLeavingEngineGetsNoWork(t *testing.T) {
+	s := newScheduler()
+	s.Engine(start, "d1", EngineLeaving)
+	s.Submit(start, submission("r"))
+	assert.Equal(t, "d2", s.Report(start, report(tlwire.ReportKindPrefillDone, "r/1"))[0].Engine)
+}
+
+func TestGoneEngineFailsOver(t *testing.T) {
+	s := newScheduler()
+	s.Submit(start, submission("r"))
+	assert.Equal(t, []tlwire.StepKind{tlwire.StepKindAbandon}, kinds(s.Engine(start, "p1", EngineGone)))
+	assert.Equal(t, "r/2", s.Engine(start, "p1", EngineLive)[0].Attempt)
+}
