Order by fairness and slack, bet on freed memory, refuse by predicted wait

Cause: first come, first served makes every request late once the pool is full, and memory reserved only when free idles for the length of a prefill. Change: virtual-time queue with a second lane for late requests (tlqueue), book of pieces (tlreserve), links (tllink), learnt lengths and speeds (tlestimate), prefix index (tlprefix), retry budget (tlbudget). Prefills may start on memory that is about to be freed; the weights set how sure that must be. Growth past the estimate moves the cheapest stream away.

--- /dev/null
+++ b/core/tlbudget/doc.go
@@ -0,0 +1,2 @@
+// Package tlbudget bounds the work of retries by a share of the fresh work.
+package tlbudget
--- /dev/null
+++ b/core/tlestimate/lengths.go
@@ -0,0 +1,83 @@
+package tlestimate
+
+// Lengths estimates the length of an answer from those that its organisation
+// and its model had before.
+type Lengths struct {
+	prior  int
+	models map[string]*histogram
+	own    map[key]*histogram
+}
+
+type key struct {
+	organisation string
+	model        string
+}
+
+const (
+	// trustAfter is the number of answers at which an organisation's own lengths count as much as the model's.
+	trustAfter = 20
+	// mostKeys bounds the organisations that are told apart.
+	mostKeys = 8192
+)
+
+// NewLengths returns an estimator that starts from an assumed length in tokens.
+func NewLengths(prior int) *Lengths {
+	return &Lengths{
+		prior:  prior,
+		models: make(map[string]*histogram),
+		own:    make(map[key]*histogram),
+	}
+}
+
+// Observe learns the length of a whole answer.
+func (l *Lengths) Observe(organisation, model string, tokens int) {
+	m := l.models[model]
+	if m == nil {
+		m = &histogram{}
+		l.models[model] = m
+	}
+	m.observe(tokens)
+	k := key{organisation, model}
+	o := l.own[k]
+	if o == nil {
+		if len(l.own) >= mostKeys {
+			return
+		}
+		o = &histogram{}
+		l.own[k] = o
+	}
+	o.observe(tokens)
+}
+
+// Quantile returns the length that a share q of answers stays within, given
+// that this one has passed some tokens already and can't pass the limit.
+func (l *Lengths) Quantile(organisation, model string, q float64, passed, limit int) int {
+	m, o := l.models[model], l.own[key{organisation, model}]
+	if m == nil {
+		return min(max(l.prior, passed), limit)
+	}
+	own := o.weight() / (o.weight() + trustAfter)
+	first := bucketOf(passed)
+	left := 0.0
+	for b := first; b < buckets; b++ {
+		left += own*o.share(b) + (1-own)*m.share(b)
+	}
+	want := q * left
+	for b := first; b < buckets && left > 0; b++ {
+		want -= own*o.share(b) + (1-own)*m.share(b)
+		if want <= 0 {
+			return min(max(int(bound(b)), passed), limit)
+		}
+	}
+	return min(passed+max(passed/2, 1), limit)
+}
+
+// Mean returns the mean length, at most the limit.
+func (l *Lengths) Mean(organisation, model string, limit int) float64 {
+	m, o := l.models[model], l.own[key{organisation, model}]
+	if m == nil {
+		return float64(min(l.prior, limit))
+	}
+	own := o.weight() / (o.weight() + trustAfter)
+	return min(own*o.mean()+(1-own)*m.mean(), float64(limit))
+}
--- /dev/null
+++ b/core/tllink/doc.go
@@ -0,0 +1,2 @@
+// Package tllink tracks the link of limited rate into one decode engine.
+package tllink
--- /dev/null
+++ b/core/tlqueue/cost.go
@@ -0,0 +1,28 @@
+package tlqueue
+
+// Cost is what a request takes of a pool, in seconds of the whole pool's prefill, links and decode memory.
+type Cost struct {
+	Prefill float64
+	Link    float64
+	Decode  float64
+}
+
+// Sum returns what a request is charged.
+func (c Cost) Sum() float64 {
+	return c.Prefill + c.Link + c.Decode
+}
+
+// Longest returns how long the pool needs at the least.
+func (c Cost) Longest() float64 {
+	return max(c.Prefill, c.Link, c.Decode)
+}
+
+// Plus returns the sum of two costs.
+func (c Cost) Plus(d Cost) Cost {
+	return Cost{c.Prefill + d.Prefill, c.Link + d.Link, c.Decode + d.Decode}
+}
+
+// Minus returns the difference of two costs, none of its parts below zero.
+func (c Cost) Minus(d Cost) Cost {
+	return Cost{max(c.Prefill-d.Prefill, 0), max(c.Link-d.Link, 0), max(c.Decode-d.Decode, 0)}
+}
--- /dev/null
+++ b/core/tlqueue/item.go
@@ -0,0 +1,42 @@
+package tlqueue
+
+import "time"
+
+// Item is one waiting request.
+type Item[T any] struct {
+	// Value is the request.
+	Value T
+	// Organisation is who pays for it.
+	Organisation string
+	// Arrived is when it came.
+	Arrived time.Time
+	// Latest is when it must start to meet its target.
+	Latest time.Time
+	// Cost is what it will probably take.
+	Cost Cost
+
+	late     bool
+	sequence uint64
+	flow     *flow[T]
+	inLane   int
+	inTimer  int
+}
+
+// Late says whether the item is in the lane of those that can't meet their target.
+func (i *Item[T]) Late() bool {
+	return i.late
+}
+
+func bySlack[T any](a, b *Item[T]) bool {
+	if !a.Latest.Equal(b.Latest) {
+		return a.Latest.Before(b.Latest)
+	}
+	return a.sequence < b.sequence
+}
+
+func byArrival[T any](a, b *Item[T]) bool {
+	if !a.Arrived.Equal(b.Arrived) {
+		return a.Arrived.Before(b.Arrived)
+	}
+	return a.sequence < b.sequence
+}
--- /dev/null
+++ b/core/tlreserve/doc.go
@@ -0,0 +1,2 @@
+// Package tlreserve keeps the book of one engine's memory, in pieces.
+package tlreserve
--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -4,18 +4,132 @@
 	"time"
 
 	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlwire"
 )
 
 const (
-	defaultQueueLength = 200
-	retryAfter         = time.Second
+	leastRetryAfter = 200 * time.Millisecond
+	mostRetryAfter  = 30 * time.Second
+	// spread is the random part of a RetryAfter, so that refused callers don't return at once.
+	spread = 0.5
 )
 
+// prepare fills in the place of a request in the queue.
+func (s *Scheduler) prepare(now time.Time, r *request, due time.Time) {
+	i := &r.item
+	i.Organisation = r.Organisation
+	if !s.options.Fair {
+		i.Organisation = ""
+	}
+	i.Arrived = r.Arrived
+	i.Cost = s.cost(r)
+	if !s.options.LateLane {
+		i.Latest = now.Add(mostRetryAfter * 1000)
+		if s.options.Slack {
+			i.Latest = i.Latest.Add(due.Sub(now))
+		}
+		return
+	}
+	i.Latest = due.Add(-s.firstToken(r))
+	if !s.options.Slack && !now.After(i.Latest) {
+		i.Latest = now.Add(max(s.targets.FirstToken-s.firstToken(r), 0))
+	}
+}
+
+// firstToken predicts the time from the start of a request to its first token on idle engines.
+func (s *Scheduler) firstToken(r *request) time.Duration {
+	n := r.PromptTokens - int(s.cached(r))
+	step := seconds(s.known.step.At(float64(s.streamLimit())))
+	return s.prefillTime(n) + s.transferTime(s.bytes(r)) + step + s.options.SlackMargin
+}
+
 // admit says whether a request may wait, and refuses it otherwise.
-func (s *Scheduler) admit(r *request) bool {
-	if len(s.waiting) >= s.bounds.QueueLength {
-		s.refuse(r, RefusedQueueFull, tlverdict.QueueFull, retryAfter)
+func (s *Scheduler) admit(now time.Time, r *request) bool {
+	c := s.capacity
+	if c.prefills == 0 || c.decodes == 0 {
+		s.refuse(r, RefusedNoEndpoint, tlverdict.NoEndpoint, time.Second)
+		return false
+	}
+	if s.pieces(r.PromptTokens) > c.largest {
+		s.refuse(r, RefusedPromptTooLong, tlverdict.PromptTooLong, 0)
+		return false
+	}
+	if !s.options.Admission {
+		return true
+	}
+	if s.missesTarget(now, r) {
+		r.item.Latest = now.Add(-1)
+	}
+	if r.isFresh() && now.After(r.item.Latest) && !s.admitLate(now, r) {
+		return false
+	}
+	return s.waiting() < s.bounds.QueueLength || s.makeRoom(now, r)
+}
+
+// missesTarget says whether the requests of the same organisation that wait already use up the slack.
+func (s *Scheduler) missesTarget(now time.Time, r *request) bool {
+	c, share := s.queue.Backlog(r.item.Organisation, false)
+	return s.options.LateLane && c.Longest()/share > r.item.Latest.Sub(now).Seconds()
+}
+
+// admitLate refuses a request whose wait in the late lane would be too long.
+func (s *Scheduler) admitLate(now time.Time, r *request) bool {
+	w := s.lateWait(now, r)
+	if w <= s.bounds.QueueWait {
+		return true
+	}
+	s.refuse(r, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
+	return false
+}
+
+func (s *Scheduler) lateWait(now time.Time, r *request) time.Duration {
+	c, share := s.queue.Backlog(r.item.Organisation, true)
+	rate := max(s.options.LateShare, s.known.late.PerSecond(now), s.freeShare())
+	return seconds(c.Plus(r.item.Cost).Longest() / max(share*rate, 1e-6))
+}
+
+// freeShare returns the part of decode memory beyond what late requests leave free.
+func (s *Scheduler) freeShare() float64 {
+	f := 0
+	for _, e := range s.order {
+		if e.decodesToo() && e.isServing() {
+			f += max(e.memory.Free(), 0)
+		}
+	}
+	return float64(f)/float64(max(s.capacity.pieces, 1)) - s.options.LateReserve
+}
+
+// makeRoom refuses the newest late request of the organisation with most
+// waiting in a full queue; the one that asks is refused if it is that one's.
+func (s *Scheduler) makeRoom(now time.Time, r *request) bool {
+	o := s.queue.Longest()
+	i := s.queue.Newest(o)
+	if o == r.item.Organisation || i == nil || !i.Value.isFresh() {
+		s.refuse(r, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now, r))
 		return false
 	}
+	s.refuse(i.Value, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now, i.Value))
+	s.end(now, i.Value)
 	return true
 }
+
+// demote moves requests that have become late, or refuses them when too many have.
+func (s *Scheduler) demote(now time.Time) {
+	for i := s.queue.Overdue(now); i != nil; i = s.queue.Overdue(now) {
+		r := i.Value
+		if s.options.Admission && r.isFresh() && !s.admitLate(now, r) {
+			s.end(now, r)
+			continue
+		}
+		s.queue.Return(i)
+	}
+}
+
+func (s *Scheduler) refuse(r *request, c Counter, v tlverdict.Reason, after time.Duration) {
+	s.counts[c]++
+	after = min(max(after, leastRetryAfter), mostRetryAfter)
+	t := r.step(tlwire.StepKindRefuse)
+	t.Reason = string(v)
+	t.RetryAfter = after + time.Duration(s.random.Float64()*spread*float64(after))
+	s.steps = append(s.steps, t)
+}
--- a/core/tlsched/counter.go
+++ b/core/tlsched/counter.go
@@ -8,6 +8,7 @@
 	RefusedQueueFull Counter = iota
 	RefusedWaitTooLong
 	RefusedNoEndpoint
+	RefusedPromptTooLong
 	RefusedRetriesSpent
 	RetriedPrefillFailed
 	RetriedTransferFailed
@@ -15,6 +16,8 @@
 	RetriedResultLapsed
 	RetriedEngineGone
 	RetriedResubmitted
+	RetriedOutgrown
+	DelayedRetry
 	MovedTransfer
 	DroppedStaleReport
 	DroppedUnknownRequest
@@ -30,9 +33,9 @@
 )
 
 var counterNames = [counters]string{
-	"RefusedQueueFull", "RefusedWaitTooLong", "RefusedNoEndpoint", "RefusedRetriesSpent",
+	"RefusedQueueFull", "RefusedWaitTooLong", "RefusedNoEndpoint", "RefusedPromptTooLong", "RefusedRetriesSpent",
 	"RetriedPrefillFailed", "RetriedTransferFailed", "RetriedDecodeFailed", "RetriedResultLapsed",
-	"RetriedEngineGone", "RetriedResubmitted", "MovedTransfer",
+	"RetriedEngineGone", "RetriedResubmitted", "RetriedOutgrown", "DelayedRetry", "MovedTransfer",
 	"DroppedStaleReport", "DroppedUnknownRequest", "DroppedDuplicate",
 	"CancelledWaiting", "CancelledPrefilling", "CancelledHeld", "CancelledTransferring", "CancelledDecoding",
 	"PrefillWasted", "Finished",
--- a/core/tlsched/lifecycle.go
+++ b/core/tlsched/lifecycle.go
@@ -17,91 +17,145 @@
 	StageDecoding:     CancelledDecoding,
 }
 
-func (s *Scheduler) cancel(r *request) {
+func (s *Scheduler) cancel(now time.Time, r *request) {
 	s.counts[cancelCounters[r.stage]]++
 	if r.stage != StageWaiting {
 		s.abandon(r)
 	}
-	s.end(r)
+	s.end(now, r)
 }
 
 // abandon tells the owner to cancel the current attempt at the engines.
 func (s *Scheduler) abandon(r *request) {
+	if r.stage == StageHeld || r.stage == StageTransferring {
+		s.counts[PrefillWasted]++
+	}
 	s.steps = append(s.steps, r.step(tlwire.StepKindAbandon))
 }
 
 // end forgets a request and gives back all that it holds.
-func (s *Scheduler) end(r *request) {
-	s.release(r)
+func (s *Scheduler) end(now time.Time, r *request) {
+	s.release(now, r)
 	delete(s.requests, r.Request)
 }
 
 // release gives back all that the current attempt holds.
-func (s *Scheduler) release(r *request) {
-	s.leavePrefill(r)
-	s.leaveDecode(r)
-	s.waiting = without(s.waiting, r)
-	s.held = without(s.held, r)
-}
-
-func without(l []*request, r *request) []*request {
-	if i := slices.Index(l, r); i >= 0 {
-		return slices.Delete(l, i, i+1)
+func (s *Scheduler) release(now time.Time, r *request) {
+	s.leavePrefill(now, r)
+	s.leaveDecode(now, r)
+	s.queue.Remove(&r.item)
+	if i := slices.Index(s.unfunded, r); i >= 0 {
+		s.unfunded = slices.Delete(s.unfunded, i, i+1)
 	}
-	return l
+	r.source, r.bytes = nil, 0
 }
 
-func (s *Scheduler) leavePrefill(r *request) {
+func (s *Scheduler) leavePrefill(now time.Time, r *request) {
 	if r.prefill == nil {
 		return
 	}
-	r.prefill.prefills--
-	r.prefill.work -= r.work
+	r.prefill.endPrefill(now, r.work)
+	r.source = r.prefill
 	r.prefill = nil
 }
 
-func (s *Scheduler) leaveDecode(r *request) {
-	if r.decode == nil {
+func (s *Scheduler) leaveDecode(now time.Time, r *request) {
+	e := r.decode
+	if e == nil {
 		return
 	}
-	r.decode.held -= r.pieces
-	r.decode.streams--
+	n := e.memory.Release(r.attempt)
+	s.unlink(r)
+	e.streams--
+	if r.stage == StageTransferring || r.stage == StageDecoding {
+		e.imported -= n
+	}
+	if r.stage == StageDecoding {
+		s.known.freed.Add(now, float64(n))
+		average(&s.known.freedEach, float64(n))
+	}
 	r.decode = nil
 	r.pieces = 0
 }
 
-func (s *Scheduler) hold(r *request) {
-	r.stage = StageHeld
-	s.held = append(s.held, r)
+func (s *Scheduler) unlink(r *request) {
+	r.decode.link.Release(r.linked)
+	r.linked = 0
 }
 
-// retry queues the request again, ahead of fresh ones, as a new attempt.
-func (s *Scheduler) retry(r *request, c Counter) {
+// retry queues the request again as a new attempt, among the late if the budget is spent.
+func (s *Scheduler) retry(now time.Time, r *request, c Counter) {
 	s.counts[c]++
 	s.abandon(r)
-	s.release(r)
+	due := r.Due
+	if r.stage == StageDecoding {
+		due = now.Add(s.targets.FirstToken)
+	}
+	s.release(now, r)
 	if r.number-r.Tries >= s.options.Attempts {
-		s.refuse(r, RefusedRetriesSpent, tlverdict.RetriesSpent, retryAfter)
+		s.refuse(r, RefusedRetriesSpent, tlverdict.RetriesSpent, time.Second)
 		delete(s.requests, r.Request)
 		return
 	}
 	r.nextAttempt()
 	r.stage = StageWaiting
-	s.waiting = slices.Insert(s.waiting, 0, r)
+	s.prepare(now, r, due)
+	if s.options.Budget && !s.budget.Spend(s.prefillTime(r.PromptTokens).Seconds()) {
+		s.counts[DelayedRetry]++
+		r.item.Latest = now.Add(-1)
+	}
+	s.queue.Push(now, &r.item)
 }
 
-func (s *Scheduler) failOver(_ time.Time, e *engine) {
+// unreserve moves reservations away from an engine that gets no new work.
+func (s *Scheduler) unreserve(e *engine) {
 	for _, r := range s.sorted() {
 		if r.decode == e && r.stage == StagePrefilling {
-			s.leaveDecode(r)
-			continue
+			s.leaveDecode(s.last, r)
+			s.unfunded = append(s.unfunded, r)
 		}
-		if r.prefill == e || r.decode == e {
-			s.retry(r, RetriedEngineGone)
+	}
+}
+
+// failOver takes all work away from an engine that is gone.
+func (s *Scheduler) failOver(now time.Time, e *engine) {
+	s.unreserve(e)
+	for _, r := range s.sorted() {
+		lost := r.prefill == e || (r.source == e && r.stage != StageDecoding)
+		switch {
+		case lost || (r.decode == e && r.stage == StageDecoding):
+			r.deliver(r.tokens)
+			s.retry(now, r, RetriedEngineGone)
+		case r.decode == e && now.Before(r.heldUntil):
+			s.rehold(now, r)
+		case r.decode == e:
+			s.retry(now, r, RetriedTransferFailed)
 		}
 	}
 }
 
+// shed moves the streams that are cheapest to move from an engine whose answers outgrew its memory.
+func (s *Scheduler) shed(now time.Time, e *engine) {
+	for s.options.Shed && e.memory.Free()+e.memory.Foreign() < 0 {
+		var v *request
+		for _, r := range s.sorted() {
+			if r.decode == e && r.stage == StageDecoding && (v == nil || r.size() < v.size()) {
+				v = r
+			}
+		}
+		if v == nil {
+			return
+		}
+		v.deliver(v.tokens)
+		s.retry(now, v, RetriedOutgrown)
+	}
+}
+
+// size returns the tokens that would have to be prefilled to move the request.
+func (r *request) size() int {
+	return r.PromptTokens + r.tokens - r.Delivered
+}
+
 // sorted returns the requests in an order that does not depend on the map's.
 func (s *Scheduler) sorted() []*request {
 	l := make([]*request, 0, len(s.requests))
--- a/core/tlsched/request.go
+++ b/core/tlsched/request.go
@@ -4,25 +4,42 @@
 	"strconv"
 	"time"
 
+	"trefoillanding/core/tlqueue"
 	"trefoillanding/core/tlwire"
 )
 
 // request is what the scheduler knows of one request.
 type request struct {
 	tlwire.Submission
-	stage     Stage
-	number    int
-	attempt   string
-	prefill   *engine
-	decode    *engine
-	pieces    int
-	work      int
+	item    tlqueue.Item[*request]
+	stage   Stage
+	number  int
+	attempt string
+
+	prefill  *engine
+	work     time.Duration
+	expected float64
+	started  time.Time
+
+	source    *engine
 	bytes     int64
 	heldUntil time.Time
+
+	decode  *engine
+	pieces  int
+	linked  int64
+	sent    time.Time
+	decoded time.Time
+
+	tokens   int
+	progress time.Time
+	charged  tlqueue.Cost
 }
 
 func newRequest(s tlwire.Submission) *request {
-	return &request{Submission: s, number: s.Tries}
+	r := &request{Submission: s, number: s.Tries}
+	r.item.Value = r
+	return r
 }
 
 func (r *request) nextAttempt() {
@@ -30,6 +47,11 @@
 	r.attempt = r.Request + "/" + strconv.Itoa(r.number)
 }
 
+// isFresh says whether nothing of the request has run.
+func (r *request) isFresh() bool {
+	return r.number == 1 && r.Delivered == 0
+}
+
 // deliver moves the tokens that the caller already has from the answer to the prompt.
 func (r *request) deliver(tokens int) {
 	n := tokens - r.Delivered
@@ -41,6 +63,14 @@
 	r.MaxTokens = max(r.MaxTokens-n, 1)
 }
 
+// expires returns when the prefill result will be lost, as far as is known.
+func (r *request) expires(heldFor time.Duration) time.Time {
+	if r.stage == StageHeld {
+		return r.heldUntil
+	}
+	return r.started.Add(r.work + heldFor)
+}
+
 func (r *request) step(k tlwire.StepKind) tlwire.Step {
 	return tlwire.Step{Request: r.Request, Attempt: r.attempt, Kind: k}
 }
--- a/core/tlsched/scheduler.go
+++ b/core/tlsched/scheduler.go
@@ -4,7 +4,9 @@
 	"math/rand/v2"
 	"time"
 
-	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlbudget"
+	"trefoillanding/core/tlprefix"
+	"trefoillanding/core/tlqueue"
 	"trefoillanding/core/tlwire"
 )
 
@@ -12,19 +14,29 @@
 // steps that owners are to take; it is not safe for concurrent use.
 type Scheduler struct {
 	pool     tlwire.Pool
-	service  tlwire.Service
 	bounds   tlwire.Bounds
+	targets  tlwire.Targets
+	weights  tlwire.Weights
 	options  Options
 	random   *rand.Rand
 	engines  map[string]*engine
 	order    []*engine
+	capacity capacity
 	requests map[string]*request
-	waiting  []*request
-	held     []*request
+	queue    *tlqueue.Queue[*request]
+	unfunded []*request
+	blocked  []*tlqueue.Item[*request]
+	prefixes *tlprefix.Index
+	budget   *tlbudget.Budget
+	known    knowledge
+	last     time.Time
 	steps    []tlwire.Step
 	counts   Counts
 }
 
+// tickEvery is the longest time between ticks while something waits.
+const tickEvery = 100 * time.Millisecond
+
 // New returns a scheduler for the pool of a service with the default options.
 func New(p tlwire.Pool, s tlwire.Service, o []tlwire.Organisation, r *rand.Rand) *Scheduler {
 	return NewWith(DefaultOptions(), p, s, o, r)
@@ -32,40 +44,23 @@
 
 // NewWith returns a scheduler for the pool of a service with the options given.
 func NewWith(o Options, p tlwire.Pool, s tlwire.Service, g []tlwire.Organisation, r *rand.Rand) *Scheduler {
-	_ = g
 	n := &Scheduler{
-		pool:     p,
-		service:  s,
-		bounds:   boundsOf(s),
 		options:  o,
 		random:   r,
 		engines:  make(map[string]*engine),
 		requests: make(map[string]*request),
+		queue:    tlqueue.New[*request](weightsOf(g), o.LateShare),
+		prefixes: tlprefix.New(0),
+		known:    newKnowledge(o.AssumedAnswer),
 	}
-	for _, e := range p.Engines {
-		n.add(newEngine(e, o.AssumedPieces))
-	}
+	n.configure(p, s)
+	n.budget = tlbudget.New(n.bounds.RetryShare, o.RetryBurst)
 	return n
 }
 
-func boundsOf(s tlwire.Service) tlwire.Bounds {
-	var b tlwire.Bounds
-	if s.Bounds != nil {
-		b = *s.Bounds
-	}
-	if b.QueueLength == 0 {
-		b.QueueLength = defaultQueueLength
-	}
-	return b
-}
-
-func (s *Scheduler) add(e *engine) {
-	s.engines[e.name] = e
-	s.order = append(s.order, e)
-}
-
 // Submit queues a request; a step that refuses it may come back at once.
 func (s *Scheduler) Submit(now time.Time, q tlwire.Submission) []tlwire.Step {
+	s.last = now
 	r := newRequest(q)
 	if old := s.requests[q.Request]; old != nil {
 		if q.Tries <= old.Tries && q.Owner == old.Owner && q.Incarnation == old.Incarnation {
@@ -73,21 +68,22 @@
 			return nil
 		}
 		s.counts[RetriedResubmitted]++
-		s.end(old)
+		s.end(now, old)
 		r.number = max(r.number, old.number)
 	}
 	r.nextAttempt()
-	if !s.admit(r) {
-		return s.take()
+	s.prepare(now, r, r.Due)
+	if s.admit(now, r) {
+		s.requests[r.Request] = r
+		s.queue.Push(now, &r.item)
 	}
-	s.requests[r.Request] = r
-	s.waiting = append(s.waiting, r)
 	s.place(now)
 	return s.take()
 }
 
 // Report takes in what an owner tells of one of its requests.
 func (s *Scheduler) Report(now time.Time, p tlwire.Report) []tlwire.Step {
+	s.last = now
 	r := s.requests[p.Request]
 	if r == nil {
 		s.counts[DroppedUnknownRequest]++
@@ -105,31 +101,46 @@
 
 // Load takes in an engine's lagging load report.
 func (s *Scheduler) Load(now time.Time, l tlwire.LoadReport) []tlwire.Step {
+	s.last = now
 	e := s.engines[l.Name]
 	if e == nil {
 		return nil
 	}
 	e.role = l.Role
+	e.memory.Resize(l.PiecesTotal)
+	e.history.note(now, e.imported)
+	e.memory.SetForeign(l.PiecesTotal - l.PiecesFree - e.history.max())
+	if l.Draining && !e.draining {
+		s.unreserve(e)
+	}
 	e.draining = l.Draining
-	e.pieces = l.PiecesTotal
+	s.capacity = s.measure()
 	s.place(now)
 	return s.take()
 }
 
 // CacheEvents takes in a run of an engine's late and gappy cache events.
-func (s *Scheduler) CacheEvents(now time.Time, engine string, e tlwire.CacheEvents) {
-	_, _, _ = now, engine, e
+func (s *Scheduler) CacheEvents(now time.Time, engine string, c tlwire.CacheEvents) {
+	if e := s.engines[engine]; e != nil {
+		s.prefixes.Apply(now, e.number, c)
+	}
 }
 
 // Engine takes in a change of an engine's state.
 func (s *Scheduler) Engine(now time.Time, name string, t EngineState) []tlwire.Step {
+	s.last = now
 	e := s.engines[name]
 	if e == nil {
 		return nil
 	}
 	e.state = t
-	if t == EngineGone {
+	s.capacity = s.measure()
+	switch t {
+	case EngineGone:
+		s.prefixes.Forget(e.number)
 		s.failOver(now, e)
+	case EngineLeaving:
+		s.unreserve(e)
 	}
 	s.place(now)
 	return s.take()
@@ -137,9 +148,10 @@
 
 // OwnerGone ends all requests of an owner whose incarnation is not above the one given.
 func (s *Scheduler) OwnerGone(now time.Time, owner string, incarnation uint64) []tlwire.Step {
+	s.last = now
 	for _, r := range s.sorted() {
 		if r.Owner == owner && r.Incarnation <= incarnation {
-			s.cancel(r)
+			s.cancel(now, r)
 		}
 	}
 	s.place(now)
@@ -148,27 +160,33 @@
 
 // Tick lets time pass.
 func (s *Scheduler) Tick(now time.Time) []tlwire.Step {
+	s.last = now
 	s.place(now)
 	return s.take()
 }
 
 // Next returns when Tick must be called at the latest; zero means that nothing waits for time.
 func (s *Scheduler) Next() time.Time {
-	var t time.Time
-	for _, r := range s.held {
-		t = earlier(t, r.heldUntil)
+	if s.waiting()+len(s.unfunded) == 0 {
+		return time.Time{}
 	}
-	if len(s.waiting)+len(s.held) == 0 {
-		return t
+	t := s.last.Add(tickEvery)
+	if d := s.queue.NextOverdue(); !d.IsZero() {
+		t = earlier(t, d.Add(1))
 	}
-	for _, e := range s.order {
-		t = earlier(t, e.suspended)
+	for _, r := range s.unfunded {
+		if r.stage == StageHeld {
+			t = earlier(t, r.heldUntil)
+		}
+	}
+	if !t.After(s.last) {
+		return s.last.Add(1)
 	}
 	return t
 }
 
 func earlier(t, u time.Time) time.Time {
-	if t.IsZero() || (!u.IsZero() && u.Before(t)) {
+	if u.Before(t) {
 		return u
 	}
 	return t
@@ -176,31 +194,47 @@
 
 // Summary returns what other instances are told of the pool.
 func (s *Scheduler) Summary(now time.Time) tlwire.PoolSummary {
-	p := tlwire.PoolSummary{Pool: s.pool.Name, Waiting: len(s.waiting)}
+	p := tlwire.PoolSummary{Pool: s.pool.Name, Waiting: s.waiting()}
 	for _, e := range s.order {
 		if e.decodesToo() && e.takesWork(now) {
-			p.PiecesTotal += e.pieces
-			p.PiecesFree += max(e.free(), 0)
+			p.PiecesTotal += e.memory.Total()
+			p.PiecesFree += max(e.memory.Free(), 0)
 		}
 	}
+	for _, r := range s.unfunded {
+		p.PiecesFree = max(p.PiecesFree-s.need(r), 0)
+	}
+	p.Wait = s.wait(now, p.PiecesFree)
 	return p
 }
 
+// wait predicts the wait of a new request, given the pieces that are free.
+func (s *Scheduler) wait(now time.Time, free int) time.Duration {
+	if free > 0 && s.queue.Len(false) == 0 {
+		return 0
+	}
+	w := s.queue.Total(false).Longest()
+	if f := s.known.freed.PerSecond(now); free == 0 && f > 0 {
+		w += 1 / f
+	}
+	return seconds(w)
+}
+
 // Counts returns the value of every counter.
 func (s *Scheduler) Counts() Counts {
 	return s.counts
 }
 
+func (s *Scheduler) waiting() int {
+	return s.queue.Len(false) + s.queue.Len(true)
+}
+
 func (s *Scheduler) take() []tlwire.Step {
 	t := s.steps
 	s.steps = nil
 	return t
 }
 
-func (s *Scheduler) refuse(r *request, c Counter, v tlverdict.Reason, after time.Duration) {
-	s.counts[c]++
-	t := r.step(tlwire.StepKindRefuse)
-	t.Reason = string(v)
-	t.RetryAfter = after
-	s.steps = append(s.steps, t)
+func seconds(x float64) time.Duration {
+	return time.Duration(x * float64(time.Second))
 }
