--- /dev/null
+++ b/core/tlsettings/rules.go
@@ -0,0 +1,90 @@
+package tlsettings
+
+import (
+	"net/netip"
+	"time"
+
+	"trefoillanding/core/tlwire"
+)
+
+type settings = tlwire.Settings
+
+// rules lists the defaults and ranges of all fields, in the order of the file.
+var rules = []rule{
+	named("Name", func(s *settings) string { return s.Name }),
+	named("DataCentre", func(s *settings) string { return s.DataCentre }),
+	listening("Listen", func(s *settings) netip.AddrPort { return s.Listen }),
+	listening("PeerListen", func(s *settings) netip.AddrPort { return s.PeerListen }),
+	distinct(),
+
+	ranged("Platform.AppendsPerSecond", func(s *settings) *float64 { return &s.Platform.AppendsPerSecond }, 50, 0.1, 10_000),
+	ranged("Platform.BatchDelay", func(s *settings) *time.Duration { return &s.Platform.BatchDelay }, 2*time.Millisecond, 0, time.Second),
+	ranged("Platform.Timeout", func(s *settings) *time.Duration { return &s.Platform.Timeout }, 2*time.Second, 10*time.Millisecond, time.Minute),
+	ranged("Platform.ListEvery", func(s *settings) *time.Duration { return &s.Platform.ListEvery }, time.Second, 10*time.Millisecond, time.Minute),
+	ranged("Platform.ClaimStreams", func(s *settings) *int { return &s.Platform.ClaimStreams }, 16, 1, 4096),
+
+	ranged("Limits.BodyBytes", func(s *settings) *int64 { return &s.Limits.BodyBytes }, 4<<20, 1, 1<<30),
+	ranged("Limits.HeaderBytes", func(s *settings) *int { return &s.Limits.HeaderBytes }, 32<<10, 1<<10, 1<<20),
+	ranged("Limits.HeaderTimeout", func(s *settings) *time.Duration { return &s.Limits.HeaderTimeout }, 5*time.Second, 10*time.Millisecond, time.Minute),
+	ranged("Limits.BodyTimeout", func(s *settings) *time.Duration { return &s.Limits.BodyTimeout }, 30*time.Second, 10*time.Millisecond, 10*time.Minute),
+	ranged("Limits.RequestTimeout", func(s *settings) *time.Duration { return &s.Limits.RequestTimeout }, 10*time.Minute, 10*time.Millisecond, 24*time.Hour),
+	ranged("Limits.Concurrent", func(s *settings) *int { return &s.Limits.Concurrent }, 20_000, 1, 1_000_000),
+	ranged("Limits.WriteStall", func(s *settings) *time.Duration { return &s.Limits.WriteStall }, 20*time.Second, 10*time.Millisecond, 10*time.Minute),
+
+	ranged("Peers.Heartbeat", func(s *settings) *time.Duration { return &s.Peers.Heartbeat }, time.Second, 10*time.Millisecond, time.Minute),
+	ranged("Peers.SuspectAfter", func(s *settings) *time.Duration { return &s.Peers.SuspectAfter }, 3*time.Second, 30*time.Millisecond, 5*time.Minute),
+	ranged("Peers.OrphanGrace", func(s *settings) *time.Duration { return &s.Peers.OrphanGrace }, time.Second, 10*time.Millisecond, time.Minute),
+	suspicion(),
+
+	ranged("Drain.KeepFor", func(s *settings) *time.Duration { return &s.Drain.KeepFor }, 5*time.Second, 10*time.Millisecond, time.Hour),
+	ranged("Drain.Timeout", func(s *settings) *time.Duration { return &s.Drain.Timeout }, 0, 0, 24*time.Hour),
+
+	together("Security.Certificate", certificate, key, "Security.Key"),
+	together("Security.Key", key, certificate, "Security.Certificate"),
+	together("Security.PeerCertificate", peerCertificate, peerKey, "Security.PeerKey"),
+	together("Security.PeerKey", peerKey, peerCertificate, "Security.PeerCertificate"),
+	together("Security.PeerCertificate", peerCertificate, peerAuthority, "Security.PeerAuthority"),
+	together("Security.PeerAuthority", peerAuthority, peerCertificate, "Security.PeerCertificate"),
+	eventKeys(),
+
+	oneOf("Log.Level", func(s *settings) *string { return &s.Log.Level }, "info", "debug", "warning", "error"),
+	oneOf("Log.Format", func(s *settings) *string { return &s.Log.Format }, "text", "json"),
+}
+
+func certificate(s *settings) string     { return s.Security.Certificate }
+func key(s *settings) string             { return s.Security.Key }
+func peerCertificate(s *settings) string { return s.Security.PeerCertificate }
+func peerKey(s *settings) string         { return s.Security.PeerKey }
+func peerAuthority(s *settings) string   { return s.Security.PeerAuthority }
+
+func distinct() rule {
+	return rule{path: "PeerListen", fill: noFill, check: func(s *settings) string {
+		if s.PeerListen.IsValid() && s.PeerListen.Port() != 0 && s.PeerListen == s.Listen {
+			return "must differ from Listen"
+		}
+		return ""
+	}}
+}
+
+func suspicion() rule {
+	return rule{path: "Peers.SuspectAfter", fill: noFill, check: func(s *settings) string {
+		if s.Peers.SuspectAfter < 2*s.Peers.Heartbeat {
+			return "must be at least twice Peers.Heartbeat"
+		}
+		return ""
+	}}
+}
+
+// minEventKey is the shortest text that may sign event ids, in bytes.
+const minEventKey = 16
+
+func eventKeys() rule {
+	return rule{path: "Security.EventKeys", fill: noFill, check: func(s *settings) string {
+		for _, k := range s.Security.EventKeys {
+			if len(k) < minEventKey {
+				return "must be keys of at least 16 characters"
+			}
+		}
+		return ""
+	}}
+}
