Measure the policy under virtual time

Cause: changes of the policy need figures from the same seeded runs. Adds a model of engines and links, a seeded workload, owners that act on the policy's steps, three baselines, and a matrix runner with table, CSV and SVG.

--- /dev/null
+++ b/core/tlbaseline/maker.go
@@ -0,0 +1,68 @@
+package tlbaseline
+
+import (
+	"math/rand/v2"
+
+	"trefoillanding/core/tlsched"
+	"trefoillanding/core/tlwire"
+)
+
+// Scope says what one decider sees.
+type Scope int
+
+// The scopes of a decider.
+const (
+	// ScopePool has one decider for each pool, for the requests of all owners.
+	ScopePool Scope = iota
+	// ScopeInstance has one decider at each owner, for its requests at all pools.
+	ScopeInstance
+)
+
+// Truth is what only an oracle may know.
+type Truth struct {
+	Output func(request string) int
+}
+
+// Maker names a policy and makes it for a pool.
+type Maker struct {
+	Name  string
+	Scope Scope
+	Make  func(p tlwire.Pool, s tlwire.Service, o []tlwire.Organisation, r *rand.Rand, t Truth) Policy
+}
+
+// Makers lists every policy, the program's own first.
+func Makers() []Maker {
+	return []Maker{
+		{Name: "Scheduler", Scope: ScopePool, Make: makeScheduler},
+		{Name: "SchedulerWithoutHomes", Scope: ScopeInstance, Make: makeScheduler},
+		{Name: "RoundRobin", Scope: ScopeInstance, Make: makeRoundRobin},
+		{Name: "LeastLoad", Scope: ScopeInstance, Make: makeLeastLoad},
+		{Name: "TwoChoices", Scope: ScopeInstance, Make: makeTwoChoices},
+	}
+}
+
+// Find returns the policy of a name.
+func Find(name string) (Maker, bool) {
+	for _, m := range Makers() {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Maker{}, false
+}
+
+func makeScheduler(p tlwire.Pool, s tlwire.Service, o []tlwire.Organisation, r *rand.Rand, _ Truth) Policy {
+	return FromScheduler(tlsched.New(p, s, o, r))
+}
+
+func makeRoundRobin(p tlwire.Pool, s tlwire.Service, _ []tlwire.Organisation, _ *rand.Rand, _ Truth) Policy {
+	return newSimple(p, *s.Bounds, roundRobin(), roundRobin()).Policy()
+}
+
+func makeLeastLoad(p tlwire.Pool, s tlwire.Service, _ []tlwire.Organisation, _ *rand.Rand, _ Truth) Policy {
+	return newSimple(p, *s.Bounds, leastLoad(), leastLoad()).Policy()
+}
+
+func makeTwoChoices(p tlwire.Pool, s tlwire.Service, _ []tlwire.Organisation, r *rand.Rand, _ Truth) Policy {
+	return newSimple(p, *s.Bounds, twoChoices(r), twoChoices(r)).Policy()
+}
--- /dev/null
+++ b/core/tlspill/doc.go
@@ -0,0 +1,3 @@
+// Package tlspill chooses the pool that an owner sends a request to, from
+// lagging summaries.
+package tlspill
--- /dev/null
+++ b/core/tltrial/home.go
@@ -0,0 +1,131 @@
+package tltrial
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"trefoillanding/core/tlbaseline"
+	"trefoillanding/core/tlwire"
+)
+
+// home is one instance that decides, for a pool or for its own requests.
+type home struct {
+	trial      *Trial
+	dataCentre string
+	policy     tlbaseline.Policy
+	pool       tlwire.Pool
+	tickAt     time.Time
+}
+
+// buildHomes makes one home for each pool, or one for each instance that sees
+// the engines of all pools, whichever the policy wants.
+func (t *Trial) buildHomes(pools []tlwire.Pool) {
+	if t.setting.Policy.Scope == tlbaseline.ScopePool {
+		for i, p := range pools {
+			t.addHome(p, p.DataCentre, uint64(i))
+		}
+		return
+	}
+	all := pools[0]
+	all.Engines = nil
+	for _, p := range pools {
+		all.Engines = append(all.Engines, p.Engines...)
+	}
+	for i, n := range t.setting.Experiment.Instances {
+		p := all
+		p.Name = n.Name
+		t.addHome(p, n.DataCentre, uint64(i))
+	}
+}
+
+func (t *Trial) addHome(p tlwire.Pool, dataCentre string, number uint64) {
+	r := rand.New(rand.NewPCG(t.setting.Seed, number))
+	s := service(t.setting.Experiment)
+	h := &home{
+		trial:      t,
+		dataCentre: dataCentre,
+		pool:       p,
+		policy:     t.setting.Policy.Make(p, s, organisations(t.setting.Experiment), r, t.truth()),
+	}
+	t.homes = append(t.homes, h)
+	t.seen = append(t.seen, tlwire.PoolSummary{Pool: p.Name})
+}
+
+func service(x tlwire.Experiment) tlwire.Service {
+	outputs, prompts := 0, 0
+	for _, c := range x.Requests {
+		outputs = max(outputs, c.OutputMax)
+		prompts = max(prompts, c.PromptMax)
+	}
+	return tlwire.Service{
+		Name:    x.Name,
+		Kind:    tlwire.ServiceKindCompletions,
+		Targets: &tlwire.Targets{FirstToken: x.FirstToken, BetweenTokens: x.BetweenTokens},
+		Weights: &tlwire.Weights{Goodput: x.Goodput, WastedPrefill: x.WastedPrefill},
+		Bounds: &tlwire.Bounds{
+			QueueWait:    x.QueueWait,
+			QueueLength:  x.QueueLength,
+			RetryShare:   x.RetryShare,
+			MaxTokens:    outputs,
+			PromptTokens: prompts,
+		},
+	}
+}
+
+func organisations(x tlwire.Experiment) []tlwire.Organisation {
+	var l []tlwire.Organisation
+	for i := range x.Organisations {
+		l = append(l, tlwire.Organisation{Name: organisation(i), Weight: 1})
+	}
+	return l
+}
+
+// do calls the policy and sends its steps to the owners.
+func (h *home) do(f func(time.Time) []tlwire.Step) {
+	t := h.trial
+	for _, s := range f(t.clock.Now()) {
+		c := t.calls[s.Request]
+		if c == nil {
+			continue
+		}
+		t.clock.After(t.delay(h.dataCentre, c.dataCentre()), func() { c.take(h, s) })
+	}
+	h.planTick()
+}
+
+func (h *home) planTick() {
+	c := h.trial.clock
+	n := h.policy.Next()
+	if n.IsZero() {
+		return
+	}
+	if least := c.Now().Add(tickDelay); n.Before(least) {
+		n = least
+	}
+	if h.tickAt.After(c.Now()) && !n.Before(h.tickAt) {
+		return
+	}
+	h.tickAt = n
+	c.At(n, func() { h.tick(n) })
+}
+
+func (h *home) tick(at time.Time) {
+	if !h.tickAt.Equal(at) {
+		return
+	}
+	h.tickAt = time.Time{}
+	h.do(h.policy.Tick)
+}
+
+func (t *Trial) delay(a, b string) time.Duration {
+	if a == b {
+		return t.model.LocalDelay
+	}
+	return t.model.RemoteDelay
+}
+
+func (t *Trial) truth() tlbaseline.Truth {
+	return tlbaseline.Truth{
+		Output: func(request string) int { return t.calls[request].request.Output },
+	}
+}
--- /dev/null
+++ b/core/tlworkload/doc.go
@@ -0,0 +1,2 @@
+// Package tlworkload draws the requests of an experiment from a seed.
+package tlworkload
--- /dev/null
+++ b/io/tlexperiment/command.go
@@ -0,0 +1,72 @@
+package tlexperiment
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoillanding/core/tlwire"
+)
+
+// Flags returns the options of a command that runs experiment files; each one
+// narrows the matrix that a file declares.
+func Flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "out", Usage: "write CSV and SVG into `FOLDER`"},
+		&cli.IntFlag{Name: "seeds", Usage: "run only so many seeds"},
+		&cli.FloatSliceFlag{Name: "load", Usage: "run only this load (may be repeated)"},
+		&cli.StringSliceFlag{Name: "policy", Usage: "run only this policy (may be repeated)"},
+		&cli.StringFlag{Name: "arrivals", Usage: "run only Poisson or Bursty arrivals"},
+		&cli.StringFlag{Name: "condition", Usage: "run only the Clean or Faulty condition"},
+		&cli.DurationFlag{Name: "duration", Usage: "measure so much virtual time"},
+	}
+}
+
+// RunFiles runs the files that a command's arguments name.
+func RunFiles(ctx context.Context, c *cli.Command, w io.Writer) error {
+	if c.Args().Len() == 0 {
+		return errors.New("experiment: name at least one file")
+	}
+	for _, name := range c.Args().Slice() {
+		file, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		x, err := Read(file)
+		if err != nil {
+			return err
+		}
+		if x, err = narrow(x, c); err != nil {
+			return err
+		}
+		if err := Run(ctx, x, c.String("out"), w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func narrow(x tlwire.Experiment, c *cli.Command) (tlwire.Experiment, error) {
+	if c.IsSet("seeds") {
+		x.Seeds = c.Int("seeds")
+	}
+	if l := c.FloatSlice("load"); len(l) > 0 {
+		x.Loads = l
+	}
+	if l := c.StringSlice("policy"); len(l) > 0 {
+		x.Policies = l
+	}
+	if s := c.String("arrivals"); s != "" {
+		x.Arrivals = []tlwire.ArrivalKind{tlwire.ArrivalKind(s)}
+	}
+	if s := c.String("condition"); s != "" {
+		x.Conditions = []tlwire.ConditionKind{tlwire.ConditionKind(s)}
+	}
+	if c.IsSet("duration") {
+		x.Duration = c.Duration("duration")
+	}
+	return x, check(x)
+}
--- /dev/null
+++ b/io/tlexperiment/doc.go
@@ -0,0 +1,3 @@
+// Package tlexperiment runs the matrix of an experiment file with a pool of
+// workers and writes what was measured.
+package tlexperiment
--- /dev/null
+++ b/io/tlreport/row.go
@@ -0,0 +1,81 @@
+package tlreport
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"trefoillanding/core/tltrial"
+	"trefoillanding/core/tlwire"
+)
+
+// Row is what one cell of the matrix measured over all seeds.
+type Row struct {
+	Arrivals  tlwire.ArrivalKind
+	Condition tlwire.ConditionKind
+	Load      float64
+	Policy    string
+	Result    *tltrial.Result
+	// Each is the goodput of each seed.
+	Each []float64
+}
+
+// Add takes in the result of one seed.
+func (r *Row) Add(t *tltrial.Result) {
+	r.Each = append(r.Each, t.Goodput())
+	if r.Result == nil {
+		r.Result = t
+		return
+	}
+	r.Result.Merge(t)
+}
+
+type column struct {
+	name  string
+	value func(*Row) string
+}
+
+var columns = []column{
+	{"Arrivals", func(r *Row) string { return string(r.Arrivals) }},
+	{"Condition", func(r *Row) string { return string(r.Condition) }},
+	{"Load", func(r *Row) string { return strconv.FormatFloat(r.Load, 'f', -1, 64) }},
+	{"Policy", func(r *Row) string { return r.Policy }},
+	{"Goodput/s", func(r *Row) string { return fmt.Sprintf("%.2f", r.Result.Goodput()) }},
+	{"Good%", outcome(tltrial.Good)},
+	{"Wasted%", func(r *Row) string { return percent(r.Result.WastedShare()) }},
+	{"TTFT50", func(r *Row) string { return milliseconds(r.Result.FirstToken, 50) }},
+	{"TTFT95", func(r *Row) string { return milliseconds(r.Result.FirstToken, 95) }},
+	{"TTFT99", func(r *Row) string { return milliseconds(r.Result.FirstToken, 99) }},
+	{"TBT50", func(r *Row) string { return milliseconds(r.Result.BetweenTokens, 50) }},
+	{"TBT95", func(r *Row) string { return milliseconds(r.Result.BetweenTokens, 95) }},
+	{"TBT99", func(r *Row) string { return milliseconds(r.Result.BetweenTokens, 99) }},
+	{"Refused%", outcome(tltrial.Refused)},
+	{"LateFirst%", outcome(tltrial.LateFirst)},
+	{"LateBetween%", outcome(tltrial.LateBetween)},
+	{"Failed%", outcome(tltrial.Failed)},
+	{"GaveUp%", outcome(tltrial.GaveUp)},
+	{"Unfinished%", outcome(tltrial.Unfinished)},
+	{"FlooderGood%", func(r *Row) string { return percent(r.Result.Flooder()) }},
+	{"OthersGood%", func(r *Row) string { return percent(r.Result.Others()) }},
+	{"WorstGood%", func(r *Row) string { return percent(r.Result.Worst()) }},
+	{"FlooderShare%", func(r *Row) string { return percent(r.Result.FlooderShare()) }},
+	{"Cached%", func(r *Row) string {
+		return percent(r.Result.Cached / max(r.Result.Cached+r.Result.Computed, 1))
+	}},
+	{"Held%", func(r *Row) string { return percent(r.Result.HeldShare) }},
+}
+
+func outcome(o tltrial.Outcome) func(*Row) string {
+	return func(r *Row) string {
+		return percent(float64(r.Result.Outcomes[o]) / float64(max(r.Result.Offered(), 1)))
+	}
+}
+
+func percent(v float64) string {
+	return fmt.Sprintf("%.2f", 100*v)
+}
+
+func milliseconds(h *hdrhistogram.Histogram, quantile float64) string {
+	return fmt.Sprintf("%.0f", float64(h.ValueAtQuantile(quantile))/1000)
+}
