--- a/core/tlwire/config.go
+++ b/core/tlwire/config.go
@@ -43,6 +43,9 @@
 
 // Config is the whole desired state that operators declare.
 type Config struct {
+	// DataCentres lists the places and their delays.
+	DataCentres []DataCentre `json:"DataCentres,omitempty" yaml:"DataCentres,omitempty" cbor:"DataCentres,omitempty"`
+
 	// Organisations lists who is served and with what weight.
 	Organisations []Organisation `json:"Organisations,omitempty" yaml:"Organisations,omitempty" cbor:"Organisations,omitempty"`
 
@@ -53,6 +56,21 @@
 	Services []Service `json:"Services" yaml:"Services" cbor:"Services"`
 }
 
+// DataCentre is a place where instances and endpoints stand.
+type DataCentre struct {
+	// CallerDelay is the one-way delay to callers.
+	CallerDelay time.Duration `json:"CallerDelay,omitempty" yaml:"CallerDelay,omitempty" cbor:"CallerDelay,omitempty"`
+
+	// Delay is the one-way delay to the other data centres of the region.
+	Delay time.Duration `json:"Delay,omitempty" yaml:"Delay,omitempty" cbor:"Delay,omitempty"`
+
+	// Name is unique.
+	Name string `json:"Name" yaml:"Name" cbor:"Name"`
+
+	// Region groups data centres that are near to each other.
+	Region string `json:"Region" yaml:"Region" cbor:"Region"`
+}
+
 // Engine is one replica of a model.
 type Engine struct {
 	// Address is where it listens.
