Add stand-ins for platform, engines and plain services

Cause: nothing could be run end to end without the other side. Change: io/tlstandin implements docs/ENGINE.md, docs/PLATFORM.md and the plain calls over loopback HTTP, with faults drawn from a seed and set at run time by POST /control/faults; a Deployment starts all of a configuration. The protocol gains GET /engine/exports/{handle} (asked by the importing engine), and an Error on import lines. Token texts are four bytes, a pure function of the original prompt and the index, so that an answer that goes on elsewhere is checked by comparing texts.

--- a/core/tlwire/engine.go
+++ b/core/tlwire/engine.go
@@ -78,6 +78,22 @@
 	Reason string `json:"Reason" yaml:"Reason" cbor:"Reason"`
 }
 
+// Export tells an importing engine about a held KV cache; the cache is kept for as
+// long as the answer stays open.
+type Export struct {
+	// Attempt is the attempt that was prefilled.
+	Attempt string `json:"Attempt" yaml:"Attempt" cbor:"Attempt"`
+
+	// Bytes is the size of the KV cache.
+	Bytes int64 `json:"Bytes" yaml:"Bytes" cbor:"Bytes"`
+
+	// Prompt is the text that was prefilled.
+	Prompt string `json:"Prompt" yaml:"Prompt" cbor:"Prompt"`
+
+	// Tokens is its length.
+	Tokens int `json:"Tokens" yaml:"Tokens" cbor:"Tokens"`
+}
+
 // ImportProgress is one line of the answer to an import.
 type ImportProgress struct {
 	// Attempt echoes the request.
@@ -89,6 +105,9 @@
 	// Done is set on the last line.
 	Done bool `json:"Done" yaml:"Done" cbor:"Done"`
 
+	// Error ends an import that can't go on; its memory is free.
+	Error string `json:"Error,omitempty" yaml:"Error,omitempty" cbor:"Error,omitempty"`
+
 	// Total is how much there is.
 	Total int64 `json:"Total" yaml:"Total" cbor:"Total"`
 }
--- /dev/null
+++ b/io/tlstandin/job.go
@@ -0,0 +1,95 @@
+package tlstandin
+
+import (
+	"time"
+
+	"trefoillanding/core/tlwire"
+)
+
+// The causes for which a job has left its engine.
+const (
+	goneKilled    = "Killed"
+	goneCancelled = "Cancelled"
+	goneLapsed    = "Lapsed"
+	goneRead      = "Read"
+	goneNoMemory  = "OutOfMemory"
+	goneFailed    = "Failed"
+)
+
+// job is what an engine holds for one half of one attempt; its fields are
+// guarded by the engine's mutex, but for the channels.
+type job struct {
+	attempt     string
+	request     string
+	owner       string
+	incarnation uint64
+	stage       tlwire.Stage
+	priority    int
+	pieces      int
+	prompt      string
+	tokens      int
+	born        time.Time
+	ended       chan struct{}
+	gone        chan struct{}
+	cause       string
+
+	handle string
+	cached int
+	bytes  int64
+	pins   int
+	lapsed bool
+
+	moved int64
+
+	stream  string
+	seed    uint64
+	first   int
+	next    int
+	stop    int
+	finish  string
+	stallAt int
+	failAt  int
+	watch   *watcher
+}
+
+// watcher is one connection that reads a job's progress.
+type watcher struct {
+	wake chan struct{}
+	cut  chan struct{}
+}
+
+func newWatcher() *watcher {
+	return &watcher{wake: make(chan struct{}, 1), cut: make(chan struct{})}
+}
+
+func (w *watcher) notify() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// notify wakes the job's reader, if it has one.
+func (j *job) notify() {
+	if j.watch != nil {
+		j.watch.notify()
+	}
+}
+
+// leave marks the job as gone for a cause; the second call does nothing.
+func (j *job) leave(cause string) {
+	if j.cause != "" {
+		return
+	}
+	j.cause = cause
+	close(j.gone)
+	j.notify()
+}
+
+// replace makes w the only reader and cuts the earlier one off.
+func (j *job) replace(w *watcher) {
+	if j.watch != nil {
+		close(j.watch.cut)
+	}
+	j.watch = w
+}
--- /dev/null
+++ b/io/tlstandin/stream.go
@@ -0,0 +1,335 @@
+package tlstandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"trefoillanding/core/tlwire"
+)
+
+const (
+	finishStop   = "stop"
+	finishLength = "length"
+	// crossedAttempt is the attempt of the tokens that a fault mixes in.
+	crossedAttempt = "another-attempt"
+)
+
+func (e *Engine) decode(w http.ResponseWriter, r *http.Request) {
+	q, ok := decode[tlwire.DecodeRequest](w, r)
+	if !ok {
+		return
+	}
+	v := newWatcher()
+	j, no := e.start(q, v)
+	if no != nil {
+		refuse(w, no.status, no.reason, no.message)
+		return
+	}
+	e.write(w, r, j, v, q.FirstIndex)
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	q, ok := decode[tlwire.ResumeRequest](w, r)
+	if !ok {
+		return
+	}
+	v := newWatcher()
+	j, no := e.take(q, v)
+	if no != nil {
+		refuse(w, no.status, no.reason, no.message)
+		return
+	}
+	e.write(w, r, j, v, q.FirstIndex)
+}
+
+// start turns an imported cache into a stream.
+func (e *Engine) start(q tlwire.DecodeRequest, v *watcher) (*job, *refusal) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	j := e.decodes[q.Attempt]
+	if j == nil {
+		return nil, &refusal{http.StatusNotFound, reasonUnknown, "nothing was imported for the attempt"}
+	}
+	if j.stage != tlwire.StageHeld {
+		return nil, &refusal{http.StatusConflict, reasonNotReady, "the attempt's stage is " + string(j.stage)}
+	}
+	o, ok := original(j.prompt, q.FirstIndex)
+	if !ok {
+		e.dropDecode(j, goneFailed)
+		return nil, &refusal{http.StatusBadRequest, reasonMismatch, "the delivered tokens are not the answer's first ones"}
+	}
+	j.stage = tlwire.StageDecoding
+	j.stream, j.priority = q.Stream, q.Priority
+	j.owner, j.incarnation = q.Owner, q.Incarnation
+	j.seed, j.first, j.next = seedOf(o), q.FirstIndex, q.FirstIndex
+	j.stop, j.finish = e.set.Length(o), finishStop
+	if q.MaxTokens < j.stop {
+		j.stop, j.finish = q.MaxTokens, finishLength
+	}
+	j.stallAt, j.failAt = e.drawStops(j.first)
+	e.streams[q.Stream] = j
+	e.running[j] = struct{}{}
+	j.replace(v)
+	if j.next >= j.stop {
+		e.finish(j)
+	}
+	return j, nil
+}
+
+// drawStops returns where a new stream stalls and where it fails; -1 is nowhere.
+func (e *Engine) drawStops(first int) (int, int) {
+	s := e.faults.Get()
+	stall, fail := -1, -1
+	if e.faults.draw(s.StallStreams) {
+		stall = first + s.StopAfter
+	}
+	if e.faults.draw(s.FailStreams) {
+		fail = first + s.StopAfter
+	}
+	return stall, fail
+}
+
+// take makes a new owner the reader of a stream.
+func (e *Engine) take(q tlwire.ResumeRequest, v *watcher) (*job, *refusal) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	j := e.streams[q.Stream]
+	if j == nil || q.FirstIndex < j.first || q.FirstIndex > j.stop {
+		return nil, &refusal{http.StatusNotFound, reasonUnknown, "the stream is gone"}
+	}
+	j.owner, j.incarnation = q.Owner, q.Incarnation
+	j.replace(v)
+	return j, nil
+}
+
+// finish marks a stream as decoded to its end; it needs the mutex.
+func (e *Engine) finish(j *job) {
+	j.stage = tlwire.StageFinished
+	delete(e.running, j)
+	j.notify()
+}
+
+// step adds n tokens to every stream that decodes.
+func (e *Engine) step(n int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for j := range e.running {
+		e.grow(j, n)
+	}
+}
+
+// grow adds tokens to one stream, and memory where it needs it; it needs the mutex.
+func (e *Engine) grow(j *job, n int) {
+	if j.stallAt >= 0 {
+		n = min(n, max(0, j.stallAt-j.next))
+	}
+	if j.failAt >= 0 && j.next+n >= j.failAt {
+		e.dropDecode(j, goneFailed)
+		return
+	}
+	if n == 0 {
+		return
+	}
+	j.next = min(j.next+n, j.stop)
+	if more := e.set.pieces(j.tokens+j.next-j.first) - j.pieces; more > 0 {
+		if more > e.free {
+			e.dropDecode(j, goneNoMemory)
+			return
+		}
+		e.free -= more
+		j.pieces += more
+	}
+	if j.next == j.stop {
+		e.finish(j)
+		return
+	}
+	j.notify()
+}
+
+// wasRead frees a stream that was read to its end; its tokens stay for a while.
+func (e *Engine) wasRead(j *job, v *watcher) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if j.cause != "" || j.watch != v {
+		return
+	}
+	e.free += j.pieces
+	j.pieces = 0
+	e.wakePrefill()
+	time.AfterFunc(e.set.FinishedFor, func() { e.dropDecodeNow(j, goneRead) })
+}
+
+// leaveReader notes that a connection no longer reads a stream.
+func (e *Engine) leaveReader(j *job, v *watcher) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if j.watch == v {
+		j.watch = nil
+	}
+}
+
+// view is what a reader sees of a stream at one moment.
+type view struct {
+	next   int
+	stop   int
+	done   bool
+	finish string
+	cause  string
+}
+
+func (e *Engine) view(j *job) view {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return view{
+		next:   j.next,
+		stop:   j.stop,
+		done:   j.stage == tlwire.StageFinished,
+		finish: j.finish,
+		cause:  j.cause,
+	}
+}
+
+// write sends a stream's tokens as they come, until its end or the reader's.
+func (e *Engine) write(w http.ResponseWriter, r *http.Request, j *job, v *watcher, first int) {
+	defer e.leaveReader(j, v)
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	c := http.NewResponseController(w)
+	l := newLines(j.attempt, j.seed, first, e.faults)
+	for {
+		s := e.view(j)
+		if s.cause == goneKilled {
+			panic(http.ErrAbortHandler)
+		}
+		b, ended := l.upTo(s)
+		if _, err := w.Write(b); err != nil || c.Flush() != nil {
+			return
+		}
+		if l.isCut() {
+			panic(http.ErrAbortHandler)
+		}
+		if ended && s.cause == "" {
+			e.wasRead(j, v)
+		}
+		if ended {
+			return
+		}
+		select {
+		case <-v.wake:
+		case <-v.cut:
+			_, _ = w.Write(l.error(streamTaken))
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// lines writes token events.
+type lines struct {
+	attempt []byte
+	crossed []byte
+	seed    uint64
+	index   int
+	cutAt   int
+	faults  *Faults
+	set     tlwire.Faults
+	buffer  []byte
+}
+
+func newLines(attempt string, seed uint64, first int, f *Faults) *lines {
+	l := &lines{
+		attempt: prefix(attempt),
+		crossed: prefix(crossedAttempt),
+		seed:    seed,
+		index:   first,
+		cutAt:   -1,
+		faults:  f,
+		set:     f.Get(),
+	}
+	if f.draw(l.set.CutStreams) {
+		l.cutAt = first + l.set.StopAfter
+	}
+	return l
+}
+
+func (l *lines) isCut() bool {
+	return l.cutAt >= 0 && l.index >= l.cutAt
+}
+
+// upTo returns the events that a view adds, and whether they end the answer.
+func (l *lines) upTo(s view) ([]byte, bool) {
+	l.buffer = l.buffer[:0]
+	if s.done && l.index >= s.stop {
+		l.event(l.attempt, l.index, s.finish, false)
+		return l.buffer, true
+	}
+	for l.index < s.next && !l.isCut() {
+		l.token(s)
+	}
+	if s.cause != "" && s.cause != goneRead {
+		l.buffer = append(l.buffer, l.error(s.cause)...)
+		return l.buffer, true
+	}
+	return l.buffer, s.done && l.index >= s.stop
+}
+
+// token adds one token with the faults that are switched on.
+func (l *lines) token(s view) {
+	finish := ""
+	if l.index == s.stop-1 {
+		finish = s.finish
+	}
+	if l.faults.draw(l.set.CrossShare) {
+		l.event(l.crossed, l.index, "", true)
+	}
+	if !l.faults.draw(l.set.SkipShare) {
+		l.event(l.attempt, l.index, finish, true)
+	}
+	if l.faults.draw(l.set.RepeatShare) {
+		l.event(l.attempt, l.index, finish, true)
+	}
+	l.index++
+}
+
+func (l *lines) event(start []byte, index int, finish string, text bool) {
+	b := append(l.buffer, start...)
+	b = strconv.AppendInt(b, int64(index), 10)
+	b = append(b, `,"Text":"`...)
+	if text {
+		b = appendToken(b, l.seed, index)
+	}
+	b = append(b, '"')
+	if finish != "" {
+		b = append(b, `,"Finish":"`...)
+		b = append(b, finish...)
+		b = append(b, '"')
+	}
+	l.buffer = append(b, '}', '\n')
+}
+
+func (l *lines) error(cause string) []byte {
+	b, err := json.Marshal(tlwire.TokenEvent{Attempt: l.name(), Index: l.index, Error: cause})
+	if err != nil {
+		panic(err)
+	}
+	return append(b, '\n')
+}
+
+// name returns the attempt that the lines belong to.
+func (l *lines) name() string {
+	var v struct{ Attempt string }
+	_ = json.Unmarshal(append(append([]byte{}, l.attempt[:len(l.attempt)-len(`,"Index":`)]...), '}'), &v)
+	return v.Attempt
+}
+
+// prefix returns the start of every event of an attempt.
+func prefix(attempt string) []byte {
+	q, err := json.Marshal(attempt)
+	if err != nil {
+		panic(err)
+	}
+	b := append([]byte(`{"Attempt":`), q...)
+	return append(b, `,"Index":`...)
+}
