--- a/io/tlstandin/behaviour.go
+++ b/io/tlstandin/behaviour.go
@@ -40,7 +40,7 @@
 		PrefillBase:            5 * time.Millisecond,
 		HoldFor:                800 * time.Millisecond,
 		ImportedFor:            5 * time.Second,
-		FinishedFor:            2 * time.Second,
+		FinishedFor:            30 * time.Second,
 		PiecesTotal:            40,
 		PieceTokens:            2_000,
 		BytesPerToken:          100_000,
--- a/io/tlstandin/job.go
+++ b/io/tlstandin/job.go
@@ -11,7 +11,6 @@
 	goneKilled    = "Killed"
 	goneCancelled = "Cancelled"
 	goneLapsed    = "Lapsed"
-	goneRead      = "Read"
 	goneNoMemory  = "OutOfMemory"
 	goneFailed    = "Failed"
 )
--- a/io/tlstandin/load.go
+++ b/io/tlstandin/load.go
@@ -53,7 +53,7 @@
 	answer(w, tlwire.StreamList{Streams: e.Streams()})
 }
 
-// Streams returns everything that holds memory or waits.
+// Streams returns everything that is held or waits.
 func (e *Engine) Streams() []tlwire.StreamInfo {
 	now := time.Now()
 	e.mutex.Lock()
@@ -61,9 +61,7 @@
 	l := make([]tlwire.StreamInfo, 0, len(e.prefills)+len(e.decodes))
 	for _, m := range []map[string]*job{e.prefills, e.decodes} {
 		for _, j := range m {
-			if j.pieces > 0 || j.stage == tlwire.StageQueued {
-				l = append(l, j.info(now))
-			}
+			l = append(l, j.info(now))
 		}
 	}
 	slices.SortFunc(l, func(a, b tlwire.StreamInfo) int { return cmp.Compare(a.Attempt, b.Attempt) })
--- a/io/tlstandin/stream.go
+++ b/io/tlstandin/stream.go
@@ -104,10 +104,15 @@
 	return j, nil
 }
 
-// finish marks a stream as decoded to its end; it needs the mutex.
+// finish gives the memory of a stream back that was decoded to its end; its
+// tokens stay for a while; it needs the mutex.
 func (e *Engine) finish(j *job) {
 	j.stage = tlwire.StageFinished
 	delete(e.running, j)
+	e.free += j.pieces
+	j.pieces = 0
+	e.wakePrefill()
+	time.AfterFunc(e.set.FinishedFor, func() { e.dropDecodeNow(j, goneLapsed) })
 	j.notify()
 }
 
@@ -148,19 +153,6 @@
 	j.notify()
 }
 
-// wasRead frees a stream that was read to its end; its tokens stay for a while.
-func (e *Engine) wasRead(j *job, v *watcher) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if j.cause != "" || j.watch != v {
-		return
-	}
-	e.free += j.pieces
-	j.pieces = 0
-	e.wakePrefill()
-	time.AfterFunc(e.set.FinishedFor, func() { e.dropDecodeNow(j, goneRead) })
-}
-
 // leaveReader notes that a connection no longer reads a stream.
 func (e *Engine) leaveReader(j *job, v *watcher) {
 	e.mutex.Lock()
@@ -209,9 +201,6 @@
 		if l.isCut() {
 			panic(http.ErrAbortHandler)
 		}
-		if ended && s.cause == "" {
-			e.wasRead(j, v)
-		}
 		if ended {
 			return
 		}
@@ -268,7 +257,7 @@
 	for l.index < s.next && !l.isCut() {
 		l.token(s)
 	}
-	if s.cause != "" && s.cause != goneRead {
+	if s.cause != "" {
 		l.buffer = append(l.buffer, l.error(s.cause)...)
 		return l.buffer, true
 	}
