Let a declarative file hold any part of the whole

Sprue's organisations stand in a file of their own, which failed because Services was required in each file; now some file must declare a service.

--- a/core/tlconfig/checks.go
+++ b/core/tlconfig/checks.go
@@ -10,6 +10,7 @@
 
 // checks are run in this order over all files together.
 var checks = []func(*checker){
+	checkNotEmpty,
 	checkDataCentres,
 	checkServices,
 	checkModels,
@@ -22,6 +23,12 @@
 	checkOrganisations,
 }
 
+func checkNotEmpty(c *checker) {
+	if len(c.documents) > 0 && len(c.whole.Services) == 0 {
+		c.documents[0].Add("Services", "must declare at least one service in some file")
+	}
+}
+
 func checkDataCentres(c *checker) {
 	for i, d := range c.whole.DataCentres {
 		p := c.dataCentres[i]
--- a/core/tlconfig/parse_test.go
+++ b/core/tlconfig/parse_test.go
@@ -65,6 +65,7 @@
 Pools:
   - {Name: p, Service: none, DataCentre: x, Engines: [{Name: a, Address: "127.0.0.1:1", Role: Prefil}]}
 `}, []string{
+			"a.yaml:1: Services: must declare at least one service in some file",
 			`a.yaml:3: Pools[0].Service: no service is named "none"`,
 			`a.yaml:3: Pools[0].Engines[0].Role: must be Prefill, Decode or Both, but is "Prefil"`,
 			"a.yaml:3: Pools[0].Engines: must hold at least one engine for prefill and one for decode",
--- a/core/tlwire/config.go
+++ b/core/tlwire/config.go
@@ -53,7 +53,7 @@
 	Pools []Pool `json:"Pools,omitempty" yaml:"Pools,omitempty" cbor:"Pools,omitempty"`
 
 	// Services lists what callers may ask for.
-	Services []Service `json:"Services" yaml:"Services" cbor:"Services"`
+	Services []Service `json:"Services,omitempty" yaml:"Services,omitempty" cbor:"Services,omitempty"`
 }
 
 // DataCentre is a place where instances and endpoints stand.
