--- a/core/tlsched/counter.go
+++ b/core/tlsched/counter.go
@@ -3,7 +3,7 @@
 // Counter names something that the scheduler counts.
 type Counter int
 
-// The counters of a scheduler, one for each reason of a refusal, retry, drop or cancel.
+// The counters of a scheduler, one for each reason of a refusal, retry, drop or cancel, and some for what was placed.
 const (
 	RefusedQueueFull Counter = iota
 	RefusedWaitTooLong
@@ -28,6 +28,9 @@
 	CancelledTransferring
 	CancelledDecoding
 	PrefillWasted
+	PlacedOnTime
+	PlacedLate
+	PlacedOnBet
 	Finished
 	counters
 )
@@ -38,7 +41,7 @@
 	"RetriedEngineGone", "RetriedResubmitted", "RetriedOutgrown", "DelayedRetry", "MovedTransfer",
 	"DroppedStaleReport", "DroppedUnknownRequest", "DroppedDuplicate",
 	"CancelledWaiting", "CancelledPrefilling", "CancelledHeld", "CancelledTransferring", "CancelledDecoding",
-	"PrefillWasted", "Finished",
+	"PrefillWasted", "PlacedOnTime", "PlacedLate", "PlacedOnBet", "Finished",
 }
 
 // String returns the counter's name.
--- a/core/tlsched/options.go
+++ b/core/tlsched/options.go
@@ -85,7 +85,7 @@
 		AssumedAnswer:  300,
 		AnswerQuantile: 0.7,
 		LateShare:      0.03,
-		LateReserve:    0.05,
+		LateReserve:    0.2,
 		LookAhead:      4,
 		Attempts:       6,
 		RetryBurst:     4,
--- a/core/tlsched/placement.go
+++ b/core/tlsched/placement.go
@@ -120,6 +120,7 @@
 	if d != nil {
 		s.reserve(r, d)
 	} else {
+		s.counts[PlacedOnBet]++
 		s.unfunded = append(s.unfunded, r)
 	}
 	s.charge(now, r)
@@ -150,7 +151,10 @@
 	i := &r.item
 	r.charged = i.Cost
 	s.queue.Charge(i.Organisation, i.Late(), i.Cost)
-	if i.Late() {
+	if !i.Late() {
+		s.counts[PlacedOnTime]++
+	} else {
+		s.counts[PlacedLate]++
 		s.known.late.Add(now, i.Cost.Longest())
 	}
 	if r.isFresh() {
