--- a/core/tlsched/scheduler.go
+++ b/core/tlsched/scheduler.go
@@ -210,16 +210,27 @@
 
 // wait predicts the wait of a new request, given the pieces that are free.
 func (s *Scheduler) wait(now time.Time, free int) time.Duration {
-	if free > 0 && s.queue.Len(false) == 0 {
-		return 0
-	}
-	w := s.queue.Total(false).Longest()
+	w := s.prefillWait(now).Seconds() + s.queue.Total(false).Longest()
 	if f := s.known.freed.PerSecond(now); free == 0 && f > 0 {
 		w += 1 / f
 	}
 	return seconds(w)
 }
 
+// prefillWait predicts when the first prefill engine is idle.
+func (s *Scheduler) prefillWait(now time.Time) time.Duration {
+	least := time.Duration(-1)
+	for _, e := range s.order {
+		if !e.prefillsToo() || !e.takesWork(now) {
+			continue
+		}
+		if w := e.ready(now).Sub(now); least < 0 || w < least {
+			least = w
+		}
+	}
+	return max(least, 0)
+}
+
 // Counts returns the value of every counter.
 func (s *Scheduler) Counts() Counts {
 	return s.counts
