--- a/core/tlsched/options.go
+++ b/core/tlsched/options.go
@@ -35,6 +35,8 @@
 
 	// PrefillDepth is the most prefills given to one engine at once.
 	PrefillDepth int
+	// PrefillLead is how long before an engine is idle it is given its next prefill.
+	PrefillLead time.Duration
 	// MostStreams is the most streams on one decode engine whatever the estimate says.
 	MostStreams int
 	// AssumedPieces is the memory of an engine that has not reported yet.
@@ -80,6 +82,7 @@
 		Shed:         true,
 
 		PrefillDepth:   2,
+		PrefillLead:    10 * time.Millisecond,
 		MostStreams:    64,
 		AssumedPieces:  40,
 		AssumedAnswer:  300,
--- a/core/tlsched/placement.go
+++ b/core/tlsched/placement.go
@@ -191,7 +191,7 @@
 	m := s.match(r)
 	var best time.Time
 	for _, e := range s.order {
-		if !e.prefillsToo() || !e.takesWork(now) || e.prefills >= s.options.PrefillDepth {
+		if !e.prefillsToo() || !e.takesWork(now) || !s.takesPrefill(now, e) {
 			continue
 		}
 		w := s.prefillTime(r.PromptTokens - int(m[e.number]*blockTokens))
@@ -202,6 +202,14 @@
 	return b, work, blocks
 }
 
+// takesPrefill says whether an engine is idle or so nearly idle that its next prefill should be on the way.
+func (s *Scheduler) takesPrefill(now time.Time, e *engine) bool {
+	if e.prefills == 0 {
+		return true
+	}
+	return e.prefills < s.options.PrefillDepth && e.ready(now).Sub(now) <= s.options.PrefillLead
+}
+
 // decodeFor returns the engine with room for the request whose link and streams are least loaded, or nil.
 func (s *Scheduler) decodeFor(now time.Time, r *request) *engine {
 	n, limit, bytes := s.need(r), s.streamLimit(), s.bytes(r)
--- a/core/tlsched/scheduler.go
+++ b/core/tlsched/scheduler.go
@@ -179,12 +179,28 @@
 			t = earlier(t, r.heldUntil)
 		}
 	}
+	if s.waiting() > 0 {
+		t = earlier(t, s.nextPrefill(t))
+	}
 	if !t.After(s.last) {
 		return s.last.Add(1)
 	}
 	return t
 }
 
+// nextPrefill returns when a busy prefill engine should be given its next work, at the latest t.
+func (s *Scheduler) nextPrefill(t time.Time) time.Time {
+	for _, e := range s.order {
+		if e.prefills == 0 || e.prefills >= s.options.PrefillDepth {
+			continue
+		}
+		if u := e.since.Add(e.work - s.options.PrefillLead); u.After(s.last) {
+			t = earlier(t, u)
+		}
+	}
+	return t
+}
+
 func earlier(t, u time.Time) time.Time {
 	if u.Before(t) {
 		return u
