--- a/core/tlsched/bet.go
+++ b/core/tlsched/bet.go
@@ -9,38 +9,67 @@
 	// leastPatience and mostPatience bound the part of a result's life that a bet counts on.
 	leastPatience = 0.2
 	mostPatience  = 0.8
-	// riskyShare is the chance of waste that is taken when goodput and waste weigh the same.
-	riskyShare = 0.02
-	leastRisk  = 0.002
-	mostRisk   = 0.2
-	// mostBetPieces is the most memory that is bet on at once, since it must be freed on one engine.
-	mostBetPieces = 3
+	// evenRisk is the chance of waste that is taken when goodput and waste weigh the same.
+	evenRisk  = 0.04
+	leastRisk = 0.005
+	mostRisk  = 0.2
 )
 
-// mayBet says whether memory for the request will probably be free by the time
-// its prefill has ended, or soon enough after it.
+// mayBet says whether memory for the request will probably be free on some
+// engine by the time its prefill has ended, or soon enough after it.
 func (s *Scheduler) mayBet(now time.Time, r *request, done time.Time) bool {
 	if !s.options.Reserve {
 		return true
 	}
-	n := s.need(r)
-	if !s.options.Bet || n > mostBetPieces {
+	if !s.options.Bet || float64(s.need(r)) > s.known.freedEach {
 		return false
 	}
-	h := done.Sub(now).Seconds() + s.patience()*s.known.heldFor
-	mean := s.known.freed.PerSecond(now) * h
-	want := float64(n + s.betPieces())
-	deviation := math.Sqrt(mean * max(s.known.freedEach, 1))
-	return mean-s.caution()*deviation >= want
+	left := min(seconds(s.known.heldFor*s.patience()), r.slackAfter(done)) - s.transferTime(s.bytes(r))
+	if left < 0 {
+		return false
+	}
+	return s.chanceOfNone(now, s.need(r), (done.Sub(now)+left).Seconds()) <= s.risk()
 }
 
-// betPieces counts the memory that earlier bets wait for.
-func (s *Scheduler) betPieces() int {
-	n := 0
-	for _, r := range s.unfunded {
-		n += s.need(r)
+// slackAfter returns the time from the end of the prefill to the target, or a long one if it is missed anyhow.
+func (r *request) slackAfter(done time.Time) time.Duration {
+	if r.item.Late() {
+		return time.Hour
 	}
-	return n
+	return r.Due.Sub(done)
+}
+
+// chanceOfNone returns the chance that no engine frees enough for so many
+// pieces within the seconds given, beyond what earlier bets have claimed.
+func (s *Scheduler) chanceOfNone(now time.Time, pieces int, within float64) float64 {
+	all := 0
+	for _, e := range s.order {
+		all += e.streams
+	}
+	if all == 0 {
+		return 1
+	}
+	each := s.known.freed.PerSecond(now) / s.known.freedEach / float64(all)
+	none := 1.0
+	for _, e := range s.order {
+		if !e.decodesToo() || !e.takesWork(now) || e.memory.Total() < pieces {
+			continue
+		}
+		ends := math.Ceil(float64(pieces-e.available()) / s.known.freedEach)
+		none *= fewer(int(max(ends, 1)), each*float64(e.streams)*within)
+	}
+	return none
+}
+
+// fewer returns the chance that fewer than n events happen when the mean is given.
+func fewer(n int, mean float64) float64 {
+	p := math.Exp(-mean)
+	sum := 0.0
+	for i := range n {
+		sum += p
+		p *= mean / float64(i+1)
+	}
+	return min(sum, 1)
 }
 
 // patience is the part of a result's life that a bet counts on; it grows with the weight of goodput.
@@ -49,9 +78,7 @@
 	return min(max(w.Goodput/(w.Goodput+w.WastedPrefill), leastPatience), mostPatience)
 }
 
-// caution is the number of standard deviations that a bet must hold against.
-func (s *Scheduler) caution() float64 {
-	w := s.weights
-	p := min(max(riskyShare*w.Goodput/w.WastedPrefill, leastRisk), mostRisk)
-	return math.Sqrt2 * math.Erfinv(1-2*p)
+// risk is the chance of waste that a bet may have.
+func (s *Scheduler) risk() float64 {
+	return min(max(evenRisk*s.weights.Goodput/s.weights.WastedPrefill, leastRisk), mostRisk)
 }
--- a/core/tlsched/report.go
+++ b/core/tlsched/report.go
@@ -58,7 +58,7 @@
 	s.learnPrefill(now, r, p)
 	s.leavePrefill(now, r)
 	r.bytes = p.Bytes
-	r.heldUntil = now.Add(p.HeldFor - s.options.HoldMargin)
+	r.heldUntil = now.Add(p.HeldFor - s.transferTime(p.Bytes) - s.options.HoldMargin)
 	if r.decode != nil && s.isReady(now, r) {
 		s.transfer(now, r)
 		return
