Add the engines' client

Cause: relays need one client that tells apart what may have run, reads tokens cheaply and never leaves a cancel unconfirmed. Change: io/tlengine with typed errors (cause and verdict), stall detection by lack of progress for imports and streams, a cancel table with workers, jittered backoff and a bound per engine, and a line reader that falls back to encoding/json. A stream's resume cuts the earlier reader off.

--- a/core/tlwire/engine.go
+++ b/core/tlwire/engine.go
@@ -22,7 +22,8 @@
 	// Events are in order of their numbers, with gaps.
 	Events []CacheEvent `json:"Events" yaml:"Events" cbor:"Events"`
 
-	// Next is where to read on.
+	// Next is what to pass as After to read on; less than After when the engine has
+	// started anew.
 	Next uint64 `json:"Next" yaml:"Next" cbor:"Next"`
 
 	// Oldest is the first sequence number still kept.
@@ -64,7 +65,7 @@
 	// Request is the request that the stream answers.
 	Request string `json:"Request" yaml:"Request" cbor:"Request"`
 
-	// Stream names the stream, unique to the attempt.
+	// Stream names the stream; trefoillanding names it after its attempt.
 	Stream string `json:"Stream" yaml:"Stream" cbor:"Stream"`
 }
 
--- /dev/null
+++ b/io/tlengine/client_test.go
@@ -0,0 +1,358 @@
+package tlengine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/zeromicro/go-zero/core/logx"
+	"go.uber.org/goleak"
+
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlengine"
+	"trefoillanding/io/tlstandin"
+)
+
+func TestMain(m *testing.M) {
+	logx.Disable()
+	goleak.VerifyTestMain(m, goleak.IgnoreCurrent())
+}
+
+// bench is a client before one prefill and one decode engine.
+type bench struct {
+	*tlstandin.Deployment
+	client *tlengine.Client
+	mutex  sync.Mutex
+	counts map[string]int64
+}
+
+func newBench(t testing.TB, change func(*tlstandin.Behaviour, *tlengine.Options)) *bench {
+	s, o := tlstandin.NewBehaviour(), tlengine.NewOptions()
+	s.TokenEvery = 500 * time.Microsecond
+	b := &bench{counts: map[string]int64{}}
+	o.Count = b.count
+	change(&s, &o)
+	d, err := tlstandin.NewDeployment(tlwire.Config{
+		Services: []tlwire.Service{{Name: "kiosk-llm", Models: []tlwire.Model{{Name: "menu", Version: "1"}}}},
+		Pools: []tlwire.Pool{{Name: "izmir", Service: "kiosk-llm", Engines: []tlwire.Engine{
+			{Name: "p", Address: tlstandin.AnyPort, Role: tlwire.RolePrefill},
+			{Name: "d", Address: tlstandin.AnyPort, Role: tlwire.RoleDecode},
+		}}},
+	}, tlstandin.AnyPort, nil, s)
+	require.NoError(t, err)
+	b.Deployment, b.client = d, tlengine.New(o)
+	t.Cleanup(func() {
+		x, stop := context.WithTimeout(t.Context(), 0)
+		defer stop()
+		b.client.Close(x)
+		d.Close()
+	})
+	return b
+}
+
+func (b *bench) count(name string, n int64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.counts[name] += n
+}
+
+func (b *bench) counted(name string) int64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.counts[name]
+}
+
+func (b *bench) prefill(x context.Context, attempt, prompt string) (tlwire.PrefillResult, error) {
+	return b.client.Prefill(x, b.Servers()["p"], tlwire.PrefillRequest{
+		Attempt: attempt, Request: "r", Owner: "izmir-1", Incarnation: 1, Model: "menu", Prompt: prompt,
+	})
+}
+
+func (b *bench) load(x context.Context, attempt string, p tlwire.PrefillResult) error {
+	return b.client.Import(x, b.Servers()["d"], tlwire.ImportRequest{
+		Attempt: attempt, Request: "r", Owner: "izmir-1", Incarnation: 1,
+		Source: b.Servers()["p"], Handle: p.Handle, Tokens: p.Tokens, Pieces: 1,
+	}, nil)
+}
+
+func (b *bench) decode(x context.Context, attempt string, first int) (*tlengine.Stream, error) {
+	return b.client.Decode(x, b.Servers()["d"], tlwire.DecodeRequest{
+		Attempt: attempt, Stream: attempt, Request: "r", Owner: "izmir-1", Incarnation: 1,
+		Model: "menu", FirstIndex: first, MaxTokens: 1 << 20,
+	})
+}
+
+func (b *bench) resume(x context.Context, attempt string, first int) (*tlengine.Stream, error) {
+	return b.client.Resume(x, b.Servers()["d"], tlwire.ResumeRequest{
+		Stream: attempt, Owner: "izmir-2", Incarnation: 1, FirstIndex: first,
+	})
+}
+
+// open brings an attempt to its first token.
+func (b *bench) open(t testing.TB, attempt, prompt string) *tlengine.Stream {
+	p, err := b.prefill(t.Context(), attempt, prompt)
+	require.NoError(t, err)
+	require.NoError(t, b.load(t.Context(), attempt, p))
+	s, err := b.decode(t.Context(), attempt, 0)
+	require.NoError(t, err)
+	return s
+}
+
+func (b *bench) free(t testing.TB) {
+	require.Eventually(t, func() bool { return b.PiecesHeld() == 0 }, time.Second, time.Millisecond)
+}
+
+// read returns the text up to the end or an error.
+func read(s *tlengine.Stream) (string, error) {
+	var b strings.Builder
+	for {
+		e, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return b.String(), nil
+		}
+		if err != nil {
+			return b.String(), err
+		}
+		if e.Error != "" {
+			return b.String(), errors.New(e.Error)
+		}
+		b.WriteString(e.Text)
+	}
+}
+
+func plain(*tlstandin.Behaviour, *tlengine.Options) {}
+
+func TestStreamDropsWhatIsNotItsOwn(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		faults  tlwire.Faults
+		counter string
+	}{
+		{"crossed", tlwire.Faults{Seed: 1, CrossShare: 0.3}, tlengine.CountCrossed},
+		{"repeated", tlwire.Faults{Seed: 2, RepeatShare: 0.3}, tlengine.CountRepeated},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, plain)
+			b.Engines["d"].Faults().Set(c.faults)
+			s := b.open(t, "a", "fish of the day answer=100")
+			defer s.Close()
+			text, err := read(s)
+			require.NoError(t, err)
+			require.Equal(t, tlstandin.Answer("fish of the day answer=100", 0, 100), text)
+			require.Positive(t, b.counted(c.counter))
+		})
+	}
+}
+
+func TestBrokenStreamGoesOnWhereItBroke(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults tlwire.Faults
+		cause  string
+	}{
+		{"connection cut", tlwire.Faults{CutStreams: 1, StopAfter: 20}, "Lost"},
+		{"token left out", tlwire.Faults{Seed: 1, SkipShare: 0.05}, "Gap"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, plain)
+			b.Engines["d"].Faults().Set(c.faults)
+			s := b.open(t, "a", "answer=100")
+			defer s.Close()
+			text, err := read(s)
+			var e *tlengine.Error
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, c.cause, e.Cause.String())
+			require.Equal(t, tlwire.VerdictMayHaveRun, e.Verdict)
+			b.Engines["d"].Faults().Set(tlwire.Faults{})
+			n := len(text) / tlstandin.TokenBytes
+			s2, err := b.resume(t.Context(), "a", n)
+			require.NoError(t, err)
+			defer s2.Close()
+			rest, err := read(s2)
+			require.NoError(t, err)
+			require.Equal(t, tlstandin.Answer("answer=100", 0, 100), text+rest)
+		})
+	}
+}
+
+func TestLaterReaderCutsTheEarlierOff(t *testing.T) {
+	b := newBench(t, plain)
+	s := b.open(t, "a", "answer=400")
+	defer s.Close()
+	first, err := s.Next()
+	require.NoError(t, err)
+	s2, err := b.resume(t.Context(), "a", 1)
+	require.NoError(t, err)
+	defer s2.Close()
+	_, err = read(s)
+	require.EqualError(t, err, "Taken")
+	rest, err := read(s2)
+	require.NoError(t, err)
+	require.Equal(t, tlstandin.Answer("answer=400", 0, 400), first.Text+rest)
+	s3, err := b.resume(t.Context(), "a", 400)
+	require.NoError(t, err)
+	defer s3.Close()
+	e, err := s3.Next()
+	require.NoError(t, err)
+	require.Equal(t, tlwire.TokenEvent{Attempt: "a", Index: 400, Finish: "stop"}, e)
+}
+
+func TestEngineDiesInMidStream(t *testing.T) {
+	b := newBench(t, plain)
+	s := b.open(t, "a", "answer=4000")
+	defer s.Close()
+	_, err := s.Next()
+	require.NoError(t, err)
+	b.Engines["d"].Kill()
+	_, err = read(s)
+	require.ErrorContains(t, err, "Lost")
+	b.Engines["d"].Restart()
+	_, err = b.resume(t.Context(), "a", 1)
+	require.True(t, tlengine.IsUnknown(err))
+}
+
+func TestLackOfProgressEndsAWait(t *testing.T) {
+	b := newBench(t, func(s *tlstandin.Behaviour, o *tlengine.Options) {
+		o.ImportStall, o.TokenStall = 50*time.Millisecond, 80*time.Millisecond
+		s.LinkBytesPerSecond = 1_000_000_000
+	})
+	d := b.Engines["d"]
+	d.Faults().Set(tlwire.Faults{StallImports: 1})
+	p, err := b.prefill(t.Context(), "a", strings.Repeat("long ", 400))
+	require.NoError(t, err)
+	require.True(t, tlengine.IsStalled(b.load(t.Context(), "a", p)))
+	require.Positive(t, d.PiecesHeld())
+	b.client.Cancel(b.Servers()["d"], "a")
+	b.free(t)
+	d.Faults().Set(tlwire.Faults{StallStreams: 1, StopAfter: 3})
+	s := b.open(t, "b", "answer=100")
+	defer s.Close()
+	text, err := read(s)
+	require.True(t, tlengine.IsStalled(err), "%v", err)
+	require.Equal(t, tlstandin.Answer("answer=100", 0, 3), text)
+	d.Faults().Set(tlwire.Faults{HalfOpen: true})
+	_, err = b.resume(t.Context(), "b", 3)
+	require.True(t, tlengine.IsStalled(err), "%v", err)
+}
+
+func TestCallerVanishesAtEachStage(t *testing.T) {
+	slow := func(s *tlstandin.Behaviour, _ *tlengine.Options) {
+		s.PrefillTokensPerSecond = 1_000
+		s.LinkBytesPerSecond = 1_000_000
+		s.HoldFor = 200 * time.Millisecond
+	}
+	prompt := strings.Repeat("menu", 400)
+	for _, c := range []struct {
+		name string
+		at   tlwire.Stage
+		run  func(*bench, context.Context) error
+	}{
+		{"queued", tlwire.StageQueued, func(b *bench, x context.Context) error {
+			go func() { _, _ = b.prefill(x, "first", prompt) }()
+			time.Sleep(30 * time.Millisecond)
+			_, err := b.prefill(x, "a", prompt)
+			return err
+		}},
+		{"prefilling", tlwire.StagePrefilling, func(b *bench, x context.Context) error {
+			_, err := b.prefill(x, "a", prompt)
+			return err
+		}},
+		{"importing", tlwire.StageImporting, func(b *bench, x context.Context) error {
+			p, err := b.prefill(x, "a", "menu")
+			if err != nil {
+				return err
+			}
+			p.Tokens = 400
+			return b.load(x, "a", p)
+		}},
+		{"decoding", tlwire.StageDecoding, func(b *bench, x context.Context) error {
+			b.Engines["d"].Faults().Set(tlwire.Faults{StallStreams: 1})
+			p, err := b.prefill(x, "a", "menu")
+			if err != nil {
+				return err
+			}
+			if err = b.load(x, "a", p); err != nil {
+				return err
+			}
+			s, err := b.decode(x, "a", 0)
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			_, err = s.Next()
+			return err
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, slow)
+			x, leave := context.WithCancel(t.Context())
+			defer leave()
+			ended := make(chan error, 1)
+			go func() { ended <- c.run(b, x) }()
+			stage := func() bool {
+				for _, n := range []string{"p", "d"} {
+					for _, i := range b.Engines[n].Streams() {
+						if i.Attempt == "a" && i.Stage == c.at {
+							return true
+						}
+					}
+				}
+				return false
+			}
+			require.Eventually(t, stage, 2*time.Second, time.Millisecond)
+			leave()
+			require.ErrorContains(t, <-ended, "Ended")
+			for _, a := range b.Servers() {
+				b.client.Cancel(a, "a")
+				b.client.Cancel(a, "first")
+			}
+			b.free(t)
+		})
+	}
+}
+
+func TestCancelIsRepeatedUntilConfirmed(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults tlwire.Faults
+	}{
+		{"answer lost", tlwire.Faults{LoseShare: 1}},
+		{"call dropped", tlwire.Faults{DropShare: 1}},
+		{"outage", tlwire.Faults{Outage: true}},
+		{"half open", tlwire.Faults{HalfOpen: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, func(_ *tlstandin.Behaviour, o *tlengine.Options) { o.CallTimeout = 50 * time.Millisecond })
+			s := b.open(t, "a", "answer=1000000")
+			defer s.Close()
+			b.Engines["d"].Faults().Set(c.faults)
+			b.client.Cancel(b.Servers()["d"], "a")
+			require.Eventually(t, func() bool { return b.counted(tlengine.CountCancelRepeated) > 1 }, time.Second, time.Millisecond)
+			require.Equal(t, 1, b.client.Cancelling())
+			b.Engines["d"].Faults().Set(tlwire.Faults{})
+			x, stop := context.WithTimeout(t.Context(), 2*time.Second)
+			defer stop()
+			require.NoError(t, b.client.Confirm(x, b.Servers()["d"], "a"))
+			b.free(t)
+			require.Zero(t, b.client.Cancelling())
+		})
+	}
+}
+
+func TestRefusalsSayWhetherTheWorkRan(t *testing.T) {
+	b := newBench(t, plain)
+	_, err := b.decode(t.Context(), "never", 0)
+	var e *tlengine.Error
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, tlwire.VerdictNotRun, e.Verdict)
+	b.Engines["p"].Faults().Set(tlwire.Faults{LoseShare: 1})
+	_, err = b.prefill(t.Context(), "a", "menu")
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, tlwire.VerdictMayHaveRun, e.Verdict)
+	require.Equal(t, 1, b.Engines["p"].Prefilled())
+}
--- /dev/null
+++ b/io/tlengine/import.go
@@ -0,0 +1,75 @@
+package tlengine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"trefoillanding/core/tlwire"
+)
+
+// Import returns once the KV cache has arrived at the engine; progress, which
+// may be nil, is told of every line, and lack of progress ends the import.
+func (c *Client) Import(
+	x context.Context, a netip.AddrPort, r tlwire.ImportRequest, progress func(tlwire.ImportProgress),
+) error {
+	x, stop := context.WithCancelCause(x)
+	defer stop(nil)
+	t := time.AfterFunc(c.options.ImportStall, func() {
+		stop(c.stalled(CountImportStalled, c.options.ImportStall))
+	})
+	defer t.Stop()
+	w, err := c.send(x, http.MethodPost, a, "/engine/imports", r)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	d := json.NewDecoder(w.Body)
+	best := int64(-1)
+	for {
+		var p tlwire.ImportProgress
+		err := d.Decode(&p)
+		if err != nil {
+			return c.importError(x, err)
+		}
+		if p.Attempt != r.Attempt {
+			c.options.Count(CountCrossed, 1)
+			continue
+		}
+		if p.Bytes > best {
+			best = p.Bytes
+			t.Reset(c.options.ImportStall)
+		}
+		if progress != nil {
+			progress(p)
+		}
+		if p.Error != "" {
+			return c.gaveUp(p.Error)
+		}
+		if p.Done {
+			return nil
+		}
+	}
+}
+
+func (c *Client) importError(x context.Context, err error) error {
+	var s *json.SyntaxError
+	var u *json.UnmarshalTypeError
+	if errors.As(err, &s) || errors.As(err, &u) {
+		return c.fail(Malformed, err)
+	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return c.readError(x, err)
+}
+
+func (c *Client) gaveUp(reason string) error {
+	e := c.fail(Failed, errors.New("the engine gave the work up"))
+	e.Reason = reason
+	return e
+}
--- a/io/tlstandin/prefixcache.go
+++ b/io/tlstandin/prefixcache.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"encoding/binary"
 	"net/http"
+	"sort"
 	"strconv"
 	"time"
 
@@ -65,6 +66,8 @@
 }
 
 func (c *prefixCache) clear() {
+	c.next = 1
+	c.events = nil
 	c.blocks = map[uint64]*list.Element{}
 	c.order.Init()
 }
@@ -81,20 +84,23 @@
 	}
 }
 
-// read returns the events after a sequence number that are old enough to be seen.
+// read returns the events after a sequence number that are old enough to be
+// seen; a number that was never reached begins again from the oldest.
 func (c *prefixCache) read(after uint64, before time.Time) tlwire.CacheEvents {
-	v := tlwire.CacheEvents{Oldest: c.next, Next: after + 1, Events: []tlwire.CacheEvent{}}
+	if after >= c.next {
+		after = 0
+	}
+	v := tlwire.CacheEvents{Oldest: c.next, Next: after, Events: []tlwire.CacheEvent{}}
 	if len(c.events) > 0 {
 		v.Oldest = c.events[0].event.Sequence
 	}
-	for _, d := range c.events {
+	i := sort.Search(len(c.events), func(i int) bool { return c.events[i].event.Sequence > after })
+	for _, d := range c.events[i:] {
 		if d.at.After(before) || len(v.Events) == eventsAtOnce {
 			break
 		}
-		if d.event.Sequence > after {
-			v.Events = append(v.Events, d.event)
-			v.Next = d.event.Sequence + 1
-		}
+		v.Events = append(v.Events, d.event)
+		v.Next = d.event.Sequence
 	}
 	return v
 }
