--- a/core/tlwire/peer.go
+++ b/core/tlwire/peer.go
@@ -21,6 +21,12 @@
 
 	// Kind names the message inside.
 	Kind string `json:"Kind" yaml:"Kind" cbor:"Kind"`
+
+	// Reason is the reason of a refusal, where Error is one.
+	Reason string `json:"Reason,omitempty" yaml:"Reason,omitempty" cbor:"Reason,omitempty"`
+
+	// RetryAfter is when to come back after a refusal.
+	RetryAfter time.Duration `json:"RetryAfter,omitempty" yaml:"RetryAfter,omitempty" cbor:"RetryAfter,omitempty"`
 }
 
 // Gossip is what an instance tells its peers at each heartbeat.
