--- /dev/null
+++ b/core/tlsweep/sweep.go
@@ -0,0 +1,161 @@
+package tlsweep
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"trefoillanding/core/tlwire"
+)
+
+// Cancel asks for an attempt to be cancelled as long as its owner is the same.
+type Cancel struct {
+	Engine  string
+	Attempt string
+	Owner   Owner
+	Reason  Reason
+	// Again says that it was asked for before.
+	Again bool
+}
+
+// Question asks an owner which of its attempts at an engine it still serves.
+type Question struct {
+	Engine   string
+	Owner    Owner
+	Attempts []string
+}
+
+// Sweep remembers the attempts of a home's engines; it is not safe for
+// concurrent use.
+type Sweep struct {
+	limits  Limits
+	engines map[string]map[string]*attempt
+}
+
+// New returns a sweep that has seen nothing.
+func New(l Limits) *Sweep {
+	return &Sweep{limits: l, engines: map[string]map[string]*attempt{}}
+}
+
+// See takes in what an engine holds and returns what to cancel there. An
+// attempt that is still listed later is returned again.
+func (s *Sweep) See(now time.Time, engine string, list []tlwire.StreamInfo, fate func(Owner) Fate) []Cancel {
+	before := s.engines[engine]
+	after := make(map[string]*attempt, len(list))
+	var cancels []Cancel
+	for _, i := range unfinished(list) {
+		o := Owner{i.Owner, i.Incarnation}
+		a := before[i.Attempt]
+		if a == nil || a.owner != o {
+			a = &attempt{owner: o}
+		}
+		a.update(now, i, fate(o))
+		after[i.Attempt] = a
+		r, due := a.verdict(now, s.limits)
+		if due {
+			cancels = append(cancels, Cancel{engine, i.Attempt, o, r, a.swept})
+			a.swept = true
+		}
+	}
+	s.engines[engine] = after
+	return cancels
+}
+
+// Questions returns what owners are to be asked now, and notes that they are.
+func (s *Sweep) Questions(now time.Time, engine string) []Question {
+	asked := map[Owner][]string{}
+	for name, a := range s.engines[engine] {
+		if a.asks(now, s.limits) {
+			a.asked = now
+			asked[a.owner] = append(asked[a.owner], name)
+		}
+	}
+	questions := make([]Question, 0, len(asked))
+	for o, l := range asked {
+		slices.Sort(l)
+		questions = append(questions, Question{Engine: engine, Owner: o, Attempts: l})
+	}
+	slices.SortFunc(questions, func(a, b Question) int { return cmp.Compare(a.Owner.Name, b.Owner.Name) })
+	return questions
+}
+
+// Answer takes in which attempts an owner still serves, and returns what to cancel.
+func (s *Sweep) Answer(q Question, owned []bool) []Cancel {
+	var cancels []Cancel
+	for i, name := range q.Attempts {
+		a := s.asked(q, name)
+		if a == nil {
+			continue
+		}
+		a.unanswered = false
+		a.swept = i >= len(owned) || !owned[i]
+		if a.swept {
+			cancels = append(cancels, Cancel{q.Engine, name, q.Owner, Disowned, false})
+		}
+	}
+	return cancels
+}
+
+// NoAnswer notes that an owner could not be asked.
+func (s *Sweep) NoAnswer(now time.Time, q Question) {
+	for _, name := range q.Attempts {
+		a := s.asked(q, name)
+		if a != nil {
+			a.unanswered = true
+			a.silent = since(a.silent, now, true)
+		}
+	}
+}
+
+// Next returns when an attempt that was not swept yet has to be looked at
+// again; zero is when nothing waits.
+func (s *Sweep) Next(engine string) time.Time {
+	var next time.Time
+	for _, a := range s.engines[engine] {
+		d := a.next(s.limits)
+		if !a.swept && !d.IsZero() && (next.IsZero() || d.Before(next)) {
+			next = d
+		}
+	}
+	return next
+}
+
+// Keep forgets every engine that is not named.
+func (s *Sweep) Keep(engines []string) {
+	for e := range s.engines {
+		if !slices.Contains(engines, e) {
+			delete(s.engines, e)
+		}
+	}
+}
+
+// asked returns an attempt that still has the owner who was asked, or nil.
+func (s *Sweep) asked(q Question, name string) *attempt {
+	a := s.engines[q.Engine][name]
+	if a == nil || a.owner != q.Owner {
+		return nil
+	}
+	return a
+}
+
+// unfinished returns one element for each attempt that holds memory or waits;
+// an engine of both roles may list both halves of one.
+func unfinished(list []tlwire.StreamInfo) []tlwire.StreamInfo {
+	kept := make([]tlwire.StreamInfo, 0, len(list))
+	at := make(map[string]int, len(list))
+	for _, i := range list {
+		if i.Stage == tlwire.StageFinished {
+			continue
+		}
+		n, twice := at[i.Attempt]
+		if !twice {
+			at[i.Attempt] = len(kept)
+			kept = append(kept, i)
+			continue
+		}
+		if i.Stage == tlwire.StageDecoding {
+			kept[n] = i
+		}
+	}
+	return kept
+}
--- a/io/tlengine/calls.go
+++ b/io/tlengine/calls.go
@@ -59,14 +59,21 @@
 }
 
 // cancelOnce asks once; nil means that the engine holds nothing any more.
-func (c *Client) cancelOnce(x context.Context, a netip.AddrPort, attempt string) error {
+func (c *Client) cancelOnce(x context.Context, t target) error {
 	x, stop := c.short(x)
 	defer stop()
-	v, err := ask[tlwire.CancelResult](x, c, http.MethodDelete, a, "/engine/attempts/"+url.PathEscape(attempt), nil)
+	p := "/engine/attempts/" + url.PathEscape(t.attempt)
+	if t.owner != "" {
+		p += "?" + url.Values{
+			"Owner":       {t.owner},
+			"Incarnation": {strconv.FormatUint(t.incarnation, 10)},
+		}.Encode()
+	}
+	v, err := ask[tlwire.CancelResult](x, c, http.MethodDelete, t.engine, p, nil)
 	if err != nil {
 		return err
 	}
-	if v.Attempt != attempt {
+	if v.Attempt != t.attempt {
 		return c.fail(Crossed, errOtherAttempt)
 	}
 	return nil
--- a/io/tlengine/cancel.go
+++ b/io/tlengine/cancel.go
@@ -15,12 +15,18 @@
 // Cancel frees an attempt at an engine; it returns at once and goes on after
 // its caller until the engine confirms it.
 func (c *Client) Cancel(a netip.AddrPort, attempt string) {
-	c.canceller.add(target{a, attempt})
+	c.canceller.add(target{engine: a, attempt: attempt})
+}
+
+// Sweep is Cancel for as long as the attempt's owner is the one named: an
+// attempt that another instance has resumed is left alone.
+func (c *Client) Sweep(a netip.AddrPort, attempt, owner string, incarnation uint64) {
+	c.canceller.add(target{a, attempt, owner, incarnation})
 }
 
 // Confirm cancels an attempt and waits until the engine confirms it.
 func (c *Client) Confirm(x context.Context, a netip.AddrPort, attempt string) error {
-	j := c.canceller.add(target{a, attempt})
+	j := c.canceller.add(target{engine: a, attempt: attempt})
 	select {
 	case <-j.done:
 		return j.err
@@ -36,10 +42,12 @@
 	return c.canceller.size()
 }
 
-// target is what a cancel frees.
+// target is what a cancel frees; an empty owner means whoever owns it.
 type target struct {
-	engine  netip.AddrPort
-	attempt string
+	engine      netip.AddrPort
+	attempt     string
+	owner       string
+	incarnation uint64
 }
 
 // cancellation is a cancel that the engine has not confirmed yet.
@@ -56,7 +64,7 @@
 // is a leaf: nothing else is locked while it is held.
 type canceller struct {
 	options Options
-	once    func(x context.Context, a netip.AddrPort, attempt string) error
+	once    func(x context.Context, t target) error
 	changed chan struct{}
 
 	mutex   sync.Mutex
@@ -68,7 +76,7 @@
 	empty   chan struct{}
 }
 
-func newCanceller(o Options, once func(context.Context, netip.AddrPort, string) error) *canceller {
+func newCanceller(o Options, once func(context.Context, target) error) *canceller {
 	return &canceller{
 		options: o,
 		once:    once,
@@ -183,7 +191,7 @@
 	if j.tries > 0 {
 		c.options.Count(CountCancelRepeated, 1)
 	}
-	err := c.once(x, j.target.engine, j.target.attempt)
+	err := c.once(x, j.target)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.free(j.target.engine)
@@ -192,6 +200,12 @@
 		c.end(j)
 		return
 	}
+	if isOtherOwner(err) {
+		c.options.Count(CountCancelTaken, 1)
+		j.err = err
+		c.end(j)
+		return
+	}
 	now := time.Now()
 	if now.Sub(j.since) > c.options.CancelFor {
 		c.options.Count(CountCancelGivenUp, 1)
--- a/io/tlengine/counter.go
+++ b/io/tlengine/counter.go
@@ -26,6 +26,8 @@
 	CountCancelConfirmed = "CancelConfirmed"
 	// CountCancelRepeated counts tries of a cancel after the first.
 	CountCancelRepeated = "CancelRepeated"
+	// CountCancelTaken counts sweeps of attempts that another instance has taken over.
+	CountCancelTaken = "CancelTaken"
 	// CountCancelGivenUp counts cancels that were never confirmed.
 	CountCancelGivenUp = "CancelGivenUp"
 )
@@ -34,5 +36,5 @@
 var Counters = []string{
 	CountRefused, CountUnreachable, CountLost, CountMalformed, CountCrossed, CountRepeated,
 	CountGap, CountImportStalled, CountStreamStalled, CountCancelSent, CountCancelConfirmed,
-	CountCancelRepeated, CountCancelGivenUp,
+	CountCancelRepeated, CountCancelTaken, CountCancelGivenUp,
 }
--- a/io/tlengine/error.go
+++ b/io/tlengine/error.go
@@ -58,8 +58,9 @@
 
 // The reasons of refusals that callers tell apart.
 const (
-	reasonUnknown = "Unknown"
-	reasonFull    = "Full"
+	reasonUnknown    = "Unknown"
+	reasonFull       = "Full"
+	reasonOtherOwner = "OtherOwner"
 )
 
 // Error is a call to an engine that failed, and whether its work may have run.
@@ -96,14 +97,16 @@
 
 // IsUnknown says whether an engine does not know the stream or the cache.
 func IsUnknown(err error) bool {
-	var e *Error
-	return errors.As(err, &e) && e.Cause == Refused && e.Reason == reasonUnknown
+	return isRefused(err, reasonUnknown)
 }
 
 // IsFull says whether an engine has no memory for the work.
 func IsFull(err error) bool {
-	var e *Error
-	return errors.As(err, &e) && e.Cause == Refused && e.Reason == reasonFull
+	return isRefused(err, reasonFull)
+}
+
+func isOtherOwner(err error) bool {
+	return isRefused(err, reasonOtherOwner)
 }
 
 // IsGap says whether a stream left a token out.
@@ -111,6 +114,11 @@
 	return is(err, Gap)
 }
 
+func isRefused(err error, reason string) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Cause == Refused && e.Reason == reason
+}
+
 func is(err error, c Cause) bool {
 	var e *Error
 	return errors.As(err, &e) && e.Cause == c
--- a/io/tlstandin/cancel.go
+++ b/io/tlstandin/cancel.go
@@ -2,16 +2,40 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"trefoillanding/core/tlwire"
 )
 
 func (e *Engine) cancelAttempt(w http.ResponseWriter, r *http.Request) {
-	a := r.PathValue("attempt")
+	a, q := r.PathValue("attempt"), r.URL.Query()
+	if o := q.Get("Owner"); o != "" {
+		n, err := strconv.ParseUint(q.Get("Incarnation"), 10, 64)
+		if err != nil {
+			refuse(w, http.StatusBadRequest, reasonBadBody, err.Error())
+			return
+		}
+		if !e.isOwner(a, o, n) {
+			refuse(w, http.StatusConflict, reasonOtherOwner, "another instance has taken the attempt over")
+			return
+		}
+	}
 	answer(w, tlwire.CancelResult{Attempt: a, Freed: e.Cancel(a)})
 }
 
+// isOwner says whether nobody else owns an attempt.
+func (e *Engine) isOwner(attempt, owner string, incarnation uint64) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, j := range []*job{e.prefills[attempt], e.decodes[attempt]} {
+		if j != nil && (j.owner != owner || j.incarnation != incarnation) {
+			return false
+		}
+	}
+	return true
+}
+
 // Cancel frees what an attempt holds, refuses it later, and returns the pieces
 // that were freed.
 func (e *Engine) Cancel(attempt string) int {
--- a/io/tlstandin/codec.go
+++ b/io/tlstandin/codec.go
@@ -19,6 +19,7 @@
 	reasonWrongRole  = "WrongRole"
 	reasonDuplicate  = "Duplicate"
 	reasonOldFencing = "OldFencingNumber"
+	reasonOtherOwner = "OtherOwner"
 	reasonOverRate   = "OverRate"
 	reasonMismatch   = "Mismatch"
 	reasonSource     = "SourceFailed"
