Add an oracle to measure the policy against

Cause: goodput needs a yardstick that knows what no policy can know. The oracle reads true answer lengths, exact memory, caches, queues and links; it starts a request only when its first token will be in time, keeps room that a request gets just in time, and refuses what can't be in time.

--- a/core/tlbaseline/maker.go
+++ b/core/tlbaseline/maker.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"trefoillanding/core/tlmodel"
 	"trefoillanding/core/tlsched"
 	"trefoillanding/core/tlwire"
 )
@@ -16,11 +17,16 @@
 	ScopePool Scope = iota
 	// ScopeInstance has one decider at each owner, for its requests at all pools.
 	ScopeInstance
+	// ScopeAll has one decider for everything.
+	ScopeAll
 )
 
 // Truth is what only an oracle may know.
 type Truth struct {
-	Output func(request string) int
+	Output  func(request string) int
+	Prefill func(engine string) *tlmodel.PrefillEngine
+	Decode  func(engine string) *tlmodel.DecodeEngine
+	Model   tlwire.EngineModel
 }
 
 // Maker names a policy and makes it for a pool.
@@ -38,6 +44,8 @@
 		{Name: "RoundRobin", Scope: ScopeInstance, Make: makeRoundRobin},
 		{Name: "LeastLoad", Scope: ScopeInstance, Make: makeLeastLoad},
 		{Name: "TwoChoices", Scope: ScopeInstance, Make: makeTwoChoices},
+		{Name: "Oracle", Scope: ScopeAll, Make: makeOracle},
+		{Name: "OracleSmallestFirst", Scope: ScopeAll, Make: makeSmallestFirst},
 	}
 }
 
@@ -66,3 +74,11 @@
 func makeTwoChoices(p tlwire.Pool, s tlwire.Service, _ []tlwire.Organisation, r *rand.Rand, _ Truth) Policy {
 	return newSimple(p, *s.Bounds, twoChoices(r), twoChoices(r)).Policy()
 }
+
+func makeOracle(p tlwire.Pool, _ tlwire.Service, o []tlwire.Organisation, _ *rand.Rand, t Truth) Policy {
+	return newOracle(p, o, t, byFairness).Policy()
+}
+
+func makeSmallestFirst(p tlwire.Pool, _ tlwire.Service, o []tlwire.Organisation, _ *rand.Rand, t Truth) Policy {
+	return newOracle(p, o, t, bySize).Policy()
+}
--- a/core/tlmodel/decode.go
+++ b/core/tlmodel/decode.go
@@ -71,9 +71,23 @@
 	return n
 }
 
-// Streams returns what the engine holds.
-func (e *DecodeEngine) Streams() []*Stream {
-	return e.streams
+// Release is memory that a stream is about to give back.
+type Release struct {
+	At     time.Time
+	Pieces int
+}
+
+// Releases returns when the running streams will end at the present pace.
+func (e *DecodeEngine) Releases() []Release {
+	step := StepTime(e.model, e.Running())
+	var l []Release
+	for _, s := range e.streams {
+		if s.running {
+			left := time.Duration(s.End-s.next) * step
+			l = append(l, Release{At: e.clock.Now().Add(left), Pieces: s.Pieces})
+		}
+	}
+	return l
 }
 
 // Import takes memory for a stream that starts at token first; it returns a
--- a/core/tltrial/home.go
+++ b/core/tltrial/home.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoillanding/core/tlbaseline"
+	"trefoillanding/core/tlmodel"
 	"trefoillanding/core/tlwire"
 )
 
@@ -17,24 +18,27 @@
 	tickAt     time.Time
 }
 
-// buildHomes makes one home for each pool, or one for each instance that sees
-// the engines of all pools, whichever the policy wants.
+// buildHomes makes one home for each pool, one for each instance that sees
+// the engines of all pools, or a single one, whichever the policy wants.
 func (t *Trial) buildHomes(pools []tlwire.Pool) {
-	if t.setting.Policy.Scope == tlbaseline.ScopePool {
-		for i, p := range pools {
-			t.addHome(p, p.DataCentre, uint64(i))
-		}
-		return
-	}
 	all := pools[0]
 	all.Engines = nil
 	for _, p := range pools {
 		all.Engines = append(all.Engines, p.Engines...)
 	}
-	for i, n := range t.setting.Experiment.Instances {
-		p := all
-		p.Name = n.Name
-		t.addHome(p, n.DataCentre, uint64(i))
+	switch t.setting.Policy.Scope {
+	case tlbaseline.ScopePool:
+		for i, p := range pools {
+			t.addHome(p, p.DataCentre, uint64(i))
+		}
+	case tlbaseline.ScopeInstance:
+		for i, n := range t.setting.Experiment.Instances {
+			p := all
+			p.Name = n.Name
+			t.addHome(p, n.DataCentre, uint64(i))
+		}
+	case tlbaseline.ScopeAll:
+		t.addHome(all, all.DataCentre, 0)
 	}
 }
 
@@ -126,6 +130,18 @@
 
 func (t *Trial) truth() tlbaseline.Truth {
 	return tlbaseline.Truth{
-		Output: func(request string) int { return t.calls[request].request.Output },
+		Output:  t.output,
+		Prefill: func(engine string) *tlmodel.PrefillEngine { return t.prefills[engine] },
+		Decode:  func(engine string) *tlmodel.DecodeEngine { return t.decodes[engine] },
+		Model:   t.model,
+	}
+}
+
+// output returns the true length of an answer, 0 once nobody waits for it.
+func (t *Trial) output(request string) int {
+	c := t.calls[request]
+	if c == nil {
+		return 0
 	}
+	return c.request.Output
 }
--- a/io/tlexperiment/command.go
+++ b/io/tlexperiment/command.go
@@ -1,13 +1,17 @@
 package tlexperiment
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"trefoillanding/core/tltrial"
 	"trefoillanding/core/tlwire"
 )
 
@@ -22,6 +26,7 @@
 		&cli.StringFlag{Name: "arrivals", Usage: "run only Poisson or Bursty arrivals"},
 		&cli.StringFlag{Name: "condition", Usage: "run only the Clean or Faulty condition"},
 		&cli.DurationFlag{Name: "duration", Usage: "measure so much virtual time"},
+		&cli.StringFlag{Name: "trace", Usage: "write every change of a request in the first run into `FILE`, and run nothing else"},
 	}
 }
 
@@ -42,6 +47,9 @@
 		if x, err = narrow(x, c); err != nil {
 			return err
 		}
+		if n := c.String("trace"); n != "" {
+			return trace(x, n)
+		}
 		if err := Run(ctx, x, c.String("out"), w); err != nil {
 			return err
 		}
@@ -70,3 +78,22 @@
 	}
 	return x, check(x)
 }
+
+func trace(x tlwire.Experiment, name string) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	w := bufio.NewWriter(f)
+	_, tasks := plan(x)
+	s := tasks[0].setting
+	s.Trace = func(at time.Duration, request, text string) {
+		fmt.Fprintf(w, "%.4f %s %s\n", at.Seconds(), request, text)
+	}
+	tltrial.New(s).Run()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	return f.Close()
+}
