Decide membership, homes and owners' fates from the list and peers

An owner is gone at once when a later incarnation was heard, and otherwise only after a doubt that others could have refuted for GoneAfter.

--- /dev/null
+++ b/core/tlmember/member.go
@@ -0,0 +1,45 @@
+package tlmember
+
+import (
+	"net/netip"
+	"time"
+
+	"trefoillanding/core/tlwire"
+)
+
+// Member is an entry instance that can be used.
+type Member struct {
+	Name       string
+	DataCentre string
+	Address    netip.AddrPort
+}
+
+// state is all that a view holds of one instance.
+type state struct {
+	instance    tlwire.Instance
+	listed      bool
+	draining    bool
+	incarnation uint64
+	heard       time.Time
+	doubted     time.Time
+	news        time.Time
+}
+
+func (s *state) member() Member {
+	return Member{Name: s.instance.Name, DataCentre: s.instance.DataCentre, Address: s.instance.Address}
+}
+
+func (s *state) isStaying() bool {
+	return s.listed && !s.draining && s.instance.State == tlwire.InstanceStateLive
+}
+
+func (s *state) fate(now time.Time, goneAfter time.Duration) Fate {
+	switch {
+	case s.doubted.IsZero():
+		return Alive
+	case now.Sub(s.doubted) < goneAfter:
+		return Suspected
+	default:
+		return Gone
+	}
+}
--- /dev/null
+++ b/core/tlmember/view.go
@@ -0,0 +1,158 @@
+package tlmember
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"trefoillanding/core/tlwire"
+)
+
+// View is what one instance believes of all entry instances; it is not safe
+// for concurrent use.
+type View struct {
+	self    string
+	times   Times
+	members map[string]*state
+	ticked  time.Time
+
+	ring    []*state
+	live    []Member
+	isStale bool
+}
+
+// New returns the view of the instance self, which knows nobody yet.
+func New(self string, t Times) *View {
+	return &View{self: self, times: t, members: map[string]*state{}, isStale: true}
+}
+
+// List takes in the platform's lagging list; whoever has left it is doubted.
+func (v *View) List(now time.Time, l tlwire.InstanceList) {
+	listed := map[string]bool{}
+	for _, i := range l.Instances {
+		if i.Kind != tlwire.InstanceKindEntry {
+			continue
+		}
+		listed[i.Name] = true
+		s := v.state(i.Name)
+		s.instance, s.listed = i, true
+	}
+	for name, s := range v.members {
+		if listed[name] {
+			continue
+		}
+		s.listed = false
+		v.doubt(now, s)
+		if now.Sub(s.doubted) > 10*v.times.GoneAfter {
+			delete(v.members, name)
+		}
+	}
+	v.isStale = true
+}
+
+// Heard notes that an instance showed itself at a time, here or to a peer; what
+// an older incarnation did is ignored.
+func (v *View) Heard(at time.Time, name string, incarnation uint64, draining bool) {
+	s := v.state(name)
+	if incarnation < s.incarnation {
+		return
+	}
+	isNew := incarnation > s.incarnation
+	if !isNew && !at.After(s.heard) {
+		return
+	}
+	if isNew || s.draining != draining {
+		s.news, v.isStale = at, true
+	}
+	s.incarnation, s.heard, s.draining = incarnation, at, draining
+	if !s.doubted.IsZero() && at.After(s.doubted) {
+		s.doubted, s.news, v.isStale = time.Time{}, at, true
+	}
+}
+
+// Doubt notes that an instance can't be reached, or was silent for too long.
+func (v *View) Doubt(now time.Time, name string) {
+	if name != v.self {
+		v.doubt(now, v.state(name))
+	}
+}
+
+func (v *View) doubt(since time.Time, s *state) {
+	if s.doubted.IsZero() && s.instance.Name != v.self {
+		s.doubted, s.news, v.isStale = since, since, true
+	}
+}
+
+// OwnerFate says whether an incarnation of an instance may still serve its
+// streams; asking for one that nobody knows begins to doubt it.
+func (v *View) OwnerFate(owner string, incarnation uint64, now time.Time) Fate {
+	s := v.state(owner)
+	if s.incarnation > incarnation {
+		return Gone
+	}
+	if owner == v.self {
+		return Alive
+	}
+	if !s.listed && s.heard.IsZero() {
+		v.doubt(now, s)
+	}
+	return s.fate(now, v.times.GoneAfter)
+}
+
+// Doubted returns the instances that others must be asked about, oldest doubt first.
+func (v *View) Doubted(now time.Time) []string {
+	var open []*state
+	for _, s := range v.members {
+		if s.fate(now, v.times.GoneAfter) == Suspected {
+			open = append(open, s)
+		}
+	}
+	slices.SortFunc(open, func(a, b *state) int {
+		return cmp.Or(a.doubted.Compare(b.doubted), cmp.Compare(a.instance.Name, b.instance.Name))
+	})
+	names := make([]string, len(open))
+	for i, s := range open {
+		names[i] = s.instance.Name
+	}
+	return names
+}
+
+// Tick doubts the watched instances that are silent; it returns true when this
+// instance itself was paused, in which case nobody's silence counts.
+func (v *View) Tick(now time.Time) bool {
+	gap := now.Sub(v.ticked)
+	isFirst := v.ticked.IsZero()
+	v.ticked = now
+	if isFirst || gap > v.times.SuspectAfter/2 {
+		for _, s := range v.members {
+			s.heard = later(s.heard, now)
+		}
+		return !isFirst
+	}
+	for _, s := range v.watched() {
+		if s.heard.IsZero() {
+			s.heard = now
+		}
+		if now.Sub(s.heard) > v.times.SuspectAfter {
+			v.doubt(now, s)
+		}
+	}
+	return false
+}
+
+// later moves the time of an instance that was heard before.
+func later(heard, now time.Time) time.Time {
+	if heard.IsZero() {
+		return heard
+	}
+	return now
+}
+
+func (v *View) state(name string) *state {
+	s := v.members[name]
+	if s == nil {
+		s = &state{instance: tlwire.Instance{Name: name}}
+		v.members[name] = s
+	}
+	return s
+}
--- a/core/tlwire/peer.go
+++ b/core/tlwire/peer.go
@@ -40,14 +40,20 @@
 	// Incarnation is the sender's incarnation.
 	Incarnation uint64 `json:"Incarnation" yaml:"Incarnation" cbor:"Incarnation"`
 
+	// Loads tell how busy instances are, the sender first.
+	Loads []InstanceLoad `json:"Loads,omitempty" yaml:"Loads,omitempty" cbor:"Loads,omitempty"`
+
 	// Name is the sender.
 	Name string `json:"Name" yaml:"Name" cbor:"Name"`
 
 	// Open counts the requests that it serves.
 	Open int `json:"Open,omitempty" yaml:"Open,omitempty" cbor:"Open,omitempty"`
 
-	// Pools sums up the pools whose home it is.
+	// Pools sums up pools whose home it is, and others it was told of.
 	Pools []PoolSummary `json:"Pools,omitempty" yaml:"Pools,omitempty" cbor:"Pools,omitempty"`
+
+	// Sightings tell of instances that are doubted, or were a moment ago.
+	Sightings []Sighting `json:"Sightings,omitempty" yaml:"Sightings,omitempty" cbor:"Sightings,omitempty"`
 }
 
 // Hello opens a connection between instances.
@@ -65,8 +71,29 @@
 	Token string `json:"Token,omitempty" yaml:"Token,omitempty" cbor:"Token,omitempty"`
 }
 
+// InstanceLoad tells how busy an instance is.
+type InstanceLoad struct {
+	// Age is how old the figure is.
+	Age time.Duration `json:"Age,omitempty" yaml:"Age,omitempty" cbor:"Age,omitempty"`
+
+	// Draining says that it is leaving.
+	Draining bool `json:"Draining,omitempty" yaml:"Draining,omitempty" cbor:"Draining,omitempty"`
+
+	// Generation is the configuration in force there.
+	Generation uint64 `json:"Generation,omitempty" yaml:"Generation,omitempty" cbor:"Generation,omitempty"`
+
+	// Name is the instance.
+	Name string `json:"Name" yaml:"Name" cbor:"Name"`
+
+	// Open counts the requests that it serves.
+	Open int `json:"Open" yaml:"Open" cbor:"Open"`
+}
+
 // PoolSummary is what others know of a pool.
 type PoolSummary struct {
+	// Age is how old the summary is.
+	Age time.Duration `json:"Age,omitempty" yaml:"Age,omitempty" cbor:"Age,omitempty"`
+
 	// PiecesFree is the decode memory that nobody holds.
 	PiecesFree int `json:"PiecesFree" yaml:"PiecesFree" cbor:"PiecesFree"`
 
@@ -125,6 +152,21 @@
 const ReportKindTransferFailed ReportKind = "TransferFailed"
 const ReportKindTransferStalled ReportKind = "TransferStalled"
 
+// Sighting is what an instance knows of another's life.
+type Sighting struct {
+	// DoubtedFor is how long it has been doubted; 0 means that it is not.
+	DoubtedFor time.Duration `json:"DoubtedFor,omitempty" yaml:"DoubtedFor,omitempty" cbor:"DoubtedFor,omitempty"`
+
+	// HeardAgo is how long ago anyone is known to have heard it; 0 means never.
+	HeardAgo time.Duration `json:"HeardAgo,omitempty" yaml:"HeardAgo,omitempty" cbor:"HeardAgo,omitempty"`
+
+	// Incarnation is the highest known.
+	Incarnation uint64 `json:"Incarnation" yaml:"Incarnation" cbor:"Incarnation"`
+
+	// Name is the instance that it is about.
+	Name string `json:"Name" yaml:"Name" cbor:"Name"`
+}
+
 // Step tells an owner what to do next for a request.
 type Step struct {
 	// Attempt is the attempt that the step belongs to.
