--- a/core/tlmember/member.go
+++ b/core/tlmember/member.go
@@ -23,6 +23,7 @@
 	heard       time.Time
 	doubted     time.Time
 	news        time.Time
+	firstHand   bool
 }
 
 func (s *state) member() Member {
--- a/core/tlmember/view.go
+++ b/core/tlmember/view.go
@@ -73,13 +73,15 @@
 // Doubt notes that an instance can't be reached, or was silent for too long.
 func (v *View) Doubt(now time.Time, name string) {
 	if name != v.self {
-		v.doubt(now, v.state(name))
+		s := v.state(name)
+		v.doubt(now, s)
+		s.firstHand = true
 	}
 }
 
 func (v *View) doubt(since time.Time, s *state) {
 	if s.doubted.IsZero() && s.instance.Name != v.self {
-		s.doubted, s.news, v.isStale = since, since, true
+		s.doubted, s.news, s.firstHand, v.isStale = since, since, false, true
 	}
 }
 
@@ -94,16 +96,17 @@
 		return Alive
 	}
 	if !s.listed && s.heard.IsZero() {
-		v.doubt(now, s)
+		v.Doubt(now, owner)
 	}
 	return s.fate(now, v.times.GoneAfter)
 }
 
-// Doubted returns the instances that others must be asked about, oldest doubt first.
+// Doubted returns the instances that this one itself began to doubt and must
+// ask others about, oldest doubt first.
 func (v *View) Doubted(now time.Time) []string {
 	var open []*state
 	for _, s := range v.members {
-		if s.fate(now, v.times.GoneAfter) == Suspected {
+		if s.firstHand && s.fate(now, v.times.GoneAfter) == Suspected {
 			open = append(open, s)
 		}
 	}
@@ -134,7 +137,7 @@
 			s.heard = now
 		}
 		if now.Sub(s.heard) > v.times.SuspectAfter {
-			v.doubt(now, s)
+			v.Doubt(now, s.instance.Name)
 		}
 	}
 	return false
--- a/core/tlwire/peer.go
+++ b/core/tlwire/peer.go
@@ -82,6 +82,9 @@
 	// Generation is the configuration in force there.
 	Generation uint64 `json:"Generation,omitempty" yaml:"Generation,omitempty" cbor:"Generation,omitempty"`
 
+	// Incarnation is its incarnation.
+	Incarnation uint64 `json:"Incarnation" yaml:"Incarnation" cbor:"Incarnation"`
+
 	// Name is the instance.
 	Name string `json:"Name" yaml:"Name" cbor:"Name"`
 
@@ -167,6 +170,12 @@
 	Name string `json:"Name" yaml:"Name" cbor:"Name"`
 }
 
+// SightingCall asks an instance what it knows of another, or of itself.
+type SightingCall struct {
+	// Name is the instance that it is about.
+	Name string `json:"Name" yaml:"Name" cbor:"Name"`
+}
+
 // Step tells an owner what to do next for a request.
 type Step struct {
 	// Attempt is the attempt that the step belongs to.
--- a/io/tlpeer/counters.go
+++ b/io/tlpeer/counters.go
@@ -22,6 +22,9 @@
 	countBytesSent     = "BytesSent"
 	countBytesReceived = "BytesReceived"
 	countPanic         = "HandlerPanic"
+	countDoubted       = "PeersAskedAbout"
+	countPaused        = "WokeAfterPause"
+	countRefuted       = "DoubtRefuted"
 )
 
 // CounterNames lists the counters of the mesh.
@@ -30,4 +33,5 @@
 	countGarbage, countUnknownKind, countBadBody, countLateAnswer, countQueueFull,
 	countBusy, countSilent, countIdle, countLost, countReplaced, countFramesSent,
 	countFramesTaken, countBytesSent, countBytesReceived, countPanic,
+	countDoubted, countPaused, countRefuted,
 }
--- a/io/tlpeer/dial.go
+++ b/io/tlpeer/dial.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		m.count(countDialFailed)
 		l.failed(m.now(), rand.Float64())
+		m.unreachable(l.name)
 	} else {
 		m.count(countDialled)
 		if old := l.use(c); old != nil {
--- a/io/tlpeer/loops.go
+++ b/io/tlpeer/loops.go
@@ -122,6 +122,7 @@
 		}
 		if c.since(&c.heard) >= c.mesh.o.Heartbeat && !c.ping() {
 			c.mesh.count(countSilent)
+			c.mesh.unreachable(c.peer.Name)
 			c.close()
 			return
 		}
--- a/io/tlpeer/mesh.go
+++ b/io/tlpeer/mesh.go
@@ -24,6 +24,9 @@
 	running  sync.WaitGroup
 	done     chan struct{}
 
+	// unreachable is told of peers that could not be reached; it is set before Start.
+	unreachable func(peer string)
+
 	mu     sync.Mutex
 	closed bool
 	links  map[string]*link
@@ -48,6 +51,8 @@
 		cancel:   cancel,
 		done:     make(chan struct{}),
 		links:    map[string]*link{},
+
+		unreachable: func(string) {},
 	}
 	m.server = &http.Server{
 		Handler:           http.HandlerFunc(m.accept),
@@ -176,6 +181,17 @@
 	return true
 }
 
+// background runs f unless the mesh is closed; the mesh ends after f.
+func (m *Mesh) background(f func()) {
+	if !m.enter() {
+		return
+	}
+	go func() {
+		defer m.running.Done()
+		f()
+	}()
+}
+
 func (m *Mesh) count(reason string) {
 	m.o.Add(reason, 1)
 }
