Run schedulers at homes and relay answers at owners

Cause: the whole path needs someone to drive the scheduler by wall clock and someone to carry out its steps at the engines.

--- /dev/null
+++ b/io/tlhome/counter.go
@@ -0,0 +1,22 @@
+package tlhome
+
+// The counters of homes.
+const (
+	homeTaken     = "HomeTaken"
+	homeLeft      = "HomeLeft"
+	unknownPool   = "UnknownPool"
+	duplicate     = "DuplicateSubmission"
+	submitted     = "Submitted"
+	loadFailed    = "LoadFailed"
+	engineGone    = "EngineGone"
+	engineBack    = "EngineBack"
+	engineLeaving = "EngineLeaving"
+	eventsFailed  = "CacheEventsFailed"
+	auditFailed   = "AuditFailed"
+	auditDropped  = "AuditDropped"
+)
+
+var counterNames = []string{
+	homeTaken, homeLeft, unknownPool, duplicate, submitted, loadFailed, engineGone,
+	engineBack, engineLeaving, eventsFailed, auditFailed, auditDropped,
+}
--- /dev/null
+++ b/io/tlhome/homes.go
@@ -0,0 +1,148 @@
+package tlhome
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"trefoillanding/core/tlsched"
+	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlmetric"
+)
+
+// Homes holds the pools whose home this instance is.
+type Homes struct {
+	deps     Deps
+	counters *tlmetric.Group
+	ctx      context.Context
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+	done     chan struct{}
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// New returns homes without any pool; Close ends them.
+func New(d Deps) *Homes {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Homes{
+		deps:     d,
+		counters: d.Metrics.Group("Home", counterNames...),
+		ctx:      ctx,
+		stop:     stop,
+		done:     make(chan struct{}),
+		pools:    map[string]*pool{},
+	}
+}
+
+// Use makes this instance the home of just those pools of c that mine accepts.
+func (h *Homes) Use(c tlwire.Config, mine func(tlwire.Pool) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ctx.Err() != nil {
+		return
+	}
+	wanted := map[string]bool{}
+	for _, p := range c.Pools {
+		s, ok := serviceOf(c, p)
+		if !ok || !mine(p) {
+			continue
+		}
+		wanted[p.Name] = true
+		h.open(p, s, c.Organisations)
+	}
+	h.closeOthers(wanted)
+}
+
+func (h *Homes) open(p tlwire.Pool, s tlwire.Service, o []tlwire.Organisation) {
+	if known := h.pools[p.Name]; known != nil {
+		known.configure(p, s, o)
+		return
+	}
+	random := rand.New(rand.NewPCG(h.deps.Seed, uint64(len(h.pools))))
+	n := newPool(h.deps, h.counters, p, tlsched.New(p, s, o, random))
+	h.pools[p.Name] = n
+	h.counters.Count(homeTaken)
+	ctx, stop := context.WithCancel(h.ctx)
+	n.stop = stop
+	h.running.Go(func() { n.run(ctx) })
+}
+
+func (h *Homes) closeOthers(wanted map[string]bool) {
+	for name, p := range h.pools {
+		if wanted[name] {
+			continue
+		}
+		p.stop()
+		delete(h.pools, name)
+		h.counters.Count(homeLeft)
+	}
+}
+
+// Submit places a request in the queue of its pool; the error is NoHome.
+func (h *Homes) Submit(s tlwire.Submission) error {
+	p := h.find(s.Pool)
+	if p == nil {
+		h.counters.Count(unknownPool)
+		return tlverdict.New(tlverdict.NoHome, "this instance is not the home of pool %s", s.Pool)
+	}
+	p.submit(s)
+	return nil
+}
+
+// Report tells a pool how a request goes; a report for a pool elsewhere is NoHome.
+func (h *Homes) Report(r tlwire.Report) error {
+	p := h.find(r.Pool)
+	if p == nil {
+		h.counters.Count(unknownPool)
+		return tlverdict.New(tlverdict.NoHome, "this instance is not the home of pool %s", r.Pool)
+	}
+	p.report(r)
+	return nil
+}
+
+// Summaries returns what other instances are told of the pools here.
+func (h *Homes) Summaries() []tlwire.PoolSummary {
+	h.mu.Lock()
+	pools := make([]*pool, 0, len(h.pools))
+	for _, p := range h.pools {
+		pools = append(pools, p)
+	}
+	h.mu.Unlock()
+	out := make([]tlwire.PoolSummary, 0, len(pools))
+	for _, p := range pools {
+		out = append(out, p.summary())
+	}
+	return out
+}
+
+// Close ends all pools and waits for their loops.
+func (h *Homes) Close() {
+	h.mu.Lock()
+	h.stop()
+	h.mu.Unlock()
+	h.running.Wait()
+	close(h.done)
+}
+
+// Done is closed once everything here has ended.
+func (h *Homes) Done() <-chan struct{} {
+	return h.done
+}
+
+func (h *Homes) find(name string) *pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pools[name]
+}
+
+func serviceOf(c tlwire.Config, p tlwire.Pool) (tlwire.Service, bool) {
+	for _, s := range c.Services {
+		if s.Name == p.Service {
+			return s, true
+		}
+	}
+	return tlwire.Service{}, false
+}
--- /dev/null
+++ b/io/tlrelay/counter.go
@@ -0,0 +1,27 @@
+package tlrelay
+
+// The counters of a relay.
+const (
+	requests        = "Requests"
+	answered        = "Answered"
+	resumed         = "Resumed"
+	callerGone      = "CallerGone"
+	spilled         = "Spilled"
+	askedAgain      = "AskedAgain"
+	prefillFailed   = "PrefillFailed"
+	transferFailed  = "TransferFailed"
+	transferStalled = "TransferStalled"
+	decodeFailed    = "DecodeFailed"
+	abandoned       = "Abandoned"
+	staleStep       = "StaleStep"
+	streamTaken     = "StreamTaken"
+	tokens          = "Tokens"
+	wastedPrefill   = "WastedPrefillTokens"
+	prefillTokens   = "PrefillTokens"
+)
+
+var counterNames = []string{
+	requests, answered, resumed, callerGone, spilled, askedAgain, prefillFailed,
+	transferFailed, transferStalled, decodeFailed, abandoned, staleStep, streamTaken,
+	tokens, wastedPrefill, prefillTokens,
+}
--- /dev/null
+++ b/io/tlrelay/relay.go
@@ -0,0 +1,111 @@
+package tlrelay
+
+import (
+	"context"
+	"sync"
+
+	"trefoillanding/core/tleventid"
+	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlmetric"
+)
+
+// Relay serves completions and knows which of them are open here.
+type Relay struct {
+	deps     Deps
+	counters *tlmetric.Group
+
+	mu   sync.Mutex
+	runs map[string]*run
+}
+
+// New returns a relay without open requests.
+func New(d Deps) *Relay {
+	return &Relay{
+		deps:     d,
+		counters: d.Metrics.Group("Relay", counterNames...),
+		runs:     map[string]*run{},
+	}
+}
+
+// Do serves a request until its whole answer is out; errors are tlverdict errors.
+func (r *Relay) Do(ctx context.Context, q Request, out Sink) error {
+	n := newRun(r, q, out)
+	r.open(n)
+	defer r.close(n)
+	r.counters.Count(requests)
+	return r.end(n, n.serve(ctx))
+}
+
+// Resume goes on with a stream behind a position; errors are tlverdict errors.
+func (r *Relay) Resume(ctx context.Context, p tleventid.Position, q Request, out Sink) error {
+	if p.Body != q.Body {
+		return tlverdict.New(tlverdict.BadEventID, "the event id belongs to another request body")
+	}
+	if p.Finish != "" {
+		return nil
+	}
+	q.ID = p.Request
+	n := newRun(r, q, out)
+	r.open(n)
+	defer r.close(n)
+	r.counters.Count(resumed)
+	return r.end(n, n.resume(ctx, p))
+}
+
+// Deliver hands a home's step to its request; one for a request not open here is dropped.
+func (r *Relay) Deliver(s tlwire.Step) {
+	r.mu.Lock()
+	n := r.runs[s.Request]
+	r.mu.Unlock()
+	if n == nil {
+		r.counters.Count(staleStep)
+		return
+	}
+	n.push(s)
+}
+
+// Owns says for each request whether it is open here.
+func (r *Relay) Owns(requests []string) []bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	owned := make([]bool, len(requests))
+	for i, q := range requests {
+		owned[i] = r.runs[q] != nil
+	}
+	return owned
+}
+
+// Open counts the requests that are open here.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
+func (r *Relay) open(n *run) {
+	r.mu.Lock()
+	earlier := r.runs[n.request.ID]
+	r.runs[n.request.ID] = n
+	r.mu.Unlock()
+	if earlier != nil {
+		earlier.takeOver()
+	}
+}
+
+func (r *Relay) close(n *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs[n.request.ID] == n {
+		delete(r.runs, n.request.ID)
+	}
+}
+
+func (r *Relay) end(n *run, err error) error {
+	if err == nil {
+		r.counters.Count(answered)
+		return nil
+	}
+	n.abandon(err)
+	return err
+}
--- /dev/null
+++ b/io/tlrelay/request.go
@@ -0,0 +1,31 @@
+package tlrelay
+
+import (
+	"time"
+
+	"trefoillanding/core/tlwire"
+)
+
+// Request is a caller's completion.
+type Request struct {
+	// ID is unique.
+	ID string
+	// Organisation is who pays for it.
+	Organisation string
+	// Service is the service that was asked for.
+	Service tlwire.Service
+	// Model is the model to run.
+	Model string
+	// Adapter is the adapter to run with it, or empty.
+	Adapter string
+	// Version is the model's version.
+	Version string
+	// Prompt is the text to complete.
+	Prompt string
+	// MaxTokens bounds the answer.
+	MaxTokens int
+	// Arrived is when the request came.
+	Arrived time.Time
+	// Body is the digest of the caller's body.
+	Body uint64
+}
--- /dev/null
+++ b/io/tlrelay/run.go
@@ -0,0 +1,231 @@
+package tlrelay
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"trefoillanding/core/tleventid"
+	"trefoillanding/core/tlprompt"
+	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlwire"
+)
+
+const inboxSteps = 16
+
+// run is one request that is open here; only its own goroutine touches what mu does not guard.
+type run struct {
+	relay   *Relay
+	request Request
+	out     Sink
+	inbox   chan tlwire.Step
+	taken   chan struct{}
+
+	pool      tlwire.Pool
+	attempt   string
+	tries     int
+	started   bool
+	prefill   tlwire.PrefillResult
+	prefilled netip.AddrPort
+	decoding  netip.AddrPort
+	last      tlwire.Report
+	prefix    string
+	delivered int
+	text      strings.Builder
+	hasText   bool
+
+	mu        sync.Mutex
+	stage     string
+	interrupt context.CancelFunc
+	isTaken   bool
+}
+
+func newRun(r *Relay, q Request, out Sink) *run {
+	return &run{
+		relay:   r,
+		request: q,
+		out:     out,
+		inbox:   make(chan tlwire.Step, inboxSteps),
+		taken:   make(chan struct{}),
+		hasText: true,
+	}
+}
+
+// serve tries the pools in order until one takes the request.
+func (r *run) serve(ctx context.Context) error {
+	var refusal error = tlverdict.New(tlverdict.NoEndpoint, "no pool serves %s", r.request.Service.Name)
+	for i, p := range r.relay.deps.Pools(r.request) {
+		if i > 0 {
+			r.relay.counters.Count(spilled)
+		}
+		r.pool = p
+		err := r.inPool(ctx)
+		if err == nil || !tlverdict.NotRun(err) || ctx.Err() != nil {
+			return err
+		}
+		refusal = err
+	}
+	return refusal
+}
+
+// inPool lets the pool's home guide the request to its end.
+func (r *run) inPool(ctx context.Context) error {
+	r.attempt, r.last = "", tlwire.Report{}
+	if err := r.submit(ctx); err != nil {
+		return r.verdict(err)
+	}
+	for {
+		s, err := r.next(ctx)
+		if err != nil {
+			return err
+		}
+		done, err := r.take(ctx, s)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+func (r *run) submit(ctx context.Context) error {
+	q := r.request
+	return r.relay.deps.Homes.Submit(ctx, tlwire.Submission{
+		Pool:         r.pool.Name,
+		Request:      q.ID,
+		Owner:        r.relay.deps.Name,
+		Incarnation:  r.relay.deps.Incarnation,
+		Organisation: q.Organisation,
+		Model:        q.Model,
+		PromptTokens: tlprompt.Tokens(q.Prompt) + r.delivered,
+		MaxTokens:    q.MaxTokens - r.delivered,
+		Delivered:    r.delivered,
+		Blocks:       tlprompt.Blocks(q.Prompt),
+		Arrived:      q.Arrived,
+		Due:          q.Arrived.Add(q.Service.Targets.FirstToken),
+		Tries:        r.tries,
+	})
+}
+
+// next waits for a step and asks the home again when none comes, since the home may have changed.
+func (r *run) next(ctx context.Context) (tlwire.Step, error) {
+	again := time.NewTicker(r.relay.deps.AskAgain)
+	defer again.Stop()
+	for {
+		select {
+		case s := <-r.inbox:
+			return s, nil
+		case <-ctx.Done():
+			return tlwire.Step{}, r.gone(ctx)
+		case <-r.taken:
+			return tlwire.Step{}, r.takenOver()
+		case <-again.C:
+			r.ask(ctx)
+		}
+	}
+}
+
+// ask repeats the submission; a home that can't be reached is asked again later.
+func (r *run) ask(ctx context.Context) {
+	r.relay.counters.Count(askedAgain)
+	_ = r.submit(ctx)
+}
+
+func (r *run) push(s tlwire.Step) {
+	r.mu.Lock()
+	if s.Kind == tlwire.StepKindAbandon && s.Attempt == r.stage && r.interrupt != nil {
+		r.interrupt()
+	}
+	r.mu.Unlock()
+	select {
+	case r.inbox <- s:
+	default:
+		r.relay.counters.Count(staleStep)
+	}
+}
+
+// takeOver ends a run whose caller came back on another connection.
+func (r *run) takeOver() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isTaken = true
+	close(r.taken)
+	if r.interrupt != nil {
+		r.interrupt()
+	}
+}
+
+// enter bounds a stage of an attempt so that a step or a takeover can end it early.
+func (r *run) enter(ctx context.Context, attempt string) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancel(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stage, r.interrupt = attempt, stop
+	if r.isTaken {
+		stop()
+	}
+	return ctx, stop
+}
+
+func (r *run) report(k tlwire.ReportKind) {
+	r.send(tlwire.Report{Kind: k})
+}
+
+func (r *run) send(p tlwire.Report) {
+	p.Pool, p.Request, p.Attempt = r.pool.Name, r.request.ID, r.attempt
+	r.last = p
+	r.relay.deps.Homes.Report(p)
+}
+
+// verdict turns a refusal into one that is true of this request.
+func (r *run) verdict(err error) error {
+	e := tlverdict.Of(err)
+	if !r.started || e.Verdict != tlwire.VerdictNotRun {
+		return e
+	}
+	return tlverdict.New(tlverdict.RetriesSpent, "the request ran in part and could not go on: %s", e.Message).After(e.RetryAfter)
+}
+
+func (r *run) gone(ctx context.Context) error {
+	if r.started {
+		return tlverdict.New(tlverdict.EndpointTimeout, "the request ended early: %v", context.Cause(ctx))
+	}
+	return tlverdict.New(tlverdict.CallerGone, "the request ended early: %v", context.Cause(ctx))
+}
+
+func (r *run) takenOver() error {
+	r.relay.counters.Count(streamTaken)
+	return tlverdict.New(tlverdict.StreamTaken, "the stream is read on another connection")
+}
+
+// abandon frees whatever a request that ends with err still holds.
+func (r *run) abandon(err error) {
+	if tlverdict.Of(err).Reason == tlverdict.StreamTaken {
+		return
+	}
+	r.relay.counters.Count(abandoned)
+	r.cancelAttempt()
+	if r.pool.Name != "" {
+		r.report(tlwire.ReportKindCancelled)
+	}
+}
+
+func (r *run) cancelAttempt() {
+	if r.prefilled.IsValid() {
+		r.relay.deps.Engines.Cancel(r.prefilled, r.attempt)
+	}
+	if r.decoding.IsValid() {
+		r.relay.deps.Engines.Cancel(r.decoding, r.attempt)
+	}
+	r.prefilled, r.decoding = netip.AddrPort{}, netip.AddrPort{}
+}
+
+func (r *run) position(engine netip.AddrPort) tleventid.Position {
+	return tleventid.Position{
+		Request: r.request.ID,
+		Attempt: r.attempt,
+		Pool:    r.pool.Name,
+		Engine:  engine,
+		Body:    r.request.Body,
+	}
+}
--- /dev/null
+++ b/io/tlrelay/step.go
@@ -0,0 +1,160 @@
+package tlrelay
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlwire"
+)
+
+type stepHandler func(r *run, ctx context.Context, s tlwire.Step) (bool, error)
+
+var stepHandlers = map[tlwire.StepKind]stepHandler{
+	tlwire.StepKindStartPrefill:  (*run).startPrefill,
+	tlwire.StepKindStartTransfer: (*run).startTransfer,
+	tlwire.StepKindRefuse:        (*run).refused,
+	tlwire.StepKindAbandon:       (*run).dropAttempt,
+}
+
+// take carries out one step and says whether the answer is complete.
+func (r *run) take(ctx context.Context, s tlwire.Step) (bool, error) {
+	handle, ok := stepHandlers[s.Kind]
+	if !ok {
+		r.relay.counters.Count(staleStep)
+		return false, nil
+	}
+	return handle(r, ctx, s)
+}
+
+func (r *run) startPrefill(ctx context.Context, s tlwire.Step) (bool, error) {
+	if s.Attempt == r.attempt {
+		r.relay.deps.Homes.Report(r.last)
+		return false, nil
+	}
+	r.cancelAttempt()
+	r.attempt, r.tries = s.Attempt, r.tries+1
+	engine, ok := r.engine(s.Engine)
+	if !ok {
+		r.report(tlwire.ReportKindPrefillFailed)
+		return false, nil
+	}
+	return false, r.runPrefill(ctx, s, engine)
+}
+
+func (r *run) runPrefill(ctx context.Context, s tlwire.Step, engine netip.AddrPort) error {
+	r.started, r.prefilled = true, engine
+	stage, stop := r.enter(ctx, s.Attempt)
+	defer stop()
+	result, err := r.relay.deps.Engines.Prefill(stage, engine, tlwire.PrefillRequest{
+		Attempt:     s.Attempt,
+		Request:     r.request.ID,
+		Owner:       r.relay.deps.Name,
+		Incarnation: r.relay.deps.Incarnation,
+		Model:       r.request.Model,
+		Adapter:     r.request.Adapter,
+		Version:     r.request.Version,
+		Prompt:      r.request.Prompt + r.text.String(),
+		Priority:    s.Priority,
+	})
+	if err != nil {
+		return r.stageFailed(ctx, stage, prefillFailed, tlwire.Report{
+			Kind:   tlwire.ReportKindPrefillFailed,
+			Reason: err.Error(),
+		})
+	}
+	r.prefill = result
+	r.relay.counters.Add(prefillTokens, int64(result.Tokens-result.CachedTokens))
+	r.send(tlwire.Report{
+		Kind:         tlwire.ReportKindPrefillDone,
+		Tokens:       result.Tokens,
+		CachedTokens: result.CachedTokens,
+		Bytes:        result.Bytes,
+		HeldFor:      result.HeldFor,
+	})
+	return nil
+}
+
+func (r *run) startTransfer(ctx context.Context, s tlwire.Step) (bool, error) {
+	engine, ok := r.engine(s.Engine)
+	if s.Attempt != r.attempt || !ok || engine == r.decoding {
+		r.relay.counters.Count(staleStep)
+		return false, nil
+	}
+	if r.decoding.IsValid() {
+		r.relay.deps.Engines.Cancel(r.decoding, r.attempt)
+	}
+	r.decoding = engine
+	stage, stop := r.enter(ctx, s.Attempt)
+	defer stop()
+	if err := r.transfer(stage, s, engine); err != nil {
+		return false, r.transferEnded(ctx, stage, err)
+	}
+	r.report(tlwire.ReportKindTransferDone)
+	return r.decode(ctx, stage, s, engine)
+}
+
+func (r *run) transfer(ctx context.Context, s tlwire.Step, engine netip.AddrPort) error {
+	return r.relay.deps.Engines.Import(ctx, engine, tlwire.ImportRequest{
+		Attempt:     s.Attempt,
+		Request:     r.request.ID,
+		Owner:       r.relay.deps.Name,
+		Incarnation: r.relay.deps.Incarnation,
+		Source:      r.prefilled,
+		Handle:      r.prefill.Handle,
+		Tokens:      r.prefill.Tokens,
+		MaxTokens:   r.request.MaxTokens - r.delivered,
+		Pieces:      s.Pieces,
+	})
+}
+
+func (r *run) transferEnded(ctx, stage context.Context, err error) error {
+	r.relay.deps.Engines.Cancel(r.decoding, r.attempt)
+	r.decoding = netip.AddrPort{}
+	if r.relay.deps.Engines.Stalled(err) {
+		return r.stageFailed(ctx, stage, transferStalled, tlwire.Report{Kind: tlwire.ReportKindTransferStalled})
+	}
+	return r.stageFailed(ctx, stage, transferFailed, tlwire.Report{
+		Kind:   tlwire.ReportKindTransferFailed,
+		Reason: err.Error(),
+	})
+}
+
+// stageFailed tells the home, unless the home itself or the caller ended the stage.
+func (r *run) stageFailed(ctx, stage context.Context, counter string, p tlwire.Report) error {
+	if ctx.Err() != nil {
+		return r.gone(ctx)
+	}
+	if stage.Err() != nil {
+		return nil
+	}
+	r.relay.counters.Count(counter)
+	r.send(p)
+	return nil
+}
+
+func (r *run) refused(_ context.Context, s tlwire.Step) (bool, error) {
+	e := tlverdict.New(tlverdict.Reason(s.Reason), "pool %s refused the request", r.pool.Name)
+	return false, r.verdict(e.After(max(s.RetryAfter, time.Millisecond)))
+}
+
+// dropAttempt frees an attempt that the home gave up; the next step starts another.
+func (r *run) dropAttempt(_ context.Context, s tlwire.Step) (bool, error) {
+	if s.Attempt != r.attempt {
+		r.relay.counters.Count(staleStep)
+		return false, nil
+	}
+	r.relay.counters.Add(wastedPrefill, int64(r.prefill.Tokens-r.prefill.CachedTokens))
+	r.cancelAttempt()
+	return false, nil
+}
+
+func (r *run) engine(name string) (netip.AddrPort, bool) {
+	for _, e := range r.pool.Engines {
+		if e.Name == name {
+			return e.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
