--- a/io/tlhome/audit.go
+++ b/io/tlhome/audit.go
@@ -7,11 +7,6 @@
 	"trefoillanding/core/tlwire"
 )
 
-type ownerKey struct {
-	name        string
-	incarnation uint64
-}
-
 // auditLoop frees what owners no longer serve, since a report may be lost.
 func (p *pool) auditLoop(ctx context.Context) {
 	t := time.NewTicker(p.deps.Times.Audit)
@@ -28,38 +23,37 @@
 
 func (p *pool) audit(ctx context.Context) {
 	for o, requests := range p.quiet() {
-		owned, err := p.deps.Owns(ctx, o.name, o.incarnation, requests)
+		owned, err := p.deps.Owns(ctx, o, requests)
 		if err != nil || len(owned) != len(requests) {
 			p.counters.Count(auditFailed)
 			continue
 		}
-		p.drop(requests, owned)
+		p.drop(o, requests, owned)
 	}
 }
 
 // quiet returns the requests of which nothing was heard since the last audit.
-func (p *pool) quiet() map[ownerKey][]string {
+func (p *pool) quiet() map[Owner][]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	quiet := map[ownerKey][]string{}
+	quiet := map[Owner][]string{}
 	before := p.deps.Now().Add(-p.deps.Times.Audit)
 	for name, r := range p.requests {
 		if r.heard.After(before) {
 			continue
 		}
-		k := ownerKey{r.owner, r.incarnation}
-		quiet[k] = append(quiet[k], name)
+		quiet[r.owner] = append(quiet[r.owner], name)
 	}
 	return quiet
 }
 
-func (p *pool) drop(requests []string, owned []bool) {
+func (p *pool) drop(o Owner, requests []string, owned []bool) {
 	for i, name := range requests {
 		if owned[i] {
 			continue
 		}
 		p.counters.Count(auditDropped)
-		p.report(tlwire.Report{
+		p.report(o, tlwire.Report{
 			Pool:    p.config.Name,
 			Request: name,
 			Kind:    tlwire.ReportKindCancelled,
--- a/io/tlhome/deps.go
+++ b/io/tlhome/deps.go
@@ -18,7 +18,7 @@
 	// CacheEvents asks an engine for changes of its prefix cache.
 	CacheEvents func(ctx context.Context, engine netip.AddrPort, after uint64) (tlwire.CacheEvents, error)
 	// Owns asks an owner which of the requests it still serves.
-	Owns func(ctx context.Context, owner string, incarnation uint64, requests []string) ([]bool, error)
+	Owns func(ctx context.Context, owner Owner, requests []string) ([]bool, error)
 	// Leaving says whether the instance list has an endpoint as leaving or no more.
 	Leaving func(engine string) bool
 	// Now is the clock.
--- a/io/tlhome/homes.go
+++ b/io/tlhome/homes.go
@@ -92,14 +92,14 @@
 	return nil
 }
 
-// Report tells a pool how a request goes; a report for a pool elsewhere is NoHome.
-func (h *Homes) Report(r tlwire.Report) error {
+// Report takes what owner o tells of a request; a report for a pool elsewhere is NoHome.
+func (h *Homes) Report(o Owner, r tlwire.Report) error {
 	p := h.find(r.Pool)
 	if p == nil {
 		h.counters.Count(unknownPool)
 		return tlverdict.New(tlverdict.NoHome, "this instance is not the home of pool %s", r.Pool)
 	}
-	p.report(r)
+	p.report(o, r)
 	return nil
 }
 
--- a/io/tlhome/pool.go
+++ b/io/tlhome/pool.go
@@ -12,10 +12,10 @@
 
 // request is what a home remembers of a request to find its owner.
 type request struct {
-	owner       string
-	incarnation uint64
-	last        *tlwire.Step
-	heard       time.Time
+	owner Owner
+	tries int
+	last  *tlwire.Step
+	heard time.Time
 }
 
 // pool drives one scheduler.
@@ -54,30 +54,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.deps.Now()
-	if r := p.requests[s.Request]; r != nil {
+	if r := p.requests[s.Request]; r != nil && s.Tries <= r.tries {
 		p.repeat(s, r, now)
 		return
 	}
 	p.counters.Count(submitted)
-	p.requests[s.Request] = &request{owner: s.Owner, incarnation: s.Incarnation, heard: now}
+	p.requests[s.Request] = &request{owner: Owner{s.Owner, s.Incarnation}, tries: s.Tries, heard: now}
 	p.deliver(p.scheduler.Submit(now, s))
 }
 
 // repeat answers an owner that asks again, since a step may have been lost.
 func (p *pool) repeat(s tlwire.Submission, r *request, now time.Time) {
 	p.counters.Count(duplicate)
-	r.owner, r.incarnation, r.heard = s.Owner, s.Incarnation, now
+	r.owner, r.heard = Owner{s.Owner, s.Incarnation}, now
 	if r.last != nil {
-		p.deps.Deliver(r.owner, *r.last)
+		p.deps.Deliver(r.owner.Name, *r.last)
 	}
 }
 
-func (p *pool) report(r tlwire.Report) {
+func (p *pool) report(o Owner, r tlwire.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.deps.Now()
 	if known := p.requests[r.Request]; known != nil {
-		known.heard = now
+		known.owner, known.heard = o, now
 	}
 	steps := p.scheduler.Report(now, r)
 	if ended(r.Kind) {
@@ -101,7 +101,7 @@
 		if s.Kind == tlwire.StepKindRefuse {
 			delete(p.requests, s.Request)
 		}
-		p.deps.Deliver(r.owner, s)
+		p.deps.Deliver(r.owner.Name, s)
 	}
 	select {
 	case p.wake <- struct{}{}:
--- a/io/tlrelay/counter.go
+++ b/io/tlrelay/counter.go
@@ -15,6 +15,8 @@
 	abandoned       = "Abandoned"
 	staleStep       = "StaleStep"
 	streamTaken     = "StreamTaken"
+	homeChanged     = "HomeChanged"
+	reconnected     = "Reconnected"
 	tokens          = "Tokens"
 	wastedPrefill   = "WastedPrefillTokens"
 	prefillTokens   = "PrefillTokens"
@@ -23,5 +25,6 @@
 var counterNames = []string{
 	requests, answered, resumed, callerGone, spilled, askedAgain, prefillFailed,
 	transferFailed, transferStalled, decodeFailed, abandoned, staleStep, streamTaken,
+	homeChanged, reconnected,
 	tokens, wastedPrefill, prefillTokens,
 }
--- a/io/tlrelay/decode.go
+++ b/io/tlrelay/decode.go
@@ -13,6 +13,9 @@
 // progressTokens is how many tokens pass between two reports of progress.
 const progressTokens = 256
 
+// reconnects is how often a broken connection to a stream is made anew.
+const reconnects = 3
+
 // takenError is the engine's word for a stream that another reader resumed.
 const takenError = "Taken"
 
@@ -35,11 +38,34 @@
 		Priority:    s.Priority,
 	})
 	if err == nil {
+		r.unused = 0
 		r.prefix = r.relay.deps.Signer.Prefix(r.position(engine))
 		err = r.pump(in)
 		in.Close()
 	}
-	return r.decodeEnded(ctx, stage, err)
+	return r.decodeEnded(ctx, stage, r.reconnect(stage, err))
+}
+
+// reconnect reads the stream on at the same engine when only the connection broke.
+func (r *run) reconnect(stage context.Context, err error) error {
+	for range reconnects {
+		if err == nil || stage.Err() != nil || errors.Is(err, errTaken) || errors.Is(err, errEngine) || errors.Is(err, errCaller) {
+			return err
+		}
+		in, failed := r.relay.deps.Engines.Resume(stage, r.decoding, tlwire.ResumeRequest{
+			Stream:      r.attempt,
+			Owner:       r.relay.deps.Name,
+			Incarnation: r.relay.deps.Incarnation,
+			FirstIndex:  r.delivered,
+		})
+		if failed != nil {
+			return errors.Join(err, failed)
+		}
+		r.relay.counters.Count(reconnected)
+		err = r.pump(in)
+		in.Close()
+	}
+	return err
 }
 
 func (r *run) decodeEnded(ctx, stage context.Context, err error) (bool, error) {
@@ -122,6 +148,7 @@
 // resume reads a stream on whose owner may be another instance, or none.
 func (r *run) resume(ctx context.Context, p tleventid.Position) error {
 	r.started, r.attempt, r.decoding = true, p.Attempt, p.Engine
+	r.tries = attemptNumber(p.Attempt)
 	r.pool = r.poolNamed(p.Pool)
 	stage, stop := r.enter(ctx, p.Attempt)
 	defer stop()
@@ -134,6 +161,7 @@
 		return tlverdict.New(tlverdict.StreamGone, "the stream can't be resumed: %v", err)
 	}
 	r.prefix = r.relay.deps.Signer.Prefix(r.position(p.Engine))
+	r.report(tlwire.ReportKindProgress)
 	err = r.catchUp(in, p.Index)
 	if err == nil {
 		err = r.pump(in)
--- a/io/tlrelay/deps.go
+++ b/io/tlrelay/deps.go
@@ -34,6 +34,8 @@
 
 // Homes reaches the homes of pools, here or at other instances.
 type Homes struct {
+	// Name returns the instance that is a pool's home at present.
+	Name func(pool tlwire.Pool) string
 	// Submit asks a pool's home to place a request.
 	Submit func(ctx context.Context, s tlwire.Submission) error
 	// Report tells a pool's home how a request goes; it never blocks.
--- a/io/tlrelay/request.go
+++ b/io/tlrelay/request.go
@@ -26,6 +26,8 @@
 	MaxTokens int
 	// Arrived is when the request came.
 	Arrived time.Time
+	// Due is when the first token should be out.
+	Due time.Time
 	// Body is the digest of the caller's body.
 	Body uint64
 }
--- a/io/tlrelay/run.go
+++ b/io/tlrelay/run.go
@@ -24,10 +24,13 @@
 	taken   chan struct{}
 
 	pool      tlwire.Pool
+	home      string
+	base      int
 	attempt   string
 	tries     int
 	started   bool
 	prefill   tlwire.PrefillResult
+	unused    int
 	prefilled netip.AddrPort
 	decoding  netip.AddrPort
 	last      tlwire.Report
@@ -72,7 +75,7 @@
 
 // inPool lets the pool's home guide the request to its end.
 func (r *run) inPool(ctx context.Context) error {
-	r.attempt, r.last = "", tlwire.Report{}
+	r.restart()
 	if err := r.submit(ctx); err != nil {
 		return r.verdict(err)
 	}
@@ -88,6 +91,13 @@
 	}
 }
 
+// restart makes the next submission a new one for the pool's present home.
+func (r *run) restart() {
+	r.cancelAttempt()
+	r.attempt, r.last = "", tlwire.Report{}
+	r.home, r.base = r.relay.deps.Homes.Name(r.pool), r.tries
+}
+
 func (r *run) submit(ctx context.Context) error {
 	q := r.request
 	return r.relay.deps.Homes.Submit(ctx, tlwire.Submission{
@@ -102,8 +112,8 @@
 		Delivered:    r.delivered,
 		Blocks:       tlprompt.Blocks(q.Prompt),
 		Arrived:      q.Arrived,
-		Due:          q.Arrived.Add(q.Service.Targets.FirstToken),
-		Tries:        r.tries,
+		Due:          q.Due,
+		Tries:        r.base,
 	})
 }
 
@@ -128,6 +138,10 @@
 // ask repeats the submission; a home that can't be reached is asked again later.
 func (r *run) ask(ctx context.Context) {
 	r.relay.counters.Count(askedAgain)
+	if r.home != r.relay.deps.Homes.Name(r.pool) {
+		r.relay.counters.Count(homeChanged)
+		r.restart()
+	}
 	_ = r.submit(ctx)
 }
 
@@ -210,7 +224,10 @@
 	}
 }
 
+// cancelAttempt frees what the current attempt holds at engines and counts a prefill that was in vain.
 func (r *run) cancelAttempt() {
+	r.relay.counters.Add(wastedPrefill, int64(r.unused))
+	r.unused = 0
 	if r.prefilled.IsValid() {
 		r.relay.deps.Engines.Cancel(r.prefilled, r.attempt)
 	}
--- a/io/tlrelay/step.go
+++ b/io/tlrelay/step.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"trefoillanding/core/tlverdict"
@@ -33,8 +35,13 @@
 		r.relay.deps.Homes.Report(r.last)
 		return false, nil
 	}
+	n := attemptNumber(s.Attempt)
+	if n <= r.tries {
+		r.relay.counters.Count(staleStep)
+		return false, nil
+	}
 	r.cancelAttempt()
-	r.attempt, r.tries = s.Attempt, r.tries+1
+	r.attempt, r.tries = s.Attempt, n
 	engine, ok := r.engine(s.Engine)
 	if !ok {
 		r.report(tlwire.ReportKindPrefillFailed)
@@ -43,6 +50,15 @@
 	return false, r.runPrefill(ctx, s, engine)
 }
 
+// attemptNumber returns the number behind the last slash of an attempt's id, or 0.
+func attemptNumber(attempt string) int {
+	n, err := strconv.Atoi(attempt[strings.LastIndexByte(attempt, '/')+1:])
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 func (r *run) runPrefill(ctx context.Context, s tlwire.Step, engine netip.AddrPort) error {
 	r.started, r.prefilled = true, engine
 	stage, stop := r.enter(ctx, s.Attempt)
@@ -65,7 +81,8 @@
 		})
 	}
 	r.prefill = result
-	r.relay.counters.Add(prefillTokens, int64(result.Tokens-result.CachedTokens))
+	r.unused = result.Tokens - result.CachedTokens
+	r.relay.counters.Add(prefillTokens, int64(r.unused))
 	r.send(tlwire.Report{
 		Kind:         tlwire.ReportKindPrefillDone,
 		Tokens:       result.Tokens,
@@ -145,7 +162,6 @@
 		r.relay.counters.Count(staleStep)
 		return false, nil
 	}
-	r.relay.counters.Add(wastedPrefill, int64(r.prefill.Tokens-r.prefill.CachedTokens))
 	r.cancelAttempt()
 	return false, nil
 }
