--- a/core/tlverdict/error_test.go
+++ b/core/tlverdict/error_test.go
@@ -10,7 +10,7 @@
 
 func TestVerdictGoesWithItsStatuses(t *testing.T) {
 	allowed := map[tlwire.Verdict][]int{
-		tlwire.VerdictNotRun:     {400, 404, 413, 429, 503},
+		tlwire.VerdictNotRun:     {400, 404, 405, 413, 429, 503},
 		tlwire.VerdictMayHaveRun: {502, 504, 409},
 	}
 	for r, k := range kinds {
--- /dev/null
+++ b/io/tlentry/completion.go
@@ -0,0 +1,111 @@
+package tlentry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"trefoillanding/core/tlconfig"
+	"trefoillanding/core/tlprompt"
+	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlrelay"
+)
+
+// noConfigRetryAfter is when a caller should come back to an instance that has no configuration.
+const noConfigRetryAfter = time.Second
+
+const lastEventID = "Last-Event-ID"
+
+func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request) error {
+	arrived := e.deps.Now()
+	body, err := e.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	var q tlwire.CompletionRequest
+	if err := json.Unmarshal(body, &q); err != nil {
+		return tlverdict.New(tlverdict.BadBody, "the body is not a completion request: %v", err)
+	}
+	p, err := e.request(r, q, body, arrived)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(r.Context(), e.deps.Settings.Limits.RequestTimeout)
+	defer stop()
+	if q.Stream {
+		return e.stream(ctx, w, r, p)
+	}
+	return e.whole(ctx, w, p)
+}
+
+// request checks a completion and looks up what it names.
+func (e *Entry) request(r *http.Request, q tlwire.CompletionRequest, body []byte, arrived time.Time) (tlrelay.Request, error) {
+	_, c := e.deps.Config()
+	if c == nil {
+		return tlrelay.Request{}, noConfig()
+	}
+	t, ok := c.ServiceFor(q.Model)
+	if !ok || t.Service.Kind != tlwire.ServiceKindCompletions {
+		return tlrelay.Request{}, tlverdict.New(tlverdict.UnknownModel, "no service or model is named %q", q.Model)
+	}
+	o, ok := c.OrganisationFor(bearer(r), q.User)
+	if !ok {
+		return tlrelay.Request{}, tlverdict.New(tlverdict.UnknownOrganisation, "neither the token nor the user field names an organisation")
+	}
+	if err := checkLength(q, t); err != nil {
+		return tlrelay.Request{}, err
+	}
+	limit := t.Service.Bounds.MaxTokens
+	if q.MaxTokens > 0 {
+		limit = min(limit, q.MaxTokens)
+	}
+	return tlrelay.Request{
+		ID:           e.deps.NewID(),
+		Organisation: o.Name,
+		Service:      t.Service,
+		Model:        t.Model.Name,
+		Adapter:      t.Adapter,
+		Version:      t.Model.Version,
+		Prompt:       q.Prompt,
+		MaxTokens:    limit,
+		Arrived:      arrived,
+		Due:          arrived.Add(t.Service.Targets.FirstToken),
+		Body:         xxhash.Sum64(body),
+	}, nil
+}
+
+func checkLength(q tlwire.CompletionRequest, t tlconfig.Target) error {
+	if q.MaxTokens < 0 {
+		return tlverdict.New(tlverdict.BadBody, "max_tokens must not be negative")
+	}
+	if q.Prompt == "" {
+		return tlverdict.New(tlverdict.BadBody, "the prompt is empty")
+	}
+	n := tlprompt.Tokens(q.Prompt)
+	if n > t.Service.Bounds.PromptTokens {
+		return tlverdict.New(tlverdict.PromptTooLong, "the prompt has %d tokens, allowed are %d", n, t.Service.Bounds.PromptTokens)
+	}
+	return nil
+}
+
+func bearer(r *http.Request) string {
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return token
+}
+
+func noConfig() error {
+	return tlverdict.New(tlverdict.NoConfig, "the instance has no configuration yet").After(noConfigRetryAfter)
+}
+
+func knows(c *tlconfig.Config, name string) bool {
+	if _, ok := c.Service(name); ok {
+		return true
+	}
+	_, ok := c.ServiceFor(name)
+	return ok
+}
--- /dev/null
+++ b/io/tlentry/route.go
@@ -0,0 +1,43 @@
+package tlentry
+
+import (
+	"net/http"
+
+	"trefoillanding/core/tlverdict"
+)
+
+// route is one row of the table of calls.
+type route struct {
+	pattern string
+	// method is the only one allowed; empty allows all.
+	method string
+	// isWork says that the call counts against the limit of concurrent requests.
+	isWork bool
+	serve  func(w http.ResponseWriter, r *http.Request) error
+}
+
+func (e *Entry) routes() []route {
+	return []route{
+		{pattern: "/v1/entries", method: http.MethodGet, serve: e.serveEntries},
+		{pattern: "/v1/completions", method: http.MethodPost, isWork: true, serve: e.serveCompletion},
+		{pattern: "/v1/services/{service}/{path...}", isWork: true, serve: e.servePlain},
+		{pattern: "/v1/operator/", serve: e.serveOperator},
+		{pattern: "/debug/vars", method: http.MethodGet, serve: e.serveVars},
+		{pattern: "/healthz", method: http.MethodGet, serve: e.serveHealth},
+		{pattern: "/", serve: e.serveUnknown},
+	}
+}
+
+func (e *Entry) serveUnknown(_ http.ResponseWriter, r *http.Request) error {
+	return tlverdict.New(tlverdict.UnknownPath, "nothing is at %s", r.URL.Path)
+}
+
+func (e *Entry) serveVars(w http.ResponseWriter, r *http.Request) error {
+	e.deps.Metrics.ServeHTTP(w, r)
+	return nil
+}
+
+func (e *Entry) serveOperator(w http.ResponseWriter, r *http.Request) error {
+	e.deps.Operator.ServeHTTP(w, r)
+	return nil
+}
--- /dev/null
+++ b/io/tlentry/server.go
@@ -0,0 +1,111 @@
+package tlentry
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest"
+)
+
+const (
+	// hardHeaderBytes is where the library cuts a header off, beyond which no verdict can be sent.
+	hardHeaderBytes = 4 << 20
+	// keepAliveIdle is the silence after which a connection is probed.
+	keepAliveIdle = 5 * time.Second
+	// keepAliveProbes is how many probes go unanswered before a connection counts as lost.
+	keepAliveProbes = 3
+	// idleTimeout ends connections without requests.
+	idleTimeout = 2 * time.Minute
+)
+
+// Server listens for callers.
+type Server struct {
+	http *http.Server
+	done chan struct{}
+	err  error
+}
+
+// Listen starts to serve an entry; it fails when the address can't be had.
+func Listen(e *Entry, a netip.AddrPort, c *tls.Config) (*Server, error) {
+	logx.Disable()
+	s := &Server{done: make(chan struct{})}
+	r, err := rest.NewServer(config(a), rest.WithRouter(router{e}))
+	if err != nil {
+		return nil, fmt.Errorf("the server can't be set up: %w", err)
+	}
+	bound := make(chan netip.AddrPort, 1)
+	prepare := func(h *http.Server) {
+		s.prepare(h, e, bound)
+		h.TLSConfig = c
+	}
+	go s.run(r, prepare)
+	select {
+	case <-bound:
+		return s, nil
+	case <-s.done:
+		return nil, s.err
+	}
+}
+
+// config switches off all middlewares of the library: each refuses without a verdict.
+func config(a netip.AddrPort) rest.RestConf {
+	return rest.RestConf{
+		Host: a.Addr().String(),
+		Port: int(a.Port()),
+	}
+}
+
+func (s *Server) prepare(h *http.Server, e *Entry, bound chan<- netip.AddrPort) {
+	s.http = h
+	h.MaxHeaderBytes = hardHeaderBytes
+	h.ReadHeaderTimeout = e.deps.Settings.Limits.HeaderTimeout
+	h.IdleTimeout = idleTimeout
+	h.ConnContext = keepAlive
+	h.BaseContext = func(l net.Listener) context.Context {
+		a, _ := netip.ParseAddrPort(l.Addr().String())
+		bound <- a
+		return context.Background()
+	}
+}
+
+// run serves until the server is closed; the library panics when it can't listen.
+func (s *Server) run(r *rest.Server, prepare rest.StartOption) {
+	defer close(s.done)
+	defer func() {
+		if p := recover(); p != nil {
+			s.err = fmt.Errorf("the server can't listen: %v", p)
+		}
+	}()
+	r.StartWithOpts(prepare)
+}
+
+func keepAlive(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveIdle,
+			Count:    keepAliveProbes,
+		})
+	}
+	return ctx
+}
+
+// Shutdown stops listening and waits until the last call is answered or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+// Close ends all connections at once.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
