--- a/core/tlwire/caller.go
+++ b/core/tlwire/caller.go
@@ -13,7 +13,7 @@
 	Created int64 `json:"created" yaml:"created" cbor:"created"`
 
 	// Id names the request.
-	Id string `json:"id" yaml:"id" cbor:"id"`
+	ID string `json:"id" yaml:"id" cbor:"id"`
 
 	// Model is the model that answered.
 	Model string `json:"model" yaml:"model" cbor:"model"`
