--- /dev/null
+++ b/cmd/trefoillanding/client.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoillanding/core/tlwire"
+)
+
+// operatorTimeout bounds an operator's call.
+const operatorTimeout = 2 * time.Minute
+
+func instanceFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "instance", Usage: "`ADDRESS` of any instance, as http://IP:PORT or IP:PORT", Value: "127.0.0.1:8101"},
+		&cli.StringFlag{Name: "token", Usage: "operator `TOKEN`, where the instances have one", Sources: cli.EnvVars("TREFOILLANDING_TOKEN")},
+	}
+}
+
+// ask makes one operator's call and decodes its answer.
+func ask[A any](ctx context.Context, c *cli.Command, method, path string, body any) (A, error) {
+	var answer A
+	ctx, stop := context.WithTimeout(ctx, operatorTimeout)
+	defer stop()
+	b, err := json.Marshal(body)
+	if err != nil {
+		return answer, err
+	}
+	r, err := http.NewRequestWithContext(ctx, method, baseOf(c.String("instance"))+path, bytes.NewReader(b))
+	if err != nil {
+		return answer, usagef("%v", err)
+	}
+	r.Header.Set("Authorization", "Bearer "+c.String("token"))
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return answer, refusalOf(res)
+	}
+	return answer, json.NewDecoder(res.Body).Decode(&answer)
+}
+
+func baseOf(instance string) string {
+	if bytes.Contains([]byte(instance), []byte("://")) {
+		return instance
+	}
+	return "http://" + instance
+}
+
+func refusalOf(res *http.Response) error {
+	b, _ := io.ReadAll(res.Body)
+	var v tlwire.Refusal
+	if err := json.Unmarshal(b, &v); err != nil || v.Reason == "" {
+		return fmt.Errorf("the instance answered %s", res.Status)
+	}
+	return fmt.Errorf("%s (%s): %s", v.Reason, v.Verdict, v.Message)
+}
--- /dev/null
+++ b/cmd/trefoillanding/serve.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoillanding"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run an entry instance until SIGTERM, then drain it",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "the instance's settings `FILE`", Required: true},
+		},
+		Action: serve,
+	}
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	s, err := readSettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	i, err := trefoillanding.New(s, newLog(s.Log))
+	if err != nil {
+		return usagef("%s: %v", c.String("settings"), err)
+	}
+	defer i.Close()
+	<-signals
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		<-signals
+		stop()
+	}()
+	return i.Drain(ctx)
+}
--- a/core/tleventid/position.go
+++ b/core/tleventid/position.go
@@ -12,6 +12,8 @@
 	Pool string
 	// Engine is where the stream runs.
 	Engine netip.AddrPort
+	// First is the index of the first token that the attempt produced.
+	First int
 	// Body is the digest of the caller's request body.
 	Body uint64
 	// Index is the index of the last token delivered.
--- a/core/tleventid/signer.go
+++ b/core/tleventid/signer.go
@@ -25,6 +25,7 @@
 	Attempt string
 	Pool    string
 	Engine  []byte
+	First   int
 	Body    uint64
 }
 
@@ -53,6 +54,7 @@
 		Attempt: p.Attempt,
 		Pool:    p.Pool,
 		Engine:  engine,
+		First:   p.First,
 		Body:    p.Body,
 	})
 	if err != nil {
@@ -104,7 +106,7 @@
 		return Position{}, bad("its signature is wrong")
 	}
 	var v signed
-	if err := cbor.Unmarshal(body, &v); err != nil {
+	if err := cbor.Unmarshal(body, &v); err != nil || v.First < 0 {
 		return Position{}, bad("it is malformed")
 	}
 	var engine netip.AddrPort
@@ -116,6 +118,7 @@
 		Attempt: v.Attempt,
 		Pool:    v.Pool,
 		Engine:  engine,
+		First:   v.First,
 		Body:    v.Body,
 	}, nil
 }
--- a/core/tleventid/signer_test.go
+++ b/core/tleventid/signer_test.go
@@ -13,6 +13,7 @@
 	Attempt: "r1/1",
 	Pool:    "kiosk-izmir",
 	Engine:  netip.MustParseAddrPort("127.0.0.1:7100"),
+	First:   3,
 	Body:    42,
 	Index:   17,
 	Finish:  "stop",
--- /dev/null
+++ b/core/tlselect/rank_test.go
@@ -0,0 +1,35 @@
+package tlselect
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var candidates = []Candidate{
+	{Name: "a", DataCentre: "izmir", Open: 0},
+	{Name: "b", DataCentre: "izmir", Open: 9},
+	{Name: "c", DataCentre: "bodrum", Open: 0},
+	{Name: "d", DataCentre: "izmir", IsSuspect: true},
+}
+
+func TestRankPutsNearBeforeFarBeforeSuspect(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 100 {
+		e := Rank(candidates, "izmir", r)
+		assert.Len(t, e, 4)
+		assert.Equal(t, "c", e[2].Name)
+		assert.Equal(t, "d", e[3].Name)
+	}
+}
+
+func TestRankSpreadsCallersByLoad(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	first := map[string]int{}
+	for range 10_000 {
+		first[Rank(candidates, "izmir", r)[0].Name]++
+	}
+	assert.InDelta(t, 1000, first["b"], 150, "ten times the load, a tenth of the callers")
+	assert.Equal(t, 10_000, first["a"]+first["b"])
+}
--- a/core/tlwire/operator.go
+++ b/core/tlwire/operator.go
@@ -30,6 +30,15 @@
 	Name string `json:"Name" yaml:"Name" cbor:"Name"`
 }
 
+// ConfigAnswer is the configuration in force at an instance.
+type ConfigAnswer struct {
+	// Config is what the operators declared.
+	Config Config `json:"Config" yaml:"Config" cbor:"Config"`
+
+	// Generation is its number.
+	Generation uint64 `json:"Generation" yaml:"Generation" cbor:"Generation"`
+}
+
 // InstanceStatus is what one instance knows of another.
 type InstanceStatus struct {
 	// DataCentre is where it stands.
--- a/io/tlrelay/decode.go
+++ b/io/tlrelay/decode.go
@@ -38,7 +38,7 @@
 		Priority:    s.Priority,
 	})
 	if err == nil {
-		r.unused = 0
+		r.unused, r.first = 0, r.delivered
 		r.prefix = r.relay.deps.Signer.Prefix(r.position(engine))
 		err = r.pump(in)
 		in.Close()
@@ -52,7 +52,7 @@
 		if err == nil || stage.Err() != nil || errors.Is(err, errTaken) || errors.Is(err, errEngine) || errors.Is(err, errCaller) {
 			return err
 		}
-		in, failed := r.relay.deps.Engines.Resume(stage, r.decoding, tlwire.ResumeRequest{
+		in, failed := r.relay.deps.Engines.Resume(stage, r.decoding, r.attempt, tlwire.ResumeRequest{
 			Stream:      r.attempt,
 			Owner:       r.relay.deps.Name,
 			Incarnation: r.relay.deps.Incarnation,
@@ -152,10 +152,12 @@
 	r.pool = r.poolNamed(p.Pool)
 	stage, stop := r.enter(ctx, p.Attempt)
 	defer stop()
-	in, err := r.relay.deps.Engines.Resume(stage, p.Engine, tlwire.ResumeRequest{
+	r.first, r.delivered, r.hasText = p.First, p.First, p.First == 0
+	in, err := r.relay.deps.Engines.Resume(stage, p.Engine, p.Attempt, tlwire.ResumeRequest{
 		Stream:      p.Attempt,
 		Owner:       r.relay.deps.Name,
 		Incarnation: r.relay.deps.Incarnation,
+		FirstIndex:  p.First,
 	})
 	if err != nil {
 		return tlverdict.New(tlverdict.StreamGone, "the stream can't be resumed: %v", err)
@@ -187,9 +189,6 @@
 		if e.Error != "" {
 			return errors.Join(errEngine, errors.New(e.Error))
 		}
-		if r.delivered == 0 && e.Index > 0 {
-			r.hasText = false
-		}
 		r.text.WriteString(e.Text)
 		r.delivered = e.Index + 1
 	}
--- a/io/tlrelay/deps.go
+++ b/io/tlrelay/deps.go
@@ -50,8 +50,8 @@
 	Import func(ctx context.Context, engine netip.AddrPort, r tlwire.ImportRequest) error
 	// Decode starts a stream.
 	Decode func(ctx context.Context, engine netip.AddrPort, r tlwire.DecodeRequest) (Stream, error)
-	// Resume reads a stream on.
-	Resume func(ctx context.Context, engine netip.AddrPort, r tlwire.ResumeRequest) (Stream, error)
+	// Resume reads an attempt's stream on.
+	Resume func(ctx context.Context, engine netip.AddrPort, attempt string, r tlwire.ResumeRequest) (Stream, error)
 	// Cancel frees an attempt, repeated until the engine confirms it; it never blocks.
 	Cancel func(engine netip.AddrPort, attempt string)
 	// Stalled says whether an error of Import means that nothing moved.
--- a/io/tlrelay/run.go
+++ b/io/tlrelay/run.go
@@ -35,6 +35,7 @@
 	decoding  netip.AddrPort
 	last      tlwire.Report
 	prefix    string
+	first     int
 	delivered int
 	text      strings.Builder
 	hasText   bool
@@ -243,6 +244,7 @@
 		Attempt: r.attempt,
 		Pool:    r.pool.Name,
 		Engine:  engine,
+		First:   r.first,
 		Body:    r.request.Body,
 	}
 }
