--- /dev/null
+++ b/doc.go
@@ -0,0 +1,2 @@
+// Package trefoillanding wires the parts of an entry instance together.
+package trefoillanding
--- /dev/null
+++ b/io/tloperator/doc.go
@@ -0,0 +1,2 @@
+// Package tloperator serves the operators' calls below /v1/operator/.
+package tloperator
--- /dev/null
+++ b/wire.go
@@ -0,0 +1,121 @@
+package trefoillanding
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+
+	"trefoillanding/core/tlselect"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlengine"
+	"trefoillanding/io/tlentry"
+	"trefoillanding/io/tlhome"
+	"trefoillanding/io/tlrelay"
+)
+
+const (
+	// cancelsTimeout bounds the wait for the last cancels when an instance ends.
+	cancelsTimeout = 2 * time.Second
+	// askAgainAfter is how long an owner waits for a home's step before it asks again.
+	askAgainAfter = 500 * time.Millisecond
+	loadEvery     = 500 * time.Millisecond
+	loadTimeout   = time.Second
+	goneAfter     = 2 * time.Second
+	auditEvery    = time.Second
+)
+
+func (i *Instance) engineOptions() tlengine.Options {
+	g := i.metrics.Group("Engines")
+	o := tlengine.NewOptions()
+	o.Seed = i.incarnation
+	o.Count = g.Add
+	return o
+}
+
+func (i *Instance) homeDeps() tlhome.Deps {
+	return tlhome.Deps{
+		Deliver:     i.deliver,
+		Load:        i.engines.Load,
+		CacheEvents: i.engines.CacheEvents,
+		Owns:        i.owns,
+		Leaving:     i.leaving,
+		Now:         time.Now,
+		Seed:        i.incarnation,
+		Times: tlhome.Times{
+			Load:      loadEvery,
+			Timeout:   loadTimeout,
+			GoneAfter: goneAfter,
+			Audit:     auditEvery,
+		},
+		Metrics: i.metrics,
+	}
+}
+
+func (i *Instance) relayDeps() tlrelay.Deps {
+	return tlrelay.Deps{
+		Name:        i.settings.Name,
+		Incarnation: i.incarnation,
+		Homes: tlrelay.Homes{
+			Name:   i.homeOf,
+			Submit: i.submit,
+			Report: i.report,
+		},
+		Engines:  i.relayEngines(),
+		Pools:    i.poolsFor,
+		Signer:   i.signer,
+		Now:      time.Now,
+		AskAgain: askAgainAfter,
+		Metrics:  i.metrics,
+	}
+}
+
+func (i *Instance) relayEngines() tlrelay.Engines {
+	c := i.engines
+	return tlrelay.Engines{
+		Prefill: c.Prefill,
+		Import: func(ctx context.Context, a netip.AddrPort, r tlwire.ImportRequest) error {
+			return c.Import(ctx, a, r, nil)
+		},
+		Decode: func(ctx context.Context, a netip.AddrPort, r tlwire.DecodeRequest) (tlrelay.Stream, error) {
+			return streamOf(c.Decode(ctx, a, r))
+		},
+		Resume: func(ctx context.Context, a netip.AddrPort, attempt string, r tlwire.ResumeRequest) (tlrelay.Stream, error) {
+			return streamOf(c.Resume(ctx, a, attempt, r))
+		},
+		Cancel:  c.Cancel,
+		Stalled: tlengine.IsStalled,
+	}
+}
+
+func streamOf(s *tlengine.Stream, err error) (tlrelay.Stream, error) {
+	if err != nil {
+		return tlrelay.Stream{}, err
+	}
+	return tlrelay.Stream{Next: s.Next, Buffered: s.Buffered, Close: s.Close}, nil
+}
+
+func (i *Instance) entryDeps() tlentry.Deps {
+	return tlentry.Deps{
+		Settings: i.settings,
+		Config:   i.inForce,
+		Relay:    i.relay,
+		Plain:    i.plain,
+		Entries:  i.entries,
+		Draining: i.draining.Load,
+		Operator: i.operator(),
+		Signer:   i.signer,
+		NewID:    func() string { return uuid.Must(uuid.NewV7()).String() },
+		Now:      time.Now,
+		Metrics:  i.metrics,
+	}
+}
+
+func (i *Instance) entries(service string) tlwire.Entries {
+	return tlwire.Entries{
+		Service: service,
+		Entries: tlselect.Rank(i.candidates(), i.settings.DataCentre, i.random),
+		KeepFor: i.settings.Drain.KeepFor.Seconds(),
+	}
+}
