--- a/instance.go
+++ b/instance.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"trefoillanding/core/tlconfig"
@@ -23,8 +23,8 @@
 	settings    tlwire.Settings
 	log         *logrus.Entry
 	incarnation uint64
-	random      *rand.Rand
 	metrics     *tlmetric.Set
+	signer      *tleventid.Signer
 	engines     *tlengine.Client
 	relay       *tlrelay.Relay
 	homes       *tlhome.Homes
@@ -47,8 +47,8 @@
 		settings:    s,
 		log:         l.WithField("Instance", s.Name),
 		incarnation: uint64(time.Now().UnixNano()),
-		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		metrics:     tlmetric.New(),
+		signer:      newSigner(s.Security.EventKeys, l),
 		done:        make(chan struct{}),
 	}
 	i.engines = tlengine.New(i.engineOptions())
@@ -107,7 +107,7 @@
 	i.engines.Close(ctx)
 }
 
-func (i *Instance) inForce() (uint64, *tlconfig.Config) {
+func (i *Instance) current() (uint64, *tlconfig.Config) {
 	f := i.config.Load()
 	if f == nil {
 		return 0, nil
@@ -115,6 +115,12 @@
 	return f.generation, f.config
 }
 
-func (i *Instance) signer() *tleventid.Signer {
-	return tleventid.New(i.settings.Security.EventKeys)
+
+// newSigner returns a signer; without keys it signs for this process only.
+func newSigner(keys []string, l *logrus.Logger) *tleventid.Signer {
+	if len(keys) == 0 {
+		l.Warn("Security.EventKeys is not set: streams can't be resumed at other instances")
+		keys = []string{uuid.NewString()}
+	}
+	return tleventid.New(keys)
 }
--- a/io/tlentry/completion.go
+++ b/io/tlentry/completion.go
@@ -53,10 +53,8 @@
 	if !ok || t.Service.Kind != tlwire.ServiceKindCompletions {
 		return tlrelay.Request{}, tlverdict.New(tlverdict.UnknownModel, "no service or model is named %q", q.Model)
 	}
-	o, ok := c.OrganisationFor(bearer(r), q.User)
-	if !ok {
-		return tlrelay.Request{}, tlverdict.New(tlverdict.UnknownOrganisation, "neither the token nor the user field names an organisation")
-	}
+	// Whoever is not known is served too, all of them together as one organisation.
+	o, _ := c.OrganisationFor(bearer(r), q.User)
 	if err := checkLength(q, t); err != nil {
 		return tlrelay.Request{}, err
 	}
--- a/io/tlrelay/decode.go
+++ b/io/tlrelay/decode.go
@@ -52,7 +52,7 @@
 		if err == nil || stage.Err() != nil || errors.Is(err, errTaken) || errors.Is(err, errEngine) || errors.Is(err, errCaller) {
 			return err
 		}
-		in, failed := r.relay.deps.Engines.Resume(stage, r.decoding, r.attempt, tlwire.ResumeRequest{
+		in, failed := r.relay.deps.Engines.Resume(stage, r.decoding, tlwire.ResumeRequest{
 			Stream:      r.attempt,
 			Owner:       r.relay.deps.Name,
 			Incarnation: r.relay.deps.Incarnation,
@@ -153,7 +153,7 @@
 	stage, stop := r.enter(ctx, p.Attempt)
 	defer stop()
 	r.first, r.delivered, r.hasText = p.First, p.First, p.First == 0
-	in, err := r.relay.deps.Engines.Resume(stage, p.Engine, p.Attempt, tlwire.ResumeRequest{
+	in, err := r.relay.deps.Engines.Resume(stage, p.Engine, tlwire.ResumeRequest{
 		Stream:      p.Attempt,
 		Owner:       r.relay.deps.Name,
 		Incarnation: r.relay.deps.Incarnation,
--- a/io/tlrelay/deps.go
+++ b/io/tlrelay/deps.go
@@ -50,14 +50,12 @@
 	Import func(ctx context.Context, engine netip.AddrPort, r tlwire.ImportRequest) error
 	// Decode starts a stream.
 	Decode func(ctx context.Context, engine netip.AddrPort, r tlwire.DecodeRequest) (Stream, error)
-	// Resume reads an attempt's stream on.
-	Resume func(ctx context.Context, engine netip.AddrPort, attempt string, r tlwire.ResumeRequest) (Stream, error)
+	// Resume reads a stream on; streams are named as their attempts.
+	Resume func(ctx context.Context, engine netip.AddrPort, r tlwire.ResumeRequest) (Stream, error)
 	// Cancel frees an attempt, repeated until the engine confirms it; it never blocks.
 	Cancel func(engine netip.AddrPort, attempt string)
 	// Stalled says whether an error of Import means that nothing moved.
 	Stalled func(err error) bool
-	// Unknown says whether an error means that the engine does not know the stream.
-	Unknown func(err error) bool
 }
 
 // Stream reads one engine's stream.
--- a/wire.go
+++ b/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -81,8 +82,8 @@
 		Decode: func(ctx context.Context, a netip.AddrPort, r tlwire.DecodeRequest) (tlrelay.Stream, error) {
 			return streamOf(c.Decode(ctx, a, r))
 		},
-		Resume: func(ctx context.Context, a netip.AddrPort, attempt string, r tlwire.ResumeRequest) (tlrelay.Stream, error) {
-			return streamOf(c.Resume(ctx, a, attempt, r))
+		Resume: func(ctx context.Context, a netip.AddrPort, r tlwire.ResumeRequest) (tlrelay.Stream, error) {
+			return streamOf(c.Resume(ctx, a, r))
 		},
 		Cancel:  c.Cancel,
 		Stalled: tlengine.IsStalled,
@@ -99,7 +100,7 @@
 func (i *Instance) entryDeps() tlentry.Deps {
 	return tlentry.Deps{
 		Settings: i.settings,
-		Config:   i.inForce,
+		Config:   i.current,
 		Relay:    i.relay,
 		Plain:    i.plain,
 		Entries:  i.entries,
@@ -113,9 +114,10 @@
 }
 
 func (i *Instance) entries(service string) tlwire.Entries {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return tlwire.Entries{
 		Service: service,
-		Entries: tlselect.Rank(i.candidates(), i.settings.DataCentre, i.random),
+		Entries: tlselect.Rank(i.candidates(), i.settings.DataCentre, random),
 		KeepFor: i.settings.Drain.KeepFor.Seconds(),
 	}
 }
