--- a/cmd/trefoillanding/serve.go
+++ b/cmd/trefoillanding/serve.go
@@ -16,13 +16,16 @@
 		Name:  "serve",
 		Usage: "run an entry instance until SIGTERM, then drain it",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "the instance's settings `FILE`", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "the instance's settings `FILE`"},
 		},
 		Action: serve,
 	}
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
+	if !c.IsSet("settings") {
+		return usagef("name the settings with --settings")
+	}
 	s, err := readSettings(c.String("settings"))
 	if err != nil {
 		return err
--- a/cmd/trefoillanding/standin.go
+++ b/cmd/trefoillanding/standin.go
@@ -19,7 +19,7 @@
 		Usage:     "run stand-ins of platform, engines and plain services on loopback, for trials",
 		ArgsUsage: "CONFIGURATION...",
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "settings", Usage: "settings `FILE` of an entry instance to put on the instance list; repeatable", Required: true},
+			&cli.StringSliceFlag{Name: "settings", Usage: "settings `FILE` of an entry instance to put on the instance list; repeatable"},
 		},
 		Action: standin,
 	}
@@ -30,6 +30,9 @@
 	if err != nil {
 		return err
 	}
+	if !c.IsSet("settings") {
+		return usagef("name the settings of at least one entry instance with --settings")
+	}
 	var entries []tlwire.Instance
 	var platform netip.AddrPort
 	for _, name := range c.StringSlice("settings") {
--- a/instance.go
+++ b/instance.go
@@ -115,7 +115,6 @@
 	return f.generation, f.config
 }
 
-
 // newSigner returns a signer; without keys it signs for this process only.
 func newSigner(keys []string, l *logrus.Logger) *tleventid.Signer {
 	if len(keys) == 0 {
