--- a/cmd/trefoillanding/demo.go
+++ b/cmd/trefoillanding/demo.go
@@ -43,7 +43,6 @@
 	deployment *tlstandin.Deployment
 	instances  []*trefoillanding.Instance
 	settings   []tlwire.Settings
-	files      []tlconfig.File
 }
 
 func demo(ctx context.Context, c *cli.Command) error {
