--- a/core/tlverdict/reason.go
+++ b/core/tlverdict/reason.go
@@ -8,6 +8,11 @@
 const (
 	BadBody           Reason = "BadBody"
 	BadHeader         Reason = "BadHeader"
+	HeaderTooLarge    Reason = "HeaderTooLarge"
+	NotAllowed        Reason = "NotAllowed"
+	ConfigRejected    Reason = "ConfigRejected"
+	ConfigConflict    Reason = "ConfigConflict"
+	ConfigUnknown     Reason = "ConfigUnknown"
 	BadEventID        Reason = "BadEventID"
 	MissingKey        Reason = "MissingKey"
 	KeyTooOld         Reason = "KeyTooOld"
