--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -57,6 +57,10 @@
 	if !s.options.Admission {
 		return true
 	}
+	if s.spills(now, r) {
+		s.refuse(r, RefusedPoolBusy, tlverdict.PoolBusy, 0)
+		return false
+	}
 	if s.missesTarget(now, r) {
 		r.item.Latest = now.Add(-1)
 	}
@@ -66,6 +70,27 @@
 	return s.waiting() < s.bounds.QueueLength || s.makeRoom(now, r)
 }
 
+// spills says whether the request would miss its target here and may be tried elsewhere.
+func (s *Scheduler) spills(now time.Time, r *request) bool {
+	if !s.options.Spill || !r.Spills || !r.isFresh() {
+		return false
+	}
+	w := s.prefillWait(now) + seconds(s.queue.Total(false).Longest())
+	if s.decodeFor(now, r) == nil {
+		w = max(w, s.memoryWait(now, r))
+	}
+	return now.Add(w).After(r.item.Latest)
+}
+
+// memoryWait predicts when memory is freed for a request that finds none.
+func (s *Scheduler) memoryWait(now time.Time, r *request) time.Duration {
+	f := s.known.freed.PerSecond(now)
+	if f <= 0 {
+		return 0
+	}
+	return seconds(float64(s.need(r)) / f)
+}
+
 // missesTarget says whether the requests of the same organisation that wait already use up the slack.
 func (s *Scheduler) missesTarget(now time.Time, r *request) bool {
 	c, share := s.queue.Backlog(r.item.Organisation, false)
--- a/core/tlsched/counter.go
+++ b/core/tlsched/counter.go
@@ -7,6 +7,7 @@
 const (
 	RefusedQueueFull Counter = iota
 	RefusedWaitTooLong
+	RefusedPoolBusy
 	RefusedNoEndpoint
 	RefusedPromptTooLong
 	RefusedRetriesSpent
@@ -36,7 +37,7 @@
 )
 
 var counterNames = [counters]string{
-	"RefusedQueueFull", "RefusedWaitTooLong", "RefusedNoEndpoint", "RefusedPromptTooLong", "RefusedRetriesSpent",
+	"RefusedQueueFull", "RefusedWaitTooLong", "RefusedPoolBusy", "RefusedNoEndpoint", "RefusedPromptTooLong", "RefusedRetriesSpent",
 	"RetriedPrefillFailed", "RetriedTransferFailed", "RetriedDecodeFailed", "RetriedResultLapsed",
 	"RetriedEngineGone", "RetriedResubmitted", "RetriedOutgrown", "DelayedRetry", "MovedTransfer",
 	"DroppedStaleReport", "DroppedUnknownRequest", "DroppedDuplicate",
--- a/core/tlsched/options.go
+++ b/core/tlsched/options.go
@@ -12,6 +12,8 @@
 	LateLane bool
 	// Admission refuses requests whose predicted wait is too long.
 	Admission bool
+	// Spill refuses requests that would miss their target here while their owner may ask another pool.
+	Spill bool
 	// Reserve takes decode memory before a prefill starts.
 	Reserve bool
 	// Bet starts prefills on memory that is about to be freed.
@@ -70,6 +72,7 @@
 		Slack:        true,
 		LateLane:     true,
 		Admission:    true,
+		Spill:        true,
 		Reserve:      true,
 		Bet:          true,
 		Prefix:       true,
--- a/core/tltrial/call.go
+++ b/core/tltrial/call.go
@@ -66,6 +66,7 @@
 		MaxTokens:    c.request.MaxTokens,
 		Blocks:       c.request.Blocks,
 		Arrived:      c.arrived,
+		Spills:       c.refusals == 0 && len(t.homes) > 1,
 		Due:          c.arrived.Add(c.request.Target(t.model, x.FirstToken)),
 	}
 	t.trace(c.request.Name, "submit to %s: prompt %d output %d", h.pool.Name, s.PromptTokens, c.request.Output)
--- a/core/tlverdict/error.go
+++ b/core/tlverdict/error.go
@@ -99,6 +99,7 @@
 	PromptTooLong:     notRun(http.StatusRequestEntityTooLarge),
 	QueueFull:         notRun(http.StatusTooManyRequests),
 	WaitTooLong:       notRun(http.StatusTooManyRequests),
+	PoolBusy:          notRun(http.StatusServiceUnavailable),
 	OrganisationLimit: notRun(http.StatusTooManyRequests),
 	TooManyRequests:   notRun(http.StatusTooManyRequests),
 	NoEndpoint:        notRun(http.StatusServiceUnavailable),
--- a/core/tlverdict/reason.go
+++ b/core/tlverdict/reason.go
@@ -25,6 +25,7 @@
 	PromptTooLong     Reason = "PromptTooLong"
 	QueueFull         Reason = "QueueFull"
 	WaitTooLong       Reason = "WaitTooLong"
+	PoolBusy          Reason = "PoolBusy"
 	OrganisationLimit Reason = "OrganisationLimit"
 	TooManyRequests   Reason = "TooManyRequests"
 	NoEndpoint        Reason = "NoEndpoint"
--- a/core/tlwire/peer.go
+++ b/core/tlwire/peer.go
@@ -248,6 +248,9 @@
 	// Request is unique.
 	Request string `json:"Request" yaml:"Request" cbor:"Request"`
 
+	// Spills says that the owner asks another pool when this one refuses.
+	Spills bool `json:"Spills,omitempty" yaml:"Spills,omitempty" cbor:"Spills,omitempty"`
+
 	// Tries counts the attempts that failed before.
 	Tries int `json:"Tries,omitempty" yaml:"Tries,omitempty" cbor:"Tries,omitempty"`
 }
--- a/io/tlrelay/run.go
+++ b/io/tlrelay/run.go
@@ -24,6 +24,7 @@
 	taken   chan struct{}
 
 	pool      tlwire.Pool
+	spills    bool
 	home      string
 	base      int
 	attempt   string
@@ -60,11 +61,12 @@
 // serve tries the pools in order until one takes the request.
 func (r *run) serve(ctx context.Context) error {
 	var refusal error = tlverdict.New(tlverdict.NoEndpoint, "no pool serves %s", r.request.Service.Name)
-	for i, p := range r.relay.deps.Pools(r.request) {
+	pools := r.relay.deps.Pools(r.request)
+	for i, p := range pools {
 		if i > 0 {
 			r.relay.counters.Count(spilled)
 		}
-		r.pool = p
+		r.pool, r.spills = p, i+1 < len(pools)
 		err := r.inPool(ctx)
 		if err == nil || !tlverdict.NotRun(err) || ctx.Err() != nil {
 			return err
@@ -115,6 +117,7 @@
 		Arrived:      q.Arrived,
 		Due:          q.Due,
 		Tries:        r.base,
+		Spills:       r.spills && r.delivered == 0,
 	})
 }
 
