--- a/cmd/trefoillanding/main.go
+++ b/cmd/trefoillanding/main.go
@@ -35,6 +35,7 @@
 			getCommand(),
 			statusCommand(),
 			demoCommand(),
+			loadCommand(),
 			standinCommand(),
 		},
 		OnUsageError:    usageFailed,
