--- /dev/null
+++ b/core/tlspill/order.go
@@ -0,0 +1,31 @@
+package tlspill
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// Order returns the indices of all pools, the chosen one first and the others
+// in the order in which a request spills over to them.
+func Order(l []Candidate, r *rand.Rand) []int {
+	first := Choose(l, r)
+	order := make([]int, 0, len(l))
+	for i := range l {
+		if i != first {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		if l[a].better(l[b]) {
+			return -1
+		}
+		if l[b].better(l[a]) {
+			return 1
+		}
+		return 0
+	})
+	if first >= 0 {
+		order = slices.Insert(order, 0, first)
+	}
+	return order
+}
--- a/core/tlwire/peer.go
+++ b/core/tlwire/peer.go
@@ -92,6 +92,21 @@
 	Open int `json:"Open" yaml:"Open" cbor:"Open"`
 }
 
+// OwnsAnswer says for each request whether it is served still.
+type OwnsAnswer struct {
+	// Owned is in the order of the call.
+	Owned []bool `json:"Owned" yaml:"Owned" cbor:"Owned"`
+}
+
+// OwnsCall asks an owner which requests it still serves.
+type OwnsCall struct {
+	// Incarnation is the owner's life that took the requests.
+	Incarnation uint64 `json:"Incarnation" yaml:"Incarnation" cbor:"Incarnation"`
+
+	// Requests are asked about.
+	Requests []string `json:"Requests" yaml:"Requests" cbor:"Requests"`
+}
+
 // PoolSummary is what others know of a pool.
 type PoolSummary struct {
 	// Age is how old the summary is.
--- a/instance.go
+++ b/instance.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,24 +17,39 @@
 	"trefoillanding/io/tlentry"
 	"trefoillanding/io/tlhome"
 	"trefoillanding/io/tlmetric"
+	"trefoillanding/io/tloutbox"
+	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlplatform"
 	"trefoillanding/io/tlrelay"
 )
 
 // Instance is one entry instance with all of its parts.
 type Instance struct {
-	settings    tlwire.Settings
-	log         *logrus.Entry
-	incarnation uint64
-	metrics     *tlmetric.Set
-	signer      *tleventid.Signer
-	engines     *tlengine.Client
-	relay       *tlrelay.Relay
-	homes       *tlhome.Homes
-	entry       *tlentry.Entry
-	server      *tlentry.Server
-	config      atomic.Pointer[inForce]
-	draining    atomic.Bool
-	done        chan struct{}
+	settings         tlwire.Settings
+	log              *logrus.Entry
+	incarnation      uint64
+	signer           *tleventid.Signer
+	metrics          *tlmetric.Set
+	platformCounters *tlmetric.Group
+
+	platform *tlplatform.Client
+	mesh     *tlpeer.Mesh
+	gossip   *tlpeer.Gossip
+	outbox   *tloutbox.Outbox
+	engines  *tlengine.Client
+	relay    *tlrelay.Relay
+	homes    *tlhome.Homes
+	entry    *tlentry.Entry
+	server   *tlentry.Server
+
+	config    atomic.Pointer[inForce]
+	endpoints atomic.Pointer[map[string]bool]
+	draining  atomic.Bool
+
+	ctx     context.Context
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	done    chan struct{}
 }
 
 // inForce is a configuration with its generation.
@@ -47,24 +64,56 @@
 		settings:    s,
 		log:         l.WithField("Instance", s.Name),
 		incarnation: uint64(time.Now().UnixNano()),
-		metrics:     tlmetric.New(),
 		signer:      newSigner(s.Security.EventKeys, l),
+		metrics:     tlmetric.New(),
 		done:        make(chan struct{}),
 	}
-	i.engines = tlengine.New(i.engineOptions())
-	i.homes = tlhome.New(i.homeDeps())
-	i.relay = tlrelay.New(i.relayDeps())
-	i.entry = tlentry.New(i.entryDeps())
-	server, err := tlentry.Listen(i.entry, s.Listen, nil)
-	if err != nil {
-		i.stopParts()
+	i.ctx, i.stop = context.WithCancel(context.Background())
+	if err := i.open(); err != nil {
 		return nil, err
 	}
-	i.server = server
+	i.start()
 	i.log.WithField("Listen", s.Listen).Info("instance started")
 	return i, nil
 }
 
+// open builds the parts and takes the addresses.
+func (i *Instance) open() error {
+	o, err := i.peerOptions()
+	if err != nil {
+		return err
+	}
+	if i.mesh, err = tlpeer.New(o); err != nil {
+		return fmt.Errorf("PeerListen: %w", err)
+	}
+	i.build()
+	i.server, err = tlentry.Listen(i.entry, i.settings.Listen, nil)
+	if err != nil {
+		i.closeParts()
+		return fmt.Errorf("Listen: %w", err)
+	}
+	return nil
+}
+
+func (i *Instance) build() {
+	i.platformCounters = i.metrics.Group("Platform", listFailed)
+	i.platform = tlplatform.New(i.settings.Platform.Address, i.settings.Platform.Timeout)
+	i.outbox = tloutbox.New(peerTimeout, i.metrics)
+	i.engines = tlengine.New(i.engineOptions())
+	i.homes = tlhome.New(i.homeDeps())
+	i.gossip = tlpeer.NewGossip(i.mesh, i.gossipOptions())
+	i.relay = tlrelay.New(i.relayDeps())
+	i.entry = tlentry.New(i.entryDeps())
+	i.handleMessages()
+}
+
+func (i *Instance) start() {
+	i.mesh.Start()
+	i.gossip.Start()
+	i.running.Go(func() { i.watchList(i.ctx) })
+	i.running.Go(func() { i.keepHomes(i.ctx) })
+}
+
 // Use puts a configuration in force at this instance.
 func (i *Instance) Use(generation uint64, c *tlconfig.Config) {
 	i.config.Store(&inForce{generation, c})
@@ -77,6 +126,11 @@
 func (i *Instance) Drain(ctx context.Context) error {
 	i.draining.Store(true)
 	i.log.Info("draining")
+	if i.settings.Drain.Timeout > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, i.settings.Drain.KeepFor+i.settings.Drain.Timeout)
+		defer stop()
+	}
 	keep := time.NewTimer(i.settings.Drain.KeepFor)
 	defer keep.Stop()
 	select {
@@ -84,14 +138,17 @@
 	case <-ctx.Done():
 	}
 	err := i.server.Shutdown(ctx)
-	i.log.Info("drained")
+	i.log.WithField("Open", i.entry.Open()).Info("drained")
 	return err
 }
 
-// Close ends everything at once.
+// Close ends everything at once; open streams can be resumed at other instances.
 func (i *Instance) Close() {
+	i.relay.Leave()
 	_ = i.server.Close()
-	i.stopParts()
+	i.stop()
+	i.running.Wait()
+	i.closeParts()
 	close(i.done)
 }
 
@@ -100,11 +157,14 @@
 	return i.done
 }
 
-func (i *Instance) stopParts() {
+func (i *Instance) closeParts() {
 	ctx, stop := context.WithTimeout(context.Background(), cancelsTimeout)
 	defer stop()
 	i.homes.Close()
+	i.outbox.Close()
+	i.mesh.Close()
 	i.engines.Close(ctx)
+	i.platform.Close()
 }
 
 func (i *Instance) current() (uint64, *tlconfig.Config) {
--- a/instance_test.go
+++ b/instance_test.go
@@ -2,77 +2,110 @@
 
 import (
 	"context"
-	"io"
-	"net/netip"
-	"os"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"trefoillanding/core/tlconfig"
-	"trefoillanding/core/tlsettings"
 	"trefoillanding/core/tlwire"
 	"trefoillanding/io/tlcaller"
 	"trefoillanding/io/tlstandin"
 )
 
-const testTimeout = 30 * time.Second
-
-func quietLog() *logrus.Logger {
-	l := logrus.New()
-	l.SetOutput(io.Discard)
-	return l
+func summary(n, tokens int) tlwire.CompletionRequest {
+	return tlwire.CompletionRequest{
+		Model:     "kiosk-llm",
+		Prompt:    fmt.Sprintf("summary %d answer=%d", n, tokens),
+		MaxTokens: tokens,
+	}
 }
 
-func exampleConfig(t *testing.T) *tlconfig.Config {
+// requireWhole streams n answers at once and fails unless each is whole and right.
+func requireWhole(t *testing.T, ctx context.Context, c *tlcaller.Caller, n, tokens int, during func()) {
 	t.Helper()
-	const name = "examples/yengec/configuration.yaml"
-	b, err := os.ReadFile(name)
-	require.NoError(t, err)
-	c, err := tlconfig.Parse(tlconfig.File{Name: name, Data: b})
-	require.NoError(t, err)
-	return c
-}
-
-func TestStreamIsWhole(t *testing.T) {
-	ctx, stop := context.WithTimeout(context.Background(), testTimeout)
-	defer stop()
-	b := tlstandin.NewBehaviour()
-	b.TokenEvery = time.Millisecond
-	declared := exampleConfig(t).Declared
-	for p := range declared.Pools {
-		for e := range declared.Pools[p].Engines {
-			declared.Pools[p].Engines[e].Address = netip.MustParseAddrPort("127.0.0.1:0")
-		}
+	var running sync.WaitGroup
+	var whole atomic.Int64
+	for k := range n {
+		running.Go(func() {
+			q := summary(k, tokens)
+			r, err := c.Stream(ctx, q, nil)
+			if assert.NoError(t, err) && assert.Equal(t, tlstandin.Answer(q.Prompt, 0, tokens), r.Text) {
+				whole.Add(1)
+			}
+		})
 	}
-	for s := range declared.Services {
-		for e := range declared.Services[s].Endpoints {
-			declared.Services[s].Endpoints[e].Address = netip.MustParseAddrPort("127.0.0.1:0")
-		}
+	if during != nil {
+		during()
 	}
-	d, err := tlstandin.NewDeployment(declared, netip.MustParseAddrPort("127.0.0.1:0"), nil, b)
-	require.NoError(t, err)
-	defer d.Close()
+	running.Wait()
+	assert.EqualValues(t, n, whole.Load())
+}
+
+func TestStreamsAreWhole(t *testing.T) {
+	s := newSite(t, nil)
+	requireWhole(t, bounded(t, 30*time.Second), s.caller(t), 30, 50, nil)
+	s.requireNoMemoryHeld(t, time.Second)
+}
 
-	s := tlsettings.Default()
-	s.Name, s.DataCentre = "izmir-1", "izmir"
-	s.Listen = netip.MustParseAddrPort("127.0.0.1:18101")
-	i, err := New(s, quietLog())
-	require.NoError(t, err)
-	defer i.Close()
-	i.Use(1, tlconfig.New(d.Config()))
+func TestStreamsOfADeadInstanceGoOnElsewhere(t *testing.T) {
+	s := newSite(t, nil)
+	requireWhole(t, bounded(t, 30*time.Second), s.caller(t), 60, 300, func() {
+		time.Sleep(300 * time.Millisecond)
+		s.instances[0].Close()
+	})
+	s.requireNoMemoryHeld(t, 5*time.Second)
+}
+
+func TestDrainCutsNoRequest(t *testing.T) {
+	s := newSite(t, nil)
+	c := s.caller(t)
+	requireWhole(t, bounded(t, 30*time.Second), c, 60, 400, func() {
+		time.Sleep(200 * time.Millisecond)
+		require.NoError(t, s.instances[0].Drain(bounded(t, 20*time.Second)))
+		s.instances[0].Close()
+	})
+	assert.Zero(t, s.instances[0].refusals())
+	s.requireNoMemoryHeld(t, time.Second)
+}
 
-	c := tlcaller.New([]netip.AddrPort{s.Listen}, 3)
-	defer c.Close()
-	q := tlwire.CompletionRequest{Model: "kiosk-llm", Prompt: "menu answer=100", MaxTokens: 200}
-	r, err := c.Stream(ctx, q, nil)
-	require.NoError(t, err)
-	assert.Equal(t, tlstandin.Answer(q.Prompt, 0, 100), r.Text)
-	assert.Equal(t, 100, r.Tokens)
-	assert.Eventually(t, func() bool { return d.PiecesHeld() == 0 }, time.Second, 10*time.Millisecond)
-	t.Log(r.FirstToken, r.LongestGap)
-	t.Log(i.metrics.String())
+func TestStreamsOfADeadEngineGoOnElsewhere(t *testing.T) {
+	s := newSite(t, nil)
+	requireWhole(t, bounded(t, 30*time.Second), s.caller(t), 60, 400, func() {
+		time.Sleep(300 * time.Millisecond)
+		s.deployment.Engines["izmir-decode-1"].Kill()
+		s.deployment.Engines["bodrum-prefill-1"].Kill()
+	})
+	s.requireNoMemoryHeld(t, 5*time.Second)
+}
+
+func TestMemoryOfCallersThatLeaveIsFree(t *testing.T) {
+	cases := []struct {
+		name  string
+		after time.Duration
+	}{
+		{"in prefill", 10 * time.Millisecond},
+		{"in transfer", 60 * time.Millisecond},
+		{"in decode", 300 * time.Millisecond},
+	}
+	s := newSite(t, nil)
+	c := s.caller(t)
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			ctx, stop := context.WithTimeout(context.Background(), v.after)
+			defer stop()
+			var running sync.WaitGroup
+			for k := range 20 {
+				running.Go(func() {
+					_, err := c.Stream(ctx, summary(k, 1000), nil)
+					assert.Error(t, err)
+				})
+			}
+			running.Wait()
+			s.requireNoMemoryHeld(t, time.Second)
+		})
+	}
 }
--- a/io/tlentry/refusal.go
+++ b/io/tlentry/refusal.go
@@ -12,6 +12,15 @@
 // VerdictHeader tells on every refusal and error whether the request may have run.
 const VerdictHeader = "Trefoil-Verdict"
 
+// Refuse counts err and tells it to whoever called, if no answer has begun.
+func (e *Entry) Refuse(w http.ResponseWriter, err error) {
+	a, ok := w.(*answer)
+	if !ok {
+		a = &answer{ResponseWriter: w}
+	}
+	e.refuse(a, err)
+}
+
 // refuse counts err and tells it to the caller, if its answer has not begun.
 func (e *Entry) refuse(a *answer, err error) {
 	v := tlverdict.Of(err)
--- a/io/tlhome/homes.go
+++ b/io/tlhome/homes.go
@@ -20,8 +20,9 @@
 	running  sync.WaitGroup
 	done     chan struct{}
 
-	mu    sync.Mutex
-	pools map[string]*pool
+	mu     sync.Mutex
+	config tlwire.Config
+	pools  map[string]*pool
 }
 
 // New returns homes without any pool; Close ends them.
@@ -37,13 +38,15 @@
 	}
 }
 
-// Use makes this instance the home of just those pools of c that mine accepts.
+// Use makes this instance the home of those pools of c that mine accepts; a
+// pool that it loses stays open until the last request it knows has ended.
 func (h *Homes) Use(c tlwire.Config, mine func(tlwire.Pool) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.ctx.Err() != nil {
 		return
 	}
+	h.config = c
 	wanted := map[string]bool{}
 	for _, p := range c.Pools {
 		s, ok := serviceOf(c, p)
@@ -72,7 +75,7 @@
 
 func (h *Homes) closeOthers(wanted map[string]bool) {
 	for name, p := range h.pools {
-		if wanted[name] {
+		if wanted[name] || p.isBusy() {
 			continue
 		}
 		p.stop()
@@ -82,8 +85,11 @@
 }
 
 // Submit places a request in the queue of its pool; the error is NoHome.
+//
+// A pool that is not open here yet is opened: whoever submits takes this
+// instance for the home and may have learnt of the last one's end earlier.
 func (h *Homes) Submit(s tlwire.Submission) error {
-	p := h.find(s.Pool)
+	p := h.findOrOpen(s.Pool)
 	if p == nil {
 		h.counters.Count(unknownPool)
 		return tlverdict.New(tlverdict.NoHome, "this instance is not the home of pool %s", s.Pool)
@@ -138,6 +144,21 @@
 	return h.pools[name]
 }
 
+func (h *Homes) findOrOpen(name string) *pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pools[name] != nil || h.ctx.Err() != nil {
+		return h.pools[name]
+	}
+	for _, p := range h.config.Pools {
+		s, ok := serviceOf(h.config, p)
+		if ok && p.Name == name {
+			h.open(p, s, h.config.Organisations)
+		}
+	}
+	return h.pools[name]
+}
+
 func serviceOf(c tlwire.Config, p tlwire.Pool) (tlwire.Service, bool) {
 	for _, s := range c.Services {
 		if s.Name == p.Service {
--- a/io/tlhome/pool.go
+++ b/io/tlhome/pool.go
@@ -116,6 +116,12 @@
 	p.deliver(p.scheduler.Configure(p.deps.Now(), c, s, o))
 }
 
+func (p *pool) isBusy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.requests) > 0
+}
+
 func (p *pool) summary() tlwire.PoolSummary {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/tlmetric/set.go
+++ b/io/tlmetric/set.go
@@ -9,19 +9,24 @@
 // Root is the name under which an instance's counters stand in the tree.
 const Root = "trefoillanding"
 
-// Set holds the counters of one instance.
+// Set holds the counters of one instance; its groups are all made before it is used by several goroutines.
 type Set struct {
 	groups expvar.Map
+	byName map[string]*Group
 }
 
 // New returns an empty set.
 func New() *Set {
-	return &Set{}
+	return &Set{byName: map[string]*Group{}}
 }
 
-// Group returns a group whose named counters start at zero.
+// Group returns the group of a name, whose named counters start at zero.
 func (s *Set) Group(name string, reasons ...string) *Group {
-	g := &Group{}
+	g, ok := s.byName[name]
+	if !ok {
+		g = &Group{}
+		s.byName[name] = g
+	}
 	for _, r := range reasons {
 		g.counters.Add(r, 0)
 	}
--- a/io/tlrelay/relay.go
+++ b/io/tlrelay/relay.go
@@ -15,8 +15,9 @@
 	deps     Deps
 	counters *tlmetric.Group
 
-	mu   sync.Mutex
-	runs map[string]*run
+	mu        sync.Mutex
+	runs      map[string]*run
+	isLeaving bool
 }
 
 // New returns a relay without open requests.
@@ -83,6 +84,20 @@
 	return len(r.runs)
 }
 
+// Leave lets streams go on at their engines when their requests end here, so
+// that callers can resume them at other instances.
+func (r *Relay) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isLeaving = true
+}
+
+func (r *Relay) leaves() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isLeaving
+}
+
 func (r *Relay) open(n *run) {
 	r.mu.Lock()
 	earlier := r.runs[n.request.ID]
@@ -106,6 +121,8 @@
 		r.counters.Count(answered)
 		return nil
 	}
-	n.abandon(err)
+	if !r.leaves() {
+		n.abandon(err)
+	}
 	return err
 }
--- /dev/null
+++ b/membership.go
@@ -0,0 +1,131 @@
+package trefoillanding
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"trefoillanding/core/tlselect"
+	"trefoillanding/core/tlspill"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlrelay"
+)
+
+// self is what gossip tells of this instance.
+func (i *Instance) self() tlpeer.Self {
+	generation, _ := i.current()
+	return tlpeer.Self{
+		Generation: generation,
+		Draining:   i.draining.Load(),
+		Open:       i.entry.Open(),
+		Pools:      i.homes.Summaries(),
+	}
+}
+
+// watchList reads the platform's instance list again and again.
+func (i *Instance) watchList(ctx context.Context) {
+	t := time.NewTicker(i.settings.Platform.ListEvery)
+	defer t.Stop()
+	for {
+		i.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (i *Instance) readList(ctx context.Context) {
+	l, err := i.platform.Instances(ctx)
+	if err != nil {
+		i.platformCounters.Count(listFailed)
+		return
+	}
+	staying := map[string]bool{}
+	for _, v := range l.Instances {
+		staying[v.Name] = v.State == tlwire.InstanceStateLive
+	}
+	i.endpoints.Store(&staying)
+	i.gossip.SetInstances(l)
+}
+
+// leaving says whether the list, once read, has an endpoint as leaving or no more.
+func (i *Instance) leaving(endpoint string) bool {
+	staying := i.endpoints.Load()
+	return staying != nil && !(*staying)[endpoint]
+}
+
+// keepHomes takes and gives up pools as instances come and go.
+func (i *Instance) keepHomes(ctx context.Context) {
+	t := time.NewTicker(i.settings.Peers.Heartbeat)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			i.takeHomes()
+		}
+	}
+}
+
+func (i *Instance) takeHomes() {
+	_, c := i.current()
+	if c == nil {
+		return
+	}
+	i.homes.Use(c.Declared, func(p tlwire.Pool) bool {
+		return i.homeOf(p) == i.settings.Name
+	})
+}
+
+// candidates returns the instances that callers may use, this one if no other is known.
+func (i *Instance) candidates() []tlselect.Candidate {
+	var all []tlselect.Candidate
+	for _, m := range i.gossip.Live() {
+		if m.Name == i.settings.Name {
+			continue
+		}
+		load, _, _ := i.gossip.Load(m.Name)
+		if load.Draining {
+			continue
+		}
+		all = append(all, tlselect.Candidate{
+			Name:       m.Name,
+			Address:    m.Address,
+			DataCentre: m.DataCentre,
+			Open:       load.Open,
+		})
+	}
+	if i.draining.Load() && len(all) > 0 {
+		return all
+	}
+	return append(all, tlselect.Candidate{
+		Name:       i.settings.Name,
+		Address:    i.settings.Listen,
+		DataCentre: i.settings.DataCentre,
+		Open:       i.entry.Open(),
+	})
+}
+
+// poolsFor returns the pools of a request's service, the one to ask first in front.
+func (i *Instance) poolsFor(r tlrelay.Request) []tlwire.Pool {
+	_, c := i.current()
+	pools := c.PoolsOf(r.Service.Name)
+	candidates := make([]tlspill.Candidate, 0, len(pools))
+	for _, p := range pools {
+		s, _, _ := i.gossip.Summary(p.Name)
+		candidates = append(candidates, tlspill.Candidate{
+			Summary: s,
+			Local:   p.DataCentre == i.settings.DataCentre,
+		})
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	ordered := make([]tlwire.Pool, 0, len(pools))
+	for _, n := range tlspill.Order(candidates, random) {
+		ordered = append(ordered, pools[n])
+	}
+	return ordered
+}
--- /dev/null
+++ b/site_test.go
@@ -0,0 +1,144 @@
+package trefoillanding
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"trefoillanding/core/tlconfig"
+	"trefoillanding/core/tlsettings"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlcaller"
+	"trefoillanding/io/tlstandin"
+)
+
+// site is a small deployment in this process: stand-ins and three instances.
+type site struct {
+	deployment *tlstandin.Deployment
+	settings   []tlwire.Settings
+	instances  []*Instance
+}
+
+func newSite(t *testing.T, change func(*tlstandin.Behaviour)) *site {
+	t.Helper()
+	s := &site{}
+	ports := freePorts(t, 7)
+	var entries []tlwire.Instance
+	for n, place := range []string{"izmir", "bodrum", "ayvalik"} {
+		v := testSettings(place, ports[0], ports[1+2*n], ports[2+2*n])
+		s.settings = append(s.settings, v)
+		entries = append(entries, tlwire.Instance{
+			Name:        v.Name,
+			Kind:        tlwire.InstanceKindEntry,
+			DataCentre:  v.DataCentre,
+			Address:     v.Listen,
+			PeerAddress: v.PeerListen,
+			State:       tlwire.InstanceStateLive,
+		})
+	}
+	b := tlstandin.NewBehaviour()
+	b.TokenEvery = 2 * time.Millisecond
+	if change != nil {
+		change(&b)
+	}
+	d, err := tlstandin.NewDeployment(exampleConfig(t), ports[0], entries, b)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	s.deployment = d
+	for _, v := range s.settings {
+		s.instances = append(s.instances, s.startInstance(t, v))
+	}
+	return s
+}
+
+func testSettings(place string, platform, listen, peer netip.AddrPort) tlwire.Settings {
+	v := tlsettings.Default()
+	v.Name, v.DataCentre = place+"-1", place
+	v.Platform.Address, v.Listen, v.PeerListen = platform, listen, peer
+	v.Platform.ListEvery = 200 * time.Millisecond
+	v.Peers.Heartbeat, v.Peers.SuspectAfter = 200*time.Millisecond, 600*time.Millisecond
+	v.Drain.KeepFor = 500 * time.Millisecond
+	v.Security.EventKeys = []string{"a key that only tests use"}
+	return v
+}
+
+func (s *site) startInstance(t *testing.T, v tlwire.Settings) *Instance {
+	t.Helper()
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	i, err := New(v, l)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		select {
+		case <-i.Done():
+		default:
+			i.Close()
+		}
+	})
+	i.Use(1, tlconfig.New(s.deployment.Config()))
+	return i
+}
+
+func (s *site) caller(t *testing.T) *tlcaller.Caller {
+	t.Helper()
+	var known []netip.AddrPort
+	for _, v := range s.settings {
+		known = append(known, v.Listen)
+	}
+	c := tlcaller.New(known, 50)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// requireNoMemoryHeld fails when engines hold memory after the time that the promise allows.
+func (s *site) requireNoMemoryHeld(t *testing.T, within time.Duration) {
+	t.Helper()
+	assert.Eventually(t, func() bool { return s.deployment.PiecesHeld() == 0 }, within, 10*time.Millisecond, "engines hold memory")
+}
+
+func exampleConfig(t *testing.T) tlwire.Config {
+	t.Helper()
+	const name = "examples/yengec/configuration.yaml"
+	b, err := Examples.ReadFile(name)
+	require.NoError(t, err)
+	c, err := tlconfig.Parse(tlconfig.File{Name: name, Data: b})
+	require.NoError(t, err)
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	for _, p := range c.Declared.Pools {
+		for e := range p.Engines {
+			p.Engines[e].Address = free
+		}
+	}
+	for _, v := range c.Declared.Services {
+		for e := range v.Endpoints {
+			v.Endpoints[e].Address = free
+		}
+	}
+	return c.Declared
+}
+
+func freePorts(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	var ports []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return ports
+}
+
+func bounded(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, stop := context.WithTimeout(context.Background(), d)
+	t.Cleanup(stop)
+	return ctx
+}
--- /dev/null
+++ b/status.go
@@ -0,0 +1,68 @@
+package trefoillanding
+
+import (
+	"context"
+	"net/http"
+
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tloperator"
+)
+
+func (i *Instance) operator() http.Handler {
+	return tloperator.New(tloperator.Deps{
+		Token:  i.settings.Security.OperatorToken,
+		Apply:  i.apply,
+		Config: i.current,
+		Status: i.status,
+		Refuse: func(w http.ResponseWriter, err error) { i.entry.Refuse(w, err) },
+	})
+}
+
+// status tells what this instance knows.
+func (i *Instance) status(_ context.Context, _ bool) tlwire.Status {
+	generation, c := i.current()
+	s := tlwire.Status{
+		Name:        i.settings.Name,
+		Incarnation: i.incarnation,
+		Draining:    i.draining.Load(),
+		Generation:  generation,
+		Open:        i.entry.Open(),
+		Instances:   i.instanceStatuses(generation),
+		Pools:       []tlwire.PoolStatus{},
+	}
+	if c == nil {
+		return s
+	}
+	for _, p := range c.Declared.Pools {
+		s.Pools = append(s.Pools, i.poolStatus(p))
+	}
+	return s
+}
+
+func (i *Instance) instanceStatuses(generation uint64) []tlwire.InstanceStatus {
+	statuses := []tlwire.InstanceStatus{}
+	for _, m := range i.gossip.Live() {
+		v := tlwire.InstanceStatus{Name: m.Name, DataCentre: m.DataCentre, State: "Live"}
+		if m.Name == i.settings.Name {
+			v.Generation, v.Open = generation, i.entry.Open()
+		} else {
+			load, _, _ := i.gossip.Load(m.Name)
+			v.Generation, v.Open = load.Generation, load.Open
+		}
+		statuses = append(statuses, v)
+	}
+	return statuses
+}
+
+func (i *Instance) poolStatus(p tlwire.Pool) tlwire.PoolStatus {
+	v := tlwire.PoolStatus{
+		Pool:       p.Name,
+		Service:    p.Service,
+		DataCentre: p.DataCentre,
+		Home:       i.homeOf(p),
+	}
+	if s, _, ok := i.gossip.Summary(p.Name); ok {
+		v.Summary = &s
+	}
+	return v
+}
--- a/wire.go
+++ b/wire.go
@@ -8,11 +8,13 @@
 
 	"github.com/google/uuid"
 
+	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlselect"
 	"trefoillanding/core/tlwire"
 	"trefoillanding/io/tlengine"
 	"trefoillanding/io/tlentry"
 	"trefoillanding/io/tlhome"
+	"trefoillanding/io/tlpeer"
 	"trefoillanding/io/tlrelay"
 )
 
@@ -25,8 +27,48 @@
 	loadTimeout   = time.Second
 	goneAfter     = 2 * time.Second
 	auditEvery    = time.Second
+	// peerTimeout bounds one message to another instance.
+	peerTimeout = time.Second
+	// peerIdle is how long a connection between instances may be without use.
+	peerIdle = 30 * time.Second
 )
 
+// listFailed counts failed readings of the instance list.
+const listFailed = "ListFailed"
+
+func (i *Instance) peerOptions() (tlpeer.Options, error) {
+	s := i.settings
+	o := tlpeer.Options{
+		Name:         s.Name,
+		Incarnation:  i.incarnation,
+		DataCentre:   s.DataCentre,
+		Listen:       s.PeerListen,
+		Token:        s.Security.PeerToken,
+		Heartbeat:    s.Peers.Heartbeat,
+		SuspectAfter: s.Peers.SuspectAfter,
+		Idle:         peerIdle,
+		Now:          time.Now,
+		Log:          i.log,
+		Add:          i.metrics.Group("Peers", tlpeer.CounterNames...).Add,
+	}
+	if s.Security.PeerCertificate == "" {
+		return o, nil
+	}
+	c, err := tlpeer.NewCredentials(s.Security.PeerCertificate, s.Security.PeerKey, s.Security.PeerAuthority, time.Now)
+	o.Credentials = c
+	return o, err
+}
+
+func (i *Instance) gossipOptions() tlpeer.GossipOptions {
+	return tlpeer.GossipOptions{
+		Times: tlmember.Times{
+			SuspectAfter: i.settings.Peers.SuspectAfter,
+			GoneAfter:    i.settings.Peers.SuspectAfter,
+		},
+		Self: i.self,
+	}
+}
+
 func (i *Instance) engineOptions() tlengine.Options {
 	g := i.metrics.Group("Engines")
 	o := tlengine.NewOptions()
