--- a/instance_test.go
+++ b/instance_test.go
@@ -25,7 +25,7 @@
 }
 
 // requireWhole streams n answers at once and fails unless each is whole and right.
-func requireWhole(t *testing.T, ctx context.Context, c *tlcaller.Caller, n, tokens int, during func()) {
+func requireWhole(ctx context.Context, t *testing.T, c *tlcaller.Caller, n, tokens int, during func()) {
 	t.Helper()
 	var running sync.WaitGroup
 	var whole atomic.Int64
@@ -47,13 +47,13 @@
 
 func TestStreamsAreWhole(t *testing.T) {
 	s := newSite(t, nil)
-	requireWhole(t, bounded(t, 30*time.Second), s.caller(t), 30, 50, nil)
+	requireWhole(bounded(t, 30*time.Second), t, s.caller(t), 30, 50, nil)
 	s.requireNoMemoryHeld(t, time.Second)
 }
 
 func TestStreamsOfADeadInstanceGoOnElsewhere(t *testing.T) {
 	s := newSite(t, nil)
-	requireWhole(t, bounded(t, 30*time.Second), s.caller(t), 60, 300, func() {
+	requireWhole(bounded(t, 30*time.Second), t, s.caller(t), 60, 300, func() {
 		time.Sleep(300 * time.Millisecond)
 		s.instances[0].Close()
 	})
@@ -63,7 +63,7 @@
 func TestDrainCutsNoRequest(t *testing.T) {
 	s := newSite(t, nil)
 	c := s.caller(t)
-	requireWhole(t, bounded(t, 30*time.Second), c, 60, 400, func() {
+	requireWhole(bounded(t, 30*time.Second), t, c, 60, 400, func() {
 		time.Sleep(200 * time.Millisecond)
 		require.NoError(t, s.instances[0].Drain(bounded(t, 20*time.Second)))
 		s.instances[0].Close()
@@ -74,7 +74,7 @@
 
 func TestStreamsOfADeadEngineGoOnElsewhere(t *testing.T) {
 	s := newSite(t, nil)
-	requireWhole(t, bounded(t, 30*time.Second), s.caller(t), 60, 400, func() {
+	requireWhole(bounded(t, 30*time.Second), t, s.caller(t), 60, 400, func() {
 		time.Sleep(300 * time.Millisecond)
 		s.deployment.Engines["izmir-decode-1"].Kill()
 		s.deployment.Engines["bodrum-prefill-1"].Kill()
