--- a/instance.go
+++ b/instance.go
@@ -84,13 +84,13 @@
 		return err
 	}
 	if i.mesh, err = tlpeer.New(o); err != nil {
-		return fmt.Errorf("PeerListen: %w", err)
+		return fmt.Errorf("field PeerListen: %w", err)
 	}
 	i.build()
 	i.server, err = tlentry.Listen(i.entry, i.settings.Listen, nil)
 	if err != nil {
 		i.closeParts()
-		return fmt.Errorf("Listen: %w", err)
+		return fmt.Errorf("field Listen: %w", err)
 	}
 	return nil
 }
