--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -110,7 +110,7 @@
 func (s *Scheduler) lateWait(now time.Time, r *request) time.Duration {
 	c, share := s.queue.Backlog(r.item.Organisation, true)
 	rate := max(s.options.LateShare, s.known.late.PerSecond(now), s.freeShare())
-	return seconds(c.Plus(r.item.Cost).Longest() / max(share*rate, 1e-6))
+	return seconds(c.Longest() / max(share*rate, 1e-6))
 }
 
 // freeShare returns the part of decode memory beyond what late requests leave free.
