--- a/core/tlqueue/item.go
+++ b/core/tlqueue/item.go
@@ -12,6 +12,8 @@
 	Arrived time.Time
 	// Latest is when it must start to meet its target.
 	Latest time.Time
+	// Rank orders an organisation's items that are on time; it is Latest, put off by what the item costs others.
+	Rank time.Time
 	// Cost is what it will probably take.
 	Cost Cost
 
@@ -27,7 +29,14 @@
 	return i.late
 }
 
-func bySlack[T any](a, b *Item[T]) bool {
+func byRank[T any](a, b *Item[T]) bool {
+	if !a.Rank.Equal(b.Rank) {
+		return a.Rank.Before(b.Rank)
+	}
+	return a.sequence < b.sequence
+}
+
+func byLatest[T any](a, b *Item[T]) bool {
 	if !a.Latest.Equal(b.Latest) {
 		return a.Latest.Before(b.Latest)
 	}
--- a/core/tlqueue/queue.go
+++ b/core/tlqueue/queue.go
@@ -11,6 +11,7 @@
 	sequence uint64
 	flows    map[string]*flow[T]
 	lanes    [2]heap[*flow[T]]
+	ready    heap[*flow[T]]
 	weight   [2]float64
 	length   [2]int
 	total    [2]Cost
@@ -38,7 +39,10 @@
 			},
 			func(f *flow[T]) *int { return &f.lanes[l].place })
 	}
-	q.timers = newHeap(bySlack[T], func(i *Item[T]) *int { return &i.inTimer })
+	q.ready = newHeap(
+		func(a, b *flow[T]) bool { return byRank(a.first(laneOnTime), b.first(laneOnTime)) },
+		func(f *flow[T]) *int { return &f.ready })
+	q.timers = newHeap(byLatest[T], func(i *Item[T]) *int { return &i.inTimer })
 	return q
 }
 
@@ -47,7 +51,7 @@
 	q.weights = weights
 	for _, f := range q.flows {
 		for l := range q.lanes {
-			if q.lanes[l].has(f) {
+			if f.lanes[l].items.len() > 0 {
 				q.weight[l] += q.weightOf(f.name) - f.weight
 			}
 		}
@@ -83,10 +87,11 @@
 	f.lanes[l].cost = f.lanes[l].cost.Plus(i.Cost)
 	q.length[l]++
 	q.total[l] = q.total[l].Plus(i.Cost)
-	if !q.lanes[l].has(f) {
+	if f.lanes[l].items.len() == 1 {
 		q.lanes[l].push(f)
 		q.weight[l] += f.weight
 	}
+	q.ready.fix(f)
 	if !i.late {
 		q.timers.push(i)
 	}
@@ -121,20 +126,44 @@
 		f.lanes[l].cost = Cost{}
 		q.lanes[l].remove(f)
 		q.weight[l] -= f.weight
+		if l == laneOnTime {
+			q.ready.remove(f)
+		}
 	}
+	q.ready.fix(f)
 }
 
 // Pop takes out the next item of a lane, or returns nil.
 func (q *Queue[T]) Pop(late bool) *Item[T] {
-	l := laneOf(late)
-	if q.lanes[l].len() == 0 {
+	f := q.next(laneOf(late))
+	if f == nil {
 		return nil
 	}
-	i := q.lanes[l].items[0].lanes[l].items.items[0]
+	i := f.first(laneOf(late))
 	q.Remove(i)
 	return i
 }
 
+// next returns the organisation whose turn it is in a lane: on time, the one
+// of the first rank of those that got no more than their share, otherwise
+// the one that got least.
+func (q *Queue[T]) next(l int) *flow[T] {
+	if l == laneOnTime {
+		for q.lanes[l].len() > 0 && q.lanes[l].items[0].virtual <= q.virtual {
+			f := q.lanes[l].items[0]
+			q.lanes[l].remove(f)
+			q.ready.push(f)
+		}
+		if q.ready.len() > 0 {
+			return q.ready.items[0]
+		}
+	}
+	if q.lanes[l].len() == 0 {
+		return nil
+	}
+	return q.lanes[l].items[0]
+}
+
 // Overdue takes out the next item that has become late by now, or returns nil.
 func (q *Queue[T]) Overdue(now time.Time) *Item[T] {
 	if q.timers.len() == 0 || !now.After(q.timers.items[0].Latest) {
@@ -192,6 +221,10 @@
 
 func (q *Queue[T]) move(f *flow[T], virtual float64) {
 	f.virtual = virtual
+	if q.ready.has(f) && virtual > q.virtual {
+		q.ready.remove(f)
+		q.lanes[laneOnTime].push(f)
+	}
 	for l := range q.lanes {
 		q.lanes[l].fix(f)
 	}
@@ -220,7 +253,7 @@
 func (q *Queue[T]) Backlog(organisation string, late bool) (c Cost, share float64) {
 	l := laneOf(late)
 	f := q.flows[organisation]
-	if f == nil || !q.lanes[l].has(f) {
+	if f == nil || f.lanes[l].items.len() == 0 {
 		w := q.weightOf(organisation)
 		return Cost{}, w / (w + q.weight[l])
 	}
--- a/core/tlqueue/queue_test.go
+++ b/core/tlqueue/queue_test.go
@@ -12,7 +12,7 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func item(o string, latest time.Duration) *Item[int] {
-	return &Item[int]{Organisation: o, Arrived: epoch, Latest: epoch.Add(latest), Cost: Cost{Decode: 0.01}}
+	return &Item[int]{Organisation: o, Arrived: epoch, Latest: epoch.Add(latest), Rank: epoch.Add(latest), Cost: Cost{Decode: 0.01}}
 }
 
 func TestAFloodTakesNothingFromOthers(t *testing.T) {
@@ -85,6 +85,7 @@
 			"push": func(t *rapid.T) {
 				i := item("o"+strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "o")), 0)
 				i.Latest = now.Add(time.Duration(rapid.IntRange(-50, 50).Draw(t, "slack")))
+				i.Rank = i.Latest
 				q.Push(now, i)
 				in[i] = true
 				all = append(all, i)
--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -10,6 +10,8 @@
 const (
 	leastRetryAfter = 200 * time.Millisecond
 	mostRetryAfter  = 30 * time.Second
+	// never is the slack of requests while no lane is kept for the late.
+	never = 24 * time.Hour
 	// spread is the random part of a RetryAfter, so that refused callers don't return at once.
 	spread = 0.5
 )
@@ -23,17 +25,23 @@
 	}
 	i.Arrived = r.Arrived
 	i.Cost = s.cost(r)
-	if !s.options.LateLane {
-		i.Latest = now.Add(mostRetryAfter * 1000)
-		if s.options.Slack {
-			i.Latest = i.Latest.Add(due.Sub(now))
-		}
-		return
+	i.Latest, i.Rank = s.latest(now, r, due)
+	if s.options.Slack {
+		i.Rank = i.Rank.Add(seconds(s.options.CostRank * i.Cost.Sum()))
+	}
+}
+
+// latest returns when the request must start to meet its target, and its rank without its cost.
+func (s *Scheduler) latest(now time.Time, r *request, due time.Time) (latest, rank time.Time) {
+	latest = due.Add(-s.firstToken(r))
+	rank = latest
+	if !s.options.Slack {
+		rank = r.Arrived
 	}
-	i.Latest = due.Add(-s.firstToken(r))
-	if !s.options.Slack && !now.After(i.Latest) {
-		i.Latest = now.Add(max(s.targets.FirstToken-s.firstToken(r), 0))
+	if !s.options.LateLane {
+		latest = now.Add(never)
 	}
+	return latest, rank
 }
 
 // firstToken predicts the time from the start of a request to its first token on idle engines.
--- a/core/tlsched/options.go
+++ b/core/tlsched/options.go
@@ -47,6 +47,8 @@
 	AssumedAnswer int
 	// AnswerQuantile is the share of answers that memory is reserved for in full.
 	AnswerQuantile float64
+	// CostRank is how many seconds a request is put off for each second of the whole pool that it costs.
+	CostRank float64
 	// LateShare is the part of the pool that late requests get while others wait.
 	LateShare float64
 	// LateReserve is the part of decode memory that late requests leave free.
@@ -90,6 +92,7 @@
 		AssumedPieces:  40,
 		AssumedAnswer:  300,
 		AnswerQuantile: 0.7,
+		CostRank:       1,
 		LateShare:      0.01,
 		LateReserve:    0.3,
 		LookAhead:      4,
