--- a/core/tlsched/lifecycle.go
+++ b/core/tlsched/lifecycle.go
@@ -134,6 +134,19 @@
 	}
 }
 
+// turnAway refuses what has not run when the pool has lost its last engine of a kind.
+func (s *Scheduler) turnAway(now time.Time) {
+	if s.capacity.prefills > 0 && s.capacity.decodes > 0 {
+		return
+	}
+	for _, r := range s.sorted() {
+		if r.stage == StageWaiting && r.isFresh() {
+			s.refuse(r, RefusedNoEndpoint, tlverdict.NoEndpoint, time.Second)
+			s.end(now, r)
+		}
+	}
+}
+
 // shed moves the streams that are cheapest to move from an engine whose answers outgrew its memory.
 func (s *Scheduler) shed(now time.Time, e *engine) {
 	for s.options.Shed && e.memory.Free()+e.memory.Foreign() < 0 {
--- a/core/tlsched/scheduler.go
+++ b/core/tlsched/scheduler.go
@@ -142,6 +142,7 @@
 	case EngineLeaving:
 		s.unreserve(e)
 	}
+	s.turnAway(now)
 	s.place(now)
 	return s.take()
 }
@@ -233,18 +234,15 @@
 	return seconds(w)
 }
 
-// prefillWait predicts when the first prefill engine is idle.
+// prefillWait predicts when the first prefill engine is idle; it is the longest wait allowed if none serves.
 func (s *Scheduler) prefillWait(now time.Time) time.Duration {
-	least := time.Duration(-1)
+	least := s.bounds.QueueWait
 	for _, e := range s.order {
-		if !e.prefillsToo() || !e.takesWork(now) {
-			continue
-		}
-		if w := e.ready(now).Sub(now); least < 0 || w < least {
-			least = w
+		if e.prefillsToo() && e.isServing() {
+			least = min(least, max(e.ready(now).Sub(now), e.suspended.Sub(now)))
 		}
 	}
-	return max(least, 0)
+	return least
 }
 
 // Counts returns the value of every counter.
