--- /dev/null
+++ b/core/tlbaseline/ablation.go
@@ -0,0 +1,45 @@
+package tlbaseline
+
+import (
+	"math/rand/v2"
+
+	"trefoillanding/core/tlsched"
+	"trefoillanding/core/tlwire"
+)
+
+type ablation struct {
+	name   string
+	remove func(*tlsched.Options)
+}
+
+var ablations = []ablation{
+	{"NoReservation", func(o *tlsched.Options) { o.Reserve = false }},
+	{"WithoutFair", func(o *tlsched.Options) { o.Fair = false }},
+	{"WithoutSlack", func(o *tlsched.Options) { o.Slack = false }},
+	{"WithoutLateLane", func(o *tlsched.Options) { o.LateLane = false }},
+	{"WithoutAdmission", func(o *tlsched.Options) { o.Admission = false }},
+	{"WithoutBet", func(o *tlsched.Options) { o.Bet = false }},
+	{"WithoutPrefix", func(o *tlsched.Options) { o.Prefix = false }},
+	{"WithoutLinks", func(o *tlsched.Options) { o.Links = false }},
+	{"WithoutSecondChoice", func(o *tlsched.Options) { o.SecondChoice = false }},
+	{"WithoutEstimate", func(o *tlsched.Options) { o.Estimate = false }},
+	{"WithoutBudget", func(o *tlsched.Options) { o.Budget = false }},
+	{"WithoutLimitStreams", func(o *tlsched.Options) { o.LimitStreams = false }},
+	{"WithoutSuspend", func(o *tlsched.Options) { o.Suspend = false }},
+	{"WithoutShed", func(o *tlsched.Options) { o.Shed = false }},
+}
+
+// Ablations lists the program's own policy without one mechanism each.
+func Ablations() []Maker {
+	var l []Maker
+	for _, a := range ablations {
+		l = append(l, Maker{Name: a.name, Scope: ScopePool, Make: a.make})
+	}
+	return l
+}
+
+func (a ablation) make(p tlwire.Pool, s tlwire.Service, g []tlwire.Organisation, r *rand.Rand, _ Truth) Policy {
+	o := tlsched.DefaultOptions()
+	a.remove(&o)
+	return FromScheduler(tlsched.NewWith(o, p, s, g, r))
+}
--- a/core/tlbaseline/maker.go
+++ b/core/tlbaseline/maker.go
@@ -36,8 +36,13 @@
 	Make  func(p tlwire.Pool, s tlwire.Service, o []tlwire.Organisation, r *rand.Rand, t Truth) Policy
 }
 
-// Makers lists every policy, the program's own first.
+// Makers lists every policy, the program's own first and without one of its
+// mechanisms last.
 func Makers() []Maker {
+	return append(whole(), Ablations()...)
+}
+
+func whole() []Maker {
 	return []Maker{
 		{Name: "Scheduler", Scope: ScopePool, Make: makeScheduler},
 		{Name: "SchedulerWithoutHomes", Scope: ScopeInstance, Make: makeScheduler},
--- a/core/tlbaseline/oracle.go
+++ b/core/tlbaseline/oracle.go
@@ -25,11 +25,9 @@
 type Oracle struct {
 	truth    Truth
 	order    func(*Oracle, *plan, *plan) int
-	prefills []string
-	decodes  []string
+	pools    []poolEngines
 	weights  map[string]float64
 	served   map[string]float64
-	level    float64
 	requests map[string]*plan
 	waiting  []*plan
 	held     []*plan
@@ -49,6 +47,7 @@
 	attempt string
 	pieces  int
 	cost    float64
+	pool    int
 	decode  string
 	// arriving says that the request is on its way to its decode engine.
 	arriving bool
@@ -69,13 +68,7 @@
 		links:    make(map[string]time.Duration),
 		releases: make(map[string][]tlmodel.Release),
 	}
-	for _, e := range p.Engines {
-		if e.Role == tlwire.RolePrefill {
-			o.prefills = append(o.prefills, e.Name)
-			continue
-		}
-		o.decodes = append(o.decodes, e.Name)
-	}
+	o.pools = byPool(p)
 	for _, g := range l {
 		o.weights[g.Name] = max(g.Weight, 1)
 	}
@@ -185,12 +178,17 @@
 
 // look reads the exact state of the engines.
 func (o *Oracle) look() {
-	for _, d := range o.decodes {
-		e := o.truth.Decode(d)
-		o.reserved[d] = 0
-		o.streams[d] = e.Running()
-		o.releases[d] = e.Releases()
-		o.links[d] = e.Link.Backlog()
+	for _, l := range o.pools {
+		for _, n := range l.prefills {
+			o.lanes[n] = o.truth.Prefill(n).Backlog()
+		}
+		for _, n := range l.decodes {
+			e := o.truth.Decode(n)
+			o.reserved[n] = 0
+			o.streams[n] = e.Running()
+			o.releases[n] = e.Releases()
+			o.links[n] = e.Link.Backlog()
+		}
 	}
 	for _, p := range o.requests {
 		if !p.arriving {
@@ -202,9 +200,6 @@
 			o.links[p.decode] += o.moveTime(p)
 		}
 	}
-	for _, n := range o.prefills {
-		o.lanes[n] = o.truth.Prefill(n).Backlog()
-	}
 }
 
 func (o *Oracle) moveHeld() {
@@ -222,7 +217,7 @@
 func (o *Oracle) move(p *plan) bool {
 	d := p.decode
 	if !p.arriving || !o.hasRoom(p) {
-		if d = o.decodeAt(p, o.now); d == "" {
+		if d = o.decodeAt(p.pool, p, o.now); d == "" {
 			return false
 		}
 	}
@@ -265,8 +260,10 @@
 		if p.Delivered > 0 {
 			return false
 		}
-		if _, ready := o.lane(p); !o.firstToken(p, ready).After(p.Due) {
-			return false
+		for i := range o.pools {
+			if n, ready := o.lane(i, p); n != "" && !o.firstToken(p, ready).After(p.Due) {
+				return false
+			}
 		}
 		delete(o.requests, p.Request)
 		o.steps = append(o.steps, tlwire.Step{
@@ -292,9 +289,9 @@
 	return time.Duration(move * float64(time.Second))
 }
 
-// lane returns the prefill engine that would end the request's prefill first.
-func (o *Oracle) lane(p *plan) (name string, ready time.Time) {
-	for _, n := range o.prefills {
+// lane returns the prefill engine of a pool that would end a request's prefill first.
+func (o *Oracle) lane(pool int, p *plan) (name string, ready time.Time) {
+	for _, n := range o.pools[pool].prefills {
 		e := o.truth.Prefill(n)
 		if !e.Alive() {
 			continue
@@ -309,73 +306,87 @@
 
 // place starts a request, or keeps room for it if it can start in time later.
 func (o *Oracle) place(p *plan) {
-	lane, ready := o.lane(p)
-	if lane == "" {
+	var best option
+	for i := range o.pools {
+		if c := o.option(i, p); c.decode != "" && (best.decode == "" || c.first.Before(best.first)) {
+			best = c
+		}
+	}
+	if best.decode == "" {
+		o.keep(p)
 		return
 	}
-	d := o.decodeAt(p, ready)
-	if d == "" {
-		o.keep(p, ready)
+	busy := o.lanes[best.lane] > oracleTick
+	o.lanes[best.lane] = best.ready.Sub(o.now)
+	o.links[best.decode] += o.moveTime(p)
+	o.reserved[best.decode] += p.pieces
+	o.streams[best.decode]++
+	if busy || (p.Delivered == 0 && best.first.After(p.Due)) {
 		return
 	}
-	busy := o.lanes[lane] > oracleTick
-	free := o.now.Add(o.links[d])
+	o.start(p, best)
+}
+
+// option is where a request might go.
+type option struct {
+	pool   int
+	lane   string
+	decode string
+	ready  time.Time
+	first  time.Time
+}
+
+func (o *Oracle) option(pool int, p *plan) option {
+	lane, ready := o.lane(pool, p)
+	if lane == "" {
+		return option{}
+	}
+	c := option{pool: pool, lane: lane, ready: ready, decode: o.decodeAt(pool, p, ready)}
+	free := o.now.Add(o.links[c.decode])
 	if free.Before(ready) {
 		free = ready
 	}
-	o.lanes[lane] = ready.Sub(o.now)
-	o.links[d] += o.moveTime(p)
-	o.reserved[d] += p.pieces
-	o.streams[d]++
-	if busy || (p.Delivered == 0 && o.firstToken(p, free).After(p.Due)) {
-		return
-	}
-	o.start(p, lane, d)
+	c.first = o.firstToken(p, free)
+	return c
 }
 
 // keep keeps the room from others that the request will have just in time.
-func (o *Oracle) keep(p *plan, ready time.Time) {
-	latest := p.Due.Add(-o.firstToken(p, ready).Sub(ready))
-	if d := o.decodeAt(p, latest); d != "" {
-		o.reserved[d] += p.pieces
-		o.streams[d]++
+func (o *Oracle) keep(p *plan) {
+	for i := range o.pools {
+		lane, ready := o.lane(i, p)
+		if lane == "" {
+			continue
+		}
+		latest := p.Due.Add(-o.firstToken(p, ready).Sub(ready))
+		if d := o.decodeAt(i, p, latest); d != "" {
+			o.reserved[d] += p.pieces
+			o.streams[d]++
+			return
+		}
 	}
 }
 
-func (o *Oracle) start(p *plan, lane, d string) {
+func (o *Oracle) start(p *plan, c option) {
 	o.waiting = slices.DeleteFunc(o.waiting, func(q *plan) bool { return q == p })
-	p.decode, p.arriving = d, true
-	o.level = max(o.level, o.served[p.Organisation])
+	p.pool, p.decode, p.arriving = c.pool, c.decode, true
 	o.served[p.Organisation] += p.cost / o.weights[p.Organisation]
 	o.steps = append(o.steps, tlwire.Step{
 		Request: p.Request,
 		Attempt: p.attempt,
 		Kind:    tlwire.StepKindStartPrefill,
-		Engine:  lane,
+		Engine:  c.lane,
 		Pieces:  p.pieces,
 	})
 }
 
-// decodeAt returns the decode engine whose link is free first at a time, or
-// that has the most room, among those whose room suffices.
-func (o *Oracle) decodeAt(p *plan, at time.Time) string {
-	best := ""
-	most := 0
+// decodeAt returns the decode engine of a pool whose link is free first at a
+// time, or that has the most room, among those whose room suffices.
+func (o *Oracle) decodeAt(pool int, p *plan, at time.Time) string {
+	best, most := "", 0
 	var least time.Duration
-	for _, d := range o.decodes {
-		e := o.truth.Decode(d)
-		if !e.Alive() || e.Link.Stalled() {
-			continue
-		}
-		free := e.Free() - o.reserved[d]
-		streams := o.streams[d] + 1
-		for _, r := range o.releases[d] {
-			if !r.At.After(at) {
-				free += r.Pieces
-				streams--
-			}
-		}
-		if free < p.pieces || tlmodel.StepTime(o.truth.Model, streams) > gapTarget {
+	for _, d := range o.pools[pool].decodes {
+		free, ok := o.room(d, p, at)
+		if !ok {
 			continue
 		}
 		wait := max(o.links[d]-at.Sub(o.now), 0)
@@ -386,36 +397,20 @@
 	return best
 }
 
-// byFairness puts resumed requests first, then those of the organisation least
-// served by its weight, then the most urgent.
-func byFairness(o *Oracle, p, q *plan) int {
-	if p.Delivered > 0 != (q.Delivered > 0) {
-		return q.Delivered - p.Delivered
+// room returns the pieces that a decode engine will have free at a time, and
+// whether they suffice.
+func (o *Oracle) room(name string, p *plan, at time.Time) (int, bool) {
+	e := o.truth.Decode(name)
+	if !e.Alive() || e.Link.Stalled() {
+		return 0, false
 	}
-	if p.Organisation != q.Organisation {
-		v, w := o.served[p.Organisation], o.served[q.Organisation]
-		if v != w {
-			return sign(v - w)
+	free := e.Free() - o.reserved[name]
+	streams := o.streams[name] + 1
+	for _, r := range o.releases[name] {
+		if !r.At.After(at) {
+			free += r.Pieces
+			streams--
 		}
 	}
-	return p.Due.Compare(q.Due)
-}
-
-// bySize puts resumed requests first, then those that take the least memory and time.
-func bySize(_ *Oracle, p, q *plan) int {
-	if p.Delivered > 0 != (q.Delivered > 0) {
-		return q.Delivered - p.Delivered
-	}
-	return sign(p.cost - q.cost)
-}
-
-func sign(v float64) int {
-	switch {
-	case v < 0:
-		return -1
-	case v > 0:
-		return 1
-	default:
-		return 0
-	}
+	return free, free >= p.pieces && tlmodel.StepTime(o.truth.Model, streams) <= gapTarget
 }
--- a/core/tlbaseline/simple.go
+++ b/core/tlbaseline/simple.go
@@ -32,6 +32,7 @@
 	tlwire.Submission
 	number   int
 	attempt  string
+	source   string
 	early    bool
 	retryAt  time.Time
 	lapsesAt time.Time
@@ -96,6 +97,7 @@
 		s.steps = append(s.steps, refusal(j, tlverdict.RetriesSpent))
 		return
 	}
+	j.source = e.name
 	s.steps = append(s.steps, tlwire.Step{
 		Request: j.Request,
 		Attempt: j.attempt,
@@ -136,7 +138,7 @@
 }
 
 func (s *Simple) move(j *job) {
-	e := s.decodes(s.live(tlwire.RoleDecode))
+	e := s.decodes(inPool(s.live(tlwire.RoleDecode), poolOf(j.source)))
 	if e == nil {
 		s.restart(j)
 		return
@@ -150,6 +152,10 @@
 	})
 }
 
+func inPool(l []*engine, pool string) []*engine {
+	return slices.DeleteFunc(l, func(e *engine) bool { return poolOf(e.name) != pool })
+}
+
 func (s *Simple) again(now time.Time, j *job) {
 	if !now.Add(retryDelay).Before(j.lapsesAt) {
 		s.restart(j)
--- a/core/tltrial/attempt.go
+++ b/core/tltrial/attempt.go
@@ -159,6 +159,12 @@
 		return
 	}
 	a.stream = nil
+	if c := a.call; c.orphaned() {
+		c.closeAttempt()
+		c.tries++
+		c.submit(c.home)
+		return
+	}
 	a.report(tlwire.Report{Kind: tlwire.ReportKindDecodeFailed, Reason: reason, Tokens: a.call.delivered})
 }
 
--- a/core/tltrial/call.go
+++ b/core/tltrial/call.go
@@ -23,6 +23,8 @@
 	home      *home
 	refusals  int
 	visits    int
+	tries     int
+	losses    int
 	attempt   *attempt
 	delivered int
 	first     time.Time
@@ -54,6 +56,7 @@
 func (c *call) submit(h *home) {
 	t := c.trial
 	c.home = h
+	c.losses = h.losses
 	x := t.setting.Experiment
 	s := tlwire.Submission{
 		Pool:         h.pool.Name,
@@ -62,8 +65,10 @@
 		Incarnation:  1,
 		Organisation: organisation(c.request.Organisation),
 		Model:        x.Name,
-		PromptTokens: c.request.Prompt,
-		MaxTokens:    c.request.MaxTokens,
+		PromptTokens: c.request.Prompt + c.delivered,
+		MaxTokens:    c.request.MaxTokens - c.delivered,
+		Delivered:    c.delivered,
+		Tries:        c.tries,
 		Blocks:       c.request.Blocks,
 		Arrived:      c.arrived,
 		Due:          c.arrived.Add(c.request.Target(t.model, x.FirstToken)),
--- a/core/tltrial/choose.go
+++ b/core/tltrial/choose.go
@@ -5,6 +5,7 @@
 
 	"trefoillanding/core/tlbaseline"
 	"trefoillanding/core/tlspill"
+	"trefoillanding/core/tlwire"
 )
 
 // choose returns the home that a request goes to, other than the one that
@@ -19,7 +20,7 @@
 	var l []tlspill.Candidate
 	var homes []*home
 	for i, h := range t.homes {
-		if h == refused {
+		if h == refused || !t.knows(c, i) {
 			continue
 		}
 		homes = append(homes, h)
@@ -32,6 +33,16 @@
 	return homes[i]
 }
 
+// knows says that the owner takes a home for the pool's only one; with two
+// homes for each pool half of the owners know the first, the others the second.
+func (t *Trial) knows(c *call, home int) bool {
+	if t.setting.Condition != tlwire.ConditionKindTwoHomes {
+		return true
+	}
+	first := home < len(t.homes)/2
+	return first == (c.request.Instance%2 == 0)
+}
+
 // comeBack lets a refused caller try again as a new request.
 func (c *call) comeBack(after time.Duration) {
 	t := c.trial
--- a/core/tltrial/fault.go
+++ b/core/tltrial/fault.go
@@ -108,10 +108,16 @@
 }
 
 func (t *Trial) startFaults(end time.Duration) {
+	f := t.setting.Experiment.Faults
+	if f == nil {
+		return
+	}
+	if t.setting.Condition == tlwire.ConditionKindHomeLoss && f.HomeLossEvery > 0 {
+		t.every(f.HomeLossEvery, end, t.loseHome)
+	}
 	if !t.faulty() {
 		return
 	}
-	f := t.setting.Experiment.Faults
 	if f.StallEvery > 0 {
 		t.every(f.StallEvery, end, func() { t.stall(f.StallFor) })
 	}
--- a/core/tltrial/home.go
+++ b/core/tltrial/home.go
@@ -16,6 +16,10 @@
 	policy     tlbaseline.Policy
 	pool       tlwire.Pool
 	tickAt     time.Time
+	random     *rand.Rand
+	dead       bool
+	// losses counts how often the home has lost its state.
+	losses int
 }
 
 // buildHomes makes one home for each pool, one for each instance that sees
@@ -31,6 +35,7 @@
 		for i, p := range pools {
 			t.addHome(p, p.DataCentre, uint64(i))
 		}
+		t.doubleHomes(pools)
 	case tlbaseline.ScopeInstance:
 		for i, n := range t.setting.Experiment.Instances {
 			p := all
@@ -42,19 +47,35 @@
 	}
 }
 
+// doubleHomes gives each pool a second home that knows nothing of the first.
+func (t *Trial) doubleHomes(pools []tlwire.Pool) {
+	if t.setting.Condition != tlwire.ConditionKindTwoHomes {
+		return
+	}
+	for i, p := range pools {
+		t.addHome(p, p.DataCentre, uint64(len(pools)+i))
+	}
+}
+
 func (t *Trial) addHome(p tlwire.Pool, dataCentre string, number uint64) {
-	r := rand.New(rand.NewPCG(t.setting.Seed, number))
-	s := service(t.setting.Experiment)
 	h := &home{
 		trial:      t,
 		dataCentre: dataCentre,
 		pool:       p,
-		policy:     t.setting.Policy.Make(p, s, organisations(t.setting.Experiment), r, t.truth()),
+		random:     rand.New(rand.NewPCG(t.setting.Seed, number)),
 	}
+	h.start()
 	t.homes = append(t.homes, h)
 	t.seen = append(t.seen, tlwire.PoolSummary{Pool: p.Name})
 }
 
+// start gives the home a policy that knows nothing yet.
+func (h *home) start() {
+	t := h.trial
+	x := t.setting.Experiment
+	h.policy = t.setting.Policy.Make(h.pool, service(x), organisations(x), h.random, t.truth())
+}
+
 func service(x tlwire.Experiment) tlwire.Service {
 	outputs, prompts := 0, 0
 	for _, c := range x.Requests {
@@ -86,6 +107,9 @@
 
 // do calls the policy and sends its steps to the owners.
 func (h *home) do(f func(time.Time) []tlwire.Step) {
+	if h.dead {
+		return
+	}
 	t := h.trial
 	for _, s := range f(t.clock.Now()) {
 		c := t.calls[s.Request]
@@ -118,7 +142,7 @@
 		return
 	}
 	h.tickAt = time.Time{}
-	h.do(h.policy.Tick)
+	h.do(func(now time.Time) []tlwire.Step { return h.policy.Tick(now) })
 }
 
 func (t *Trial) delay(a, b string) time.Duration {
--- a/core/tltrial/trial.go
+++ b/core/tltrial/trial.go
@@ -74,7 +74,10 @@
 	w := tlworkload.New(x, t.setting.Seed)
 	end := x.Warmup + x.Duration + tail
 	rate := t.setting.Load * tlworkload.Capacity(x)
-	for _, r := range w.Requests(t.setting.Arrivals, rate, end) {
+	for i, r := range w.Requests(t.setting.Arrivals, rate, end) {
+		if r.Organisation == 0 && t.isUnflooded(uint64(i)) {
+			continue
+		}
 		t.clock.At(t.start.Add(r.At), func() { t.arrive(r) })
 	}
 	t.startReports(end + drain)
--- a/core/tlwire/experiment.go
+++ b/core/tlwire/experiment.go
@@ -25,6 +25,9 @@
 
 const ConditionKindClean ConditionKind = "Clean"
 const ConditionKindFaulty ConditionKind = "Faulty"
+const ConditionKindHomeLoss ConditionKind = "HomeLoss"
+const ConditionKindTwoHomes ConditionKind = "TwoHomes"
+const ConditionKindUnflooded ConditionKind = "Unflooded"
 
 // EngineModel sets the speed and memory of engines, links and messages.
 type EngineModel struct {
@@ -184,6 +187,9 @@
 	// GiveUpShare is the part of callers that give up.
 	GiveUpShare float64 `json:"GiveUpShare,omitempty" yaml:"GiveUpShare,omitempty" cbor:"GiveUpShare,omitempty"`
 
+	// HomeLossEvery is the time between losses of a home in the HomeLoss condition.
+	HomeLossEvery time.Duration `json:"HomeLossEvery,omitempty" yaml:"HomeLossEvery,omitempty" cbor:"HomeLossEvery,omitempty"`
+
 	// LagMax is the largest lag.
 	LagMax time.Duration `json:"LagMax,omitempty" yaml:"LagMax,omitempty" cbor:"LagMax,omitempty"`
 
--- a/io/tlexperiment/command.go
+++ b/io/tlexperiment/command.go
@@ -11,6 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"trefoillanding/core/tlbaseline"
 	"trefoillanding/core/tltrial"
 	"trefoillanding/core/tlwire"
 )
@@ -23,8 +24,9 @@
 		&cli.IntFlag{Name: "seeds", Usage: "run only so many seeds"},
 		&cli.FloatSliceFlag{Name: "load", Usage: "run only this load (may be repeated)"},
 		&cli.StringSliceFlag{Name: "policy", Usage: "run only this policy (may be repeated)"},
+		&cli.BoolFlag{Name: "ablation", Usage: "run the scheduler whole and without each of its mechanisms"},
 		&cli.StringFlag{Name: "arrivals", Usage: "run only Poisson or Bursty arrivals"},
-		&cli.StringFlag{Name: "condition", Usage: "run only the Clean or Faulty condition"},
+		&cli.StringFlag{Name: "condition", Usage: "run only this condition: Clean, Faulty, Unflooded, HomeLoss or TwoHomes"},
 		&cli.DurationFlag{Name: "duration", Usage: "measure so much virtual time"},
 		&cli.StringFlag{Name: "trace", Usage: "write every change of a request in the first run into `FILE`, and run nothing else"},
 	}
@@ -67,6 +69,12 @@
 	if l := c.StringSlice("policy"); len(l) > 0 {
 		x.Policies = l
 	}
+	if c.Bool("ablation") {
+		x.Policies = []string{"Scheduler"}
+		for _, m := range tlbaseline.Ablations() {
+			x.Policies = append(x.Policies, m.Name)
+		}
+	}
 	if s := c.String("arrivals"); s != "" {
 		x.Arrivals = []tlwire.ArrivalKind{tlwire.ArrivalKind(s)}
 	}
--- a/io/tlexperiment/run.go
+++ b/io/tlexperiment/run.go
@@ -21,6 +21,9 @@
 // workersShare is the part of the processors that a run takes.
 const workersShare = 0.5
 
+// oracleName is the policy that the others are compared with.
+const oracleName = "Oracle"
+
 type task struct {
 	row     int
 	setting tltrial.Setting
@@ -50,23 +53,36 @@
 	for _, a := range x.Arrivals {
 		for _, c := range x.Conditions {
 			for _, l := range x.Loads {
-				for _, n := range x.Policies {
-					p, _ := tlbaseline.Find(n)
-					s := tltrial.Setting{Experiment: x, Load: l, Arrivals: a, Condition: c, Policy: p}
-					tasks = append(tasks, overSeeds(s, x.Seeds, len(rows))...)
-					rows = append(rows, &tlreport.Row{
-						Arrivals:  a,
-						Condition: c,
-						Load:      l,
-						Policy:    n,
-					})
-				}
+				s := tltrial.Setting{Experiment: x, Load: l, Arrivals: a, Condition: c}
+				cell, t := planCell(s, len(rows))
+				rows = append(rows, cell...)
+				tasks = append(tasks, t...)
 			}
 		}
 	}
 	return rows, tasks
 }
 
+// planCell plans the runs of every policy under the same conditions.
+func planCell(s tltrial.Setting, first int) ([]*tlreport.Row, []task) {
+	var rows []*tlreport.Row
+	var tasks []task
+	var oracle *tlreport.Row
+	for i, n := range s.Experiment.Policies {
+		s.Policy, _ = tlbaseline.Find(n)
+		tasks = append(tasks, overSeeds(s, s.Experiment.Seeds, first+i)...)
+		r := &tlreport.Row{Arrivals: s.Arrivals, Condition: s.Condition, Load: s.Load, Policy: n}
+		rows = append(rows, r)
+		if n == oracleName {
+			oracle = r
+		}
+	}
+	for _, r := range rows {
+		r.Oracle = oracle
+	}
+	return rows, tasks
+}
+
 func overSeeds(s tltrial.Setting, seeds, row int) []task {
 	var l []task
 	for i := range seeds {
--- a/io/tlreport/row.go
+++ b/io/tlreport/row.go
@@ -19,6 +19,8 @@
 	Result    *tltrial.Result
 	// Each is the goodput of each seed.
 	Each []float64
+	// Oracle is the row of the oracle in the same cell, if there is one.
+	Oracle *Row
 }
 
 // Add takes in the result of one seed.
@@ -43,6 +45,7 @@
 	{"Policy", func(r *Row) string { return r.Policy }},
 	{"Goodput/s", func(r *Row) string { return fmt.Sprintf("%.2f", r.Result.Goodput()) }},
 	{"Good%", outcome(tltrial.Good)},
+	{"OfOracle%", ofOracle},
 	{"Wasted%", func(r *Row) string { return percent(r.Result.WastedShare()) }},
 	{"TTFT50", func(r *Row) string { return milliseconds(r.Result.FirstToken, 50) }},
 	{"TTFT95", func(r *Row) string { return milliseconds(r.Result.FirstToken, 95) }},
@@ -72,6 +75,13 @@
 	}
 }
 
+func ofOracle(r *Row) string {
+	if r.Oracle == nil {
+		return "-"
+	}
+	return percent(r.Result.Goodput() / r.Oracle.Result.Goodput())
+}
+
 func percent(v float64) string {
 	return fmt.Sprintf("%.2f", 100*v)
 }
