--- a/core/tlsched/counter.go
+++ b/core/tlsched/counter.go
@@ -3,10 +3,11 @@
 // Counter names something that the scheduler counts.
 type Counter int
 
-// The counters of a scheduler, one for each reason of a refusal, retry, drop or cancel.
+// The counters of a scheduler, one for each reason of a refusal, retry, drop or cancel, and some for what was placed.
 const (
 	RefusedQueueFull Counter = iota
 	RefusedWaitTooLong
+	RefusedPoolBusy
 	RefusedNoEndpoint
 	RefusedPromptTooLong
 	RefusedRetriesSpent
@@ -28,17 +29,20 @@
 	CancelledTransferring
 	CancelledDecoding
 	PrefillWasted
+	PlacedOnTime
+	PlacedLate
+	PlacedOnBet
 	Finished
 	counters
 )
 
 var counterNames = [counters]string{
-	"RefusedQueueFull", "RefusedWaitTooLong", "RefusedNoEndpoint", "RefusedPromptTooLong", "RefusedRetriesSpent",
+	"RefusedQueueFull", "RefusedWaitTooLong", "RefusedPoolBusy", "RefusedNoEndpoint", "RefusedPromptTooLong", "RefusedRetriesSpent",
 	"RetriedPrefillFailed", "RetriedTransferFailed", "RetriedDecodeFailed", "RetriedResultLapsed",
 	"RetriedEngineGone", "RetriedResubmitted", "RetriedOutgrown", "DelayedRetry", "MovedTransfer",
 	"DroppedStaleReport", "DroppedUnknownRequest", "DroppedDuplicate",
 	"CancelledWaiting", "CancelledPrefilling", "CancelledHeld", "CancelledTransferring", "CancelledDecoding",
-	"PrefillWasted", "Finished",
+	"PrefillWasted", "PlacedOnTime", "PlacedLate", "PlacedOnBet", "Finished",
 }
 
 // String returns the counter's name.
