Test the experiment; spill back to the first pool when none is in time

Cause: a request that every home refused as late ended at the worst ranked pool, the last of its list.

--- a/core/tlbaseline/maker.go
+++ b/core/tlbaseline/maker.go
@@ -27,6 +27,8 @@
 	Prefill func(engine string) *tlmodel.PrefillEngine
 	Decode  func(engine string) *tlmodel.DecodeEngine
 	Model   tlwire.EngineModel
+	// LargestCost returns the cost up to which all requests together just fit.
+	LargestCost func() float64
 }
 
 // Maker names a policy and makes it for a pool.
@@ -51,6 +53,7 @@
 		{Name: "TwoChoices", Scope: ScopeInstance, Make: makeTwoChoices},
 		{Name: "Oracle", Scope: ScopeAll, Make: makeOracle},
 		{Name: "OracleSmallestFirst", Scope: ScopeAll, Make: makeSmallestFirst},
+		{Name: "OracleWithoutLarge", Scope: ScopeAll, Make: makeWithoutLarge},
 	}
 }
 
@@ -87,3 +90,9 @@
 func makeSmallestFirst(p tlwire.Pool, _ tlwire.Service, o []tlwire.Organisation, _ *rand.Rand, t Truth) Policy {
 	return newOracle(p, o, t, bySize).Policy()
 }
+
+func makeWithoutLarge(p tlwire.Pool, _ tlwire.Service, o []tlwire.Organisation, _ *rand.Rand, t Truth) Policy {
+	n := newOracle(p, o, t, byFairness)
+	n.largest = t.LargestCost()
+	return n.Policy()
+}
--- a/core/tlbaseline/oracle.go
+++ b/core/tlbaseline/oracle.go
@@ -23,9 +23,11 @@
 // starts a request only when its first token will be in time, and refuses it
 // as soon as that can't be.
 type Oracle struct {
-	truth    Truth
-	order    func(*Oracle, *plan, *plan) int
-	pools    []poolEngines
+	truth Truth
+	order func(*Oracle, *plan, *plan) int
+	pools []poolEngines
+	// largest is the cost above which requests are refused at once; 0 for no bound.
+	largest  float64
 	weights  map[string]float64
 	served   map[string]float64
 	requests map[string]*plan
@@ -95,6 +97,9 @@
 	tokens := s.PromptTokens + o.truth.Output(s.Request)
 	p := &plan{Submission: s, pieces: tlmodel.Pieces(m, tokens)}
 	p.cost = float64(p.pieces * o.truth.Output(s.Request))
+	if o.largest > 0 && p.cost > o.largest {
+		return []tlwire.Step{p.refusal()}
+	}
 	o.requests[s.Request] = p
 	o.enqueue(p)
 	return o.tick(now)
@@ -266,17 +271,21 @@
 			}
 		}
 		delete(o.requests, p.Request)
-		o.steps = append(o.steps, tlwire.Step{
-			Request:    p.Request,
-			Attempt:    p.attempt,
-			Kind:       tlwire.StepKindRefuse,
-			Reason:     string(tlverdict.WaitTooLong),
-			RetryAfter: time.Second,
-		})
+		o.steps = append(o.steps, p.refusal())
 		return true
 	})
 }
 
+func (p *plan) refusal() tlwire.Step {
+	return tlwire.Step{
+		Request:    p.Request,
+		Attempt:    p.attempt,
+		Kind:       tlwire.StepKindRefuse,
+		Reason:     string(tlverdict.WaitTooLong),
+		RetryAfter: time.Second,
+	}
+}
+
 // firstToken returns when the first token comes of a request whose prefill is
 // ready at some time, if its link is free by then.
 func (o *Oracle) firstToken(p *plan, ready time.Time) time.Time {
--- a/core/tlspill/order.go
+++ b/core/tlspill/order.go
@@ -5,8 +5,9 @@
 	"slices"
 )
 
-// Order returns the indices of all pools, the chosen one first and the others
-// in the order in which a request spills over to them.
+// Order returns the indices of the pools in the order in which a request spills
+// over from one to the next: the chosen one first, and once more at the end,
+// when no other could serve the request in time.
 func Order(l []Candidate, r *rand.Rand) []int {
 	first := Choose(l, r)
 	order := make([]int, 0, len(l))
@@ -27,5 +28,8 @@
 	if first >= 0 {
 		order = slices.Insert(order, 0, first)
 	}
+	if len(l) > 1 {
+		order = append(order, first)
+	}
 	return order
 }
--- a/core/tltrial/call.go
+++ b/core/tltrial/call.go
@@ -21,7 +21,7 @@
 	request   *tlworkload.Request
 	arrived   time.Time
 	home      *home
-	refusals  int
+	homes     []*home
 	visits    int
 	tries     int
 	losses    int
@@ -46,13 +46,21 @@
 	if r.GivesUpAfter > 0 && t.faulty() {
 		t.clock.After(r.GivesUpAfter, c.giveUp)
 	}
-	c.submit(t.choose(c, nil))
+	c.homes = t.choose(c)
+	c.submitNext()
 }
 
 func (c *call) dataCentre() string {
 	return c.trial.setting.Experiment.Instances[c.request.Instance].DataCentre
 }
 
+// submitNext submits the request to the next home that it has not tried.
+func (c *call) submitNext() {
+	h := c.homes[0]
+	c.homes = c.homes[1:]
+	c.submit(h)
+}
+
 func (c *call) submit(h *home) {
 	t := c.trial
 	c.home = h
@@ -71,7 +79,7 @@
 		Tries:        c.tries,
 		Blocks:       c.request.Blocks,
 		Arrived:      c.arrived,
-		Spills:       c.refusals == 0 && len(t.homes) > 1,
+		Spills:       len(c.homes) > 0 && c.delivered == 0,
 		Due:          c.arrived.Add(c.request.Target(t.model, x.FirstToken)),
 	}
 	t.trace(c.request.Name, "submit to %s: prompt %d output %d", h.pool.Name, s.PromptTokens, c.request.Output)
@@ -127,19 +135,16 @@
 	}
 }
 
-// refused spills to another home once, or tells the caller.
+// refused spills to the next home, or tells the caller.
 func (c *call) refused(s tlwire.Step) {
 	c.closeAttempt()
 	if c.delivered > 0 {
 		c.end(Failed)
 		return
 	}
-	c.refusals++
-	if c.refusals == 1 {
-		if h := c.trial.choose(c, c.home); h != nil {
-			c.submit(h)
-			return
-		}
+	if len(c.homes) > 0 {
+		c.submitNext()
+		return
 	}
 	c.trial.result.Counters["Answered"+s.Reason]++
 	c.end(Refused)
--- a/core/tltrial/choose.go
+++ b/core/tltrial/choose.go
@@ -8,35 +8,32 @@
 	"trefoillanding/core/tlwire"
 )
 
-// choose returns the home that a request goes to, other than the one that
-// refused it; nil when there is none.
-func (t *Trial) choose(c *call, refused *home) *home {
+// choose returns the homes that a request goes to, in the order in which it
+// spills over from one to the next.
+func (t *Trial) choose(c *call) []*home {
 	if t.setting.Policy.Scope == tlbaseline.ScopeInstance {
-		if refused != nil {
-			return nil
-		}
-		return t.homes[c.request.Instance]
+		return t.homes[c.request.Instance : c.request.Instance+1]
 	}
+	var known []*home
 	var l []tlspill.Candidate
-	var homes []*home
 	for i, h := range t.homes {
-		if h == refused || !t.knows(c, i) {
+		if !t.knows(c, i) {
 			continue
 		}
-		homes = append(homes, h)
+		known = append(known, h)
 		l = append(l, tlspill.Candidate{Summary: t.seen[i], Local: h.dataCentre == c.dataCentre()})
 	}
-	i := tlspill.Choose(l, t.random)
-	if i < 0 {
-		return nil
+	var homes []*home
+	for _, i := range tlspill.Order(l, t.random) {
+		homes = append(homes, known[i])
 	}
-	return homes[i]
+	return homes
 }
 
 // knows says that the owner takes a home for the pool's only one; with two
 // homes for each pool half of the owners know the first, the others the second.
 func (t *Trial) knows(c *call, home int) bool {
-	if t.setting.Condition != tlwire.ConditionKindTwoHomes {
+	if t.setting.Condition != tlwire.ConditionKindTwoHomes || t.setting.Policy.Scope != tlbaseline.ScopePool {
 		return true
 	}
 	first := home < len(t.homes)/2
--- a/core/tltrial/home.go
+++ b/core/tltrial/home.go
@@ -7,6 +7,7 @@
 	"trefoillanding/core/tlbaseline"
 	"trefoillanding/core/tlmodel"
 	"trefoillanding/core/tlwire"
+	"trefoillanding/core/tlworkload"
 )
 
 // home is one instance that decides, for a pool or for its own requests.
@@ -158,6 +159,9 @@
 		Prefill: func(engine string) *tlmodel.PrefillEngine { return t.prefills[engine] },
 		Decode:  func(engine string) *tlmodel.DecodeEngine { return t.decodes[engine] },
 		Model:   t.model,
+		LargestCost: func() float64 {
+			return tlworkload.LargestCost(t.setting.Experiment, t.setting.Load)
+		},
 	}
 }
 
--- a/core/tltrial/trial.go
+++ b/core/tltrial/trial.go
@@ -23,11 +23,13 @@
 // Setting says which run of an experiment to make.
 type Setting struct {
 	Experiment tlwire.Experiment
-	Load       float64
-	Arrivals   tlwire.ArrivalKind
-	Condition  tlwire.ConditionKind
-	Policy     tlbaseline.Maker
-	Seed       uint64
+	// Capacity is the rate of requests a second at load 1.
+	Capacity  float64
+	Load      float64
+	Arrivals  tlwire.ArrivalKind
+	Condition tlwire.ConditionKind
+	Policy    tlbaseline.Maker
+	Seed      uint64
 	// Trace is called with a line for each change of a request when it is set.
 	Trace func(at time.Duration, request, text string)
 }
@@ -73,7 +75,7 @@
 	x := t.setting.Experiment
 	w := tlworkload.New(x, t.setting.Seed)
 	end := x.Warmup + x.Duration + tail
-	rate := t.setting.Load * tlworkload.Capacity(x)
+	rate := t.setting.Load * t.setting.Capacity
 	for i, r := range w.Requests(t.setting.Arrivals, rate, end) {
 		if r.Organisation == 0 && t.isUnflooded(uint64(i)) {
 			continue
@@ -82,7 +84,10 @@
 	}
 	t.startReports(end + drain)
 	t.startFaults(end)
-	t.clock.Run(t.start.Add(end + drain))
+	t.clock.Run(t.start.Add(end))
+	for len(t.calls) > 0 && t.since() < end+drain {
+		t.clock.Run(t.clock.Now().Add(time.Second))
+	}
 	t.finish()
 	return t.result
 }
--- a/core/tlworkload/capacity.go
+++ b/core/tlworkload/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"trefoillanding/core/tlmodel"
@@ -49,6 +50,31 @@
 	return float64(m.Pieces) * n.output / n.pieceTokens
 }
 
+// usedShare is the part of the capacity that the largest cost leaves in use.
+const usedShare = 0.97
+
+// LargestCost returns the cost, in pieces times tokens, up to which all requests
+// together use no more than the decode capacity at a load.
+func LargestCost(x tlwire.Experiment, load float64) float64 {
+	w := New(x, capacitySeed)
+	var l []float64
+	sum := 0.0
+	for range capacitySamples {
+		r := w.draw()
+		c := float64(r.Output * tlmodel.Pieces(x.Engines, r.Prompt+r.Output))
+		l = append(l, c)
+		sum += c
+	}
+	slices.Sort(l)
+	left := sum * usedShare / load
+	for _, c := range l {
+		if left -= c; left < 0 {
+			return c
+		}
+	}
+	return l[len(l)-1]
+}
+
 // PrefillShare returns the part of the prefill engines' time that the decode
 // capacity uses when nothing is cached.
 func PrefillShare(x tlwire.Experiment) float64 {
--- a/io/tlexperiment/run.go
+++ b/io/tlexperiment/run.go
@@ -50,10 +50,11 @@
 func plan(x tlwire.Experiment) ([]*tlreport.Row, []task) {
 	var rows []*tlreport.Row
 	var tasks []task
+	capacity := tlworkload.Capacity(x)
 	for _, a := range x.Arrivals {
 		for _, c := range x.Conditions {
 			for _, l := range x.Loads {
-				s := tltrial.Setting{Experiment: x, Load: l, Arrivals: a, Condition: c}
+				s := tltrial.Setting{Experiment: x, Capacity: capacity, Load: l, Arrivals: a, Condition: c}
 				cell, t := planCell(s, len(rows))
 				rows = append(rows, cell...)
 				tasks = append(tasks, t...)
--- /dev/null
+++ b/io/tlexperiment/run_test.go
@@ -0,0 +1,87 @@
+package tlexperiment
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"trefoillanding/core/tltrial"
+	"trefoillanding/core/tlwire"
+)
+
+func quick(t *testing.T) tlwire.Experiment {
+	return read(t, "quick.yaml")
+}
+
+func read(t *testing.T, name string) tlwire.Experiment {
+	t.Helper()
+	f, err := os.ReadFile(filepath.Join("..", "..", "examples", "experiments", name))
+	require.NoError(t, err)
+	x, err := Read(f)
+	require.NoError(t, err)
+	return x
+}
+
+func TestExamplesAreRead(t *testing.T) {
+	for _, n := range []string{"yengec.yaml", "sprue.yaml", "quick.yaml"} {
+		assert.NotEmpty(t, read(t, n).Policies, n)
+	}
+}
+
+func TestWrongFilesAreRefused(t *testing.T) {
+	cases := []struct {
+		name string
+		file string
+		want []string
+	}{
+		{"unknown field", "Name: a\nSeed: 3\n", []string{"field Seed not found"}},
+		{"wrong type", "Seeds: many\n", []string{"line 1"}},
+		{"several faults", "Policies: [Best]\n", []string{`"Best" is not known`, "Seeds: must be above 0", "Pools:"}},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			_, err := Read([]byte(k.file))
+			for _, w := range k.want {
+				assert.ErrorContains(t, err, w)
+			}
+		})
+	}
+}
+
+func TestSameExperimentWritesTheSameFiles(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	x := quick(t)
+	x.Duration, x.Warmup, x.Loads, x.Seeds = 5*time.Second, 2*time.Second, []float64{1.1}, 2
+	a, b := t.TempDir(), t.TempDir()
+	require.NoError(t, Run(t.Context(), x, a, io.Discard))
+	require.NoError(t, Run(t.Context(), x, b, io.Discard))
+	l, err := os.ReadDir(a)
+	require.NoError(t, err)
+	assert.Len(t, l, 6)
+	for _, f := range l {
+		v, err := os.ReadFile(filepath.Join(a, f.Name()))
+		require.NoError(t, err)
+		w, err := os.ReadFile(filepath.Join(b, f.Name()))
+		require.NoError(t, err)
+		assert.Equal(t, string(v), string(w), f.Name())
+	}
+}
+
+// TestAimsOfTheQuickRun holds the scheduler to the aims at 1.1 times the decode
+// capacity: 95% of the oracle's goodput, and under 1% of prefill wasted.
+func TestAimsOfTheQuickRun(t *testing.T) {
+	x := quick(t)
+	x.Conditions = []tlwire.ConditionKind{tlwire.ConditionKindClean}
+	x.Loads, x.Policies = []float64{1.1}, []string{"Scheduler", oracleName}
+	rows, tasks := plan(x)
+	require.NoError(t, runAll(t.Context(), rows, tasks, io.Discard))
+	assert.GreaterOrEqual(t, rows[0].Result.Goodput(), 0.95*rows[1].Result.Goodput())
+	assert.Less(t, rows[0].Result.WastedShare(), 0.01)
+	assert.Zero(t, rows[0].Result.Outcomes[tltrial.Failed])
+}
