Add late, crossed and frozen answers, and a platform that follows its instances

Change: LateShare, CrossAnswers and FreezeStreams; a prober that keeps the instance list by GET /healthz; ImportStall 150 ms to 250 ms, since on a busy machine (load 14 on 10 cores) an import without any fault went 150 ms without a line, which costs a prefill. Shown by: go test -race ./io/tlstandin ./io/tlengine.

--- a/core/tlwire/standin.go
+++ b/core/tlwire/standin.go
@@ -23,6 +23,10 @@
 	// CacheLag is how late cache events are published.
 	CacheLag time.Duration `json:"CacheLag,omitempty" yaml:"CacheLag,omitempty" cbor:"CacheLag,omitempty"`
 
+	// CrossAnswers is the share of prefills, import lines and cancels that are
+	// answered under another attempt.
+	CrossAnswers float64 `json:"CrossAnswers,omitempty" yaml:"CrossAnswers,omitempty" cbor:"CrossAnswers,omitempty"`
+
 	// CrossShare is the share of tokens that are preceded by one of another attempt.
 	CrossShare float64 `json:"CrossShare,omitempty" yaml:"CrossShare,omitempty" cbor:"CrossShare,omitempty"`
 
@@ -38,6 +42,10 @@
 	// tokens.
 	FailStreams float64 `json:"FailStreams,omitempty" yaml:"FailStreams,omitempty" cbor:"FailStreams,omitempty"`
 
+	// FreezeStreams is the share of readers that get nothing after StopAfter tokens,
+	// on a connection that stays open, while the stream goes on.
+	FreezeStreams float64 `json:"FreezeStreams,omitempty" yaml:"FreezeStreams,omitempty" cbor:"FreezeStreams,omitempty"`
+
 	// GapShare is the share of cache events that are never published.
 	GapShare float64 `json:"GapShare,omitempty" yaml:"GapShare,omitempty" cbor:"GapShare,omitempty"`
 
@@ -53,6 +61,13 @@
 	// LagSpread is the most that is added to Lag at random.
 	LagSpread time.Duration `json:"LagSpread,omitempty" yaml:"LagSpread,omitempty" cbor:"LagSpread,omitempty"`
 
+	// LateBy is how late such an answer is.
+	LateBy time.Duration `json:"LateBy,omitempty" yaml:"LateBy,omitempty" cbor:"LateBy,omitempty"`
+
+	// LateShare is the share of calls that run at once and are answered only after
+	// LateBy.
+	LateShare float64 `json:"LateShare,omitempty" yaml:"LateShare,omitempty" cbor:"LateShare,omitempty"`
+
 	// ListLag is how old the instance list is.
 	ListLag time.Duration `json:"ListLag,omitempty" yaml:"ListLag,omitempty" cbor:"ListLag,omitempty"`
 
@@ -84,7 +99,8 @@
 	// their memory.
 	StallStreams float64 `json:"StallStreams,omitempty" yaml:"StallStreams,omitempty" cbor:"StallStreams,omitempty"`
 
-	// StopAfter is the number of tokens before a stream stalls, fails or is cut.
+	// StopAfter is the number of tokens before a stream stalls, fails, freezes or is
+	// cut.
 	StopAfter int `json:"StopAfter,omitempty" yaml:"StopAfter,omitempty" cbor:"StopAfter,omitempty"`
 }
 
--- a/io/tlengine/options.go
+++ b/io/tlengine/options.go
@@ -33,7 +33,7 @@
 	return Options{
 		DialTimeout:      500 * time.Millisecond,
 		CallTimeout:      time.Second,
-		ImportStall:      150 * time.Millisecond,
+		ImportStall:      250 * time.Millisecond,
 		TokenStall:       2 * time.Second,
 		CancelWorkers:    16,
 		CancelsPerEngine: 4,
--- /dev/null
+++ b/io/tlengine/processor_test.go
@@ -0,0 +1,16 @@
+package tlengine_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// processorTime returns what the process has used so far.
+func processorTime(t testing.TB) time.Duration {
+	var u syscall.Rusage
+	require.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/io/tlstandin/cancel.go
+++ b/io/tlstandin/cancel.go
@@ -21,7 +21,8 @@
 			return
 		}
 	}
-	answer(w, tlwire.CancelResult{Attempt: a, Freed: e.Cancel(a)})
+	n := e.Cancel(a)
+	answer(w, tlwire.CancelResult{Attempt: e.faults.attempt(a), Freed: n})
 }
 
 // isOwner says whether nobody else owns an attempt.
--- a/io/tlstandin/deployment.go
+++ b/io/tlstandin/deployment.go
@@ -1,6 +1,7 @@
 package tlstandin
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -79,6 +80,22 @@
 	return n
 }
 
+// Probe makes the platform keep its instance list true by asking everyone for
+// its health, until the context ends.
+func (d *Deployment) Probe(x context.Context, t ProbeTimes) *Prober {
+	p := NewProber(d.Platform, t)
+	go p.Run(x)
+	return p
+}
+
+// CloseServer stops listening for one endpoint, and cuts its connections.
+func (d *Deployment) CloseServer(name string) {
+	s := d.servers[name]
+	if s != nil {
+		s.Close()
+	}
+}
+
 // Runs counts the calls with a key, a Reference or a whole body at all plain
 // endpoints.
 func (d *Deployment) Runs(key string) int {
--- a/io/tlstandin/engine.go
+++ b/io/tlstandin/engine.go
@@ -162,6 +162,7 @@
 	o := http.NewServeMux()
 	addFaults(o, e.faults)
 	o.HandleFunc("POST /control/engine", e.control)
+	o.Handle("GET /healthz", e.alive(http.HandlerFunc(e.health)))
 	o.Handle("/", e.alive(e.faults.Wrap(m)))
 	return o
 }
@@ -179,6 +180,13 @@
 	})
 }
 
+func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	h := tlwire.Health{Name: e.name, Draining: e.draining}
+	e.mutex.Unlock()
+	answer(w, h)
+}
+
 func (e *Engine) control(w http.ResponseWriter, r *http.Request) {
 	c, ok := decode[tlwire.EngineControl](w, r)
 	if !ok {
--- a/io/tlstandin/engine_test.go
+++ b/io/tlstandin/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -173,3 +174,33 @@
 	_, v = call[tlwire.ReadResult](t, "GET", s.Address(), "/log/s/records?From=6&Wait=20ms", nil)
 	require.Empty(t, v.Records)
 }
+
+func TestPlatformFollowsItsInstances(t *testing.T) {
+	d := deploy(t, fast())
+	x, stop := context.WithCancel(t.Context())
+	p := d.Probe(x, tlstandin.ProbeTimes{Every: 20 * time.Millisecond, GoneAfter: 60 * time.Millisecond})
+	defer func() { stop(); <-p.Done() }()
+	state := func(name string) string {
+		_, l := call[tlwire.InstanceList](t, "GET", d.Address(), "/instances", nil)
+		for _, i := range l.Instances {
+			if i.Name == name {
+				return string(i.State)
+			}
+		}
+		return "Gone"
+	}
+	is := func(name, s string) {
+		require.Eventually(t, func() bool { return state(name) == s }, 2*time.Second, 5*time.Millisecond)
+	}
+	is("p1", "Live")
+	d.Engines["p1"].Drain(true)
+	is("p1", "Leaving")
+	d.Engines["p1"].Drain(false)
+	is("p1", "Live")
+	d.Engines["d1"].Kill()
+	is("d1", "Gone")
+	d.Engines["d1"].Restart()
+	is("d1", "Live")
+	d.CloseServer("desk-1")
+	is("desk-1", "Gone")
+}
--- a/io/tlstandin/faults.go
+++ b/io/tlstandin/faults.go
@@ -77,12 +77,51 @@
 		case f.draw(s.LoseShare):
 			h.ServeHTTP(lostWriter{w}, r)
 			panic(http.ErrAbortHandler)
+		case f.draw(s.LateShare):
+			h.ServeHTTP(&lateWriter{ResponseWriter: w, request: r, by: s.LateBy}, r)
 		default:
 			h.ServeHTTP(w, r)
 		}
 	})
 }
 
+// attempt returns the attempt that an answer is given under.
+func (f *Faults) attempt(a string) string {
+	if f.draw(f.Get().CrossAnswers) {
+		return crossedAttempt
+	}
+	return a
+}
+
+// lateWriter holds an answer back for a while.
+type lateWriter struct {
+	http.ResponseWriter
+	request *http.Request
+	by      time.Duration
+}
+
+// Write writes once the answer is late enough.
+func (w *lateWriter) Write(b []byte) (int, error) {
+	w.wait()
+	return w.ResponseWriter.Write(b)
+}
+
+// WriteHeader writes the status once the answer is late enough.
+func (w *lateWriter) WriteHeader(status int) {
+	w.wait()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the writer below, so that it can be flushed.
+func (w *lateWriter) Unwrap() http.ResponseWriter {
+	return w.ResponseWriter
+}
+
+func (w *lateWriter) wait() {
+	pause(w.request, w.by)
+	w.by = 0
+}
+
 // lostWriter drops the connection as soon as a handler answers.
 type lostWriter struct {
 	http.ResponseWriter
--- a/io/tlstandin/import.go
+++ b/io/tlstandin/import.go
@@ -228,7 +228,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return tlwire.ImportProgress{
-		Attempt: j.attempt,
+		Attempt: e.faults.attempt(j.attempt),
 		Bytes:   j.moved,
 		Total:   j.bytes,
 		Done:    j.cause == "" && j.stage != tlwire.StageImporting,
--- a/io/tlstandin/plain.go
+++ b/io/tlstandin/plain.go
@@ -49,6 +49,9 @@
 	o.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) {
 		answer(w, tlwire.RunList{Runs: p.All()})
 	})
+	o.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, tlwire.Health{Name: p.name})
+	})
 	o.Handle("/", p.faults.Wrap(m))
 	p.handler = o
 	return p
--- a/io/tlstandin/prefill.go
+++ b/io/tlstandin/prefill.go
@@ -32,7 +32,7 @@
 func (e *Engine) answerPrefill(w http.ResponseWriter, j *job) {
 	e.mutex.Lock()
 	cause, v := j.cause, tlwire.PrefillResult{
-		Attempt:      j.attempt,
+		Attempt:      e.faults.attempt(j.attempt),
 		Handle:       j.handle,
 		Tokens:       j.tokens,
 		CachedTokens: j.cached,
