--- /dev/null
+++ b/instance.go
@@ -0,0 +1,185 @@
+package trefoillanding
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"trefoillanding/core/tlconfig"
+	"trefoillanding/core/tleventid"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlengine"
+	"trefoillanding/io/tlentry"
+	"trefoillanding/io/tlhome"
+	"trefoillanding/io/tlmetric"
+	"trefoillanding/io/tloutbox"
+	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlplatform"
+	"trefoillanding/io/tlrelay"
+)
+
+// Instance is one entry instance with all of its parts.
+type Instance struct {
+	settings         tlwire.Settings
+	log              *logrus.Entry
+	incarnation      uint64
+	signer           *tleventid.Signer
+	metrics          *tlmetric.Set
+	platformCounters *tlmetric.Group
+
+	platform *tlplatform.Client
+	mesh     *tlpeer.Mesh
+	gossip   *tlpeer.Gossip
+	outbox   *tloutbox.Outbox
+	engines  *tlengine.Client
+	relay    *tlrelay.Relay
+	homes    *tlhome.Homes
+	entry    *tlentry.Entry
+	server   *tlentry.Server
+
+	config    atomic.Pointer[inForce]
+	endpoints atomic.Pointer[map[string]bool]
+	draining  atomic.Bool
+
+	ctx     context.Context
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	done    chan struct{}
+}
+
+// inForce is a configuration with its generation.
+type inForce struct {
+	generation uint64
+	config     *tlconfig.Config
+}
+
+// New starts an instance; nothing is left running when it fails.
+func New(s tlwire.Settings, l *logrus.Logger) (*Instance, error) {
+	i := &Instance{
+		settings:    s,
+		log:         l.WithField("Instance", s.Name),
+		incarnation: uint64(time.Now().UnixNano()),
+		signer:      newSigner(s.Security.EventKeys, l),
+		metrics:     tlmetric.New(),
+		done:        make(chan struct{}),
+	}
+	i.ctx, i.stop = context.WithCancel(context.Background())
+	if err := i.open(); err != nil {
+		return nil, err
+	}
+	i.start()
+	i.log.WithField("Listen", s.Listen).Info("instance started")
+	return i, nil
+}
+
+// open builds the parts and takes the addresses.
+func (i *Instance) open() error {
+	o, err := i.peerOptions()
+	if err != nil {
+		return err
+	}
+	if i.mesh, err = tlpeer.New(o); err != nil {
+		return fmt.Errorf("field PeerListen: %w", err)
+	}
+	i.build()
+	i.server, err = tlentry.Listen(i.entry, i.settings.Listen, nil)
+	if err != nil {
+		i.closeParts()
+		return fmt.Errorf("field Listen: %w", err)
+	}
+	return nil
+}
+
+func (i *Instance) build() {
+	i.platformCounters = i.metrics.Group("Platform", listFailed)
+	i.platform = tlplatform.New(i.settings.Platform.Address, i.settings.Platform.Timeout)
+	i.outbox = tloutbox.New(peerTimeout, i.metrics)
+	i.engines = tlengine.New(i.engineOptions())
+	i.homes = tlhome.New(i.homeDeps())
+	i.gossip = tlpeer.NewGossip(i.mesh, i.gossipOptions())
+	i.relay = tlrelay.New(i.relayDeps())
+	i.entry = tlentry.New(i.entryDeps())
+	i.handleMessages()
+}
+
+func (i *Instance) start() {
+	i.mesh.Start()
+	i.gossip.Start()
+	i.running.Go(func() { i.watchList(i.ctx) })
+	i.running.Go(func() { i.keepHomes(i.ctx) })
+}
+
+// Use puts a configuration in force at this instance.
+func (i *Instance) Use(generation uint64, c *tlconfig.Config) {
+	i.config.Store(&inForce{generation, c})
+	i.log.WithField("Generation", generation).Info("configuration in force")
+	i.takeHomes()
+}
+
+// Drain lets callers learn that the instance leaves, answers what it has, and
+// returns when the last request has ended or ctx has.
+func (i *Instance) Drain(ctx context.Context) error {
+	i.draining.Store(true)
+	i.log.Info("draining")
+	if i.settings.Drain.Timeout > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, i.settings.Drain.KeepFor+i.settings.Drain.Timeout)
+		defer stop()
+	}
+	keep := time.NewTimer(i.settings.Drain.KeepFor)
+	defer keep.Stop()
+	select {
+	case <-keep.C:
+	case <-ctx.Done():
+	}
+	err := i.server.Shutdown(ctx)
+	i.log.WithField("Open", i.entry.Open()).Info("drained")
+	return err
+}
+
+// Close ends everything at once; open streams can be resumed at other instances.
+func (i *Instance) Close() {
+	i.relay.Leave()
+	_ = i.server.Close()
+	i.stop()
+	i.running.Wait()
+	i.closeParts()
+	close(i.done)
+}
+
+// Done is closed when everything has ended.
+func (i *Instance) Done() <-chan struct{} {
+	return i.done
+}
+
+func (i *Instance) closeParts() {
+	ctx, stop := context.WithTimeout(context.Background(), cancelsTimeout)
+	defer stop()
+	i.homes.Close()
+	i.outbox.Close()
+	i.mesh.Close()
+	i.engines.Close(ctx)
+	i.platform.Close()
+}
+
+func (i *Instance) current() (uint64, *tlconfig.Config) {
+	f := i.config.Load()
+	if f == nil {
+		return 0, nil
+	}
+	return f.generation, f.config
+}
+
+// newSigner returns a signer; without keys it signs for this process only.
+func newSigner(keys []string, l *logrus.Logger) *tleventid.Signer {
+	if len(keys) == 0 {
+		l.Warn("Security.EventKeys is not set: streams can't be resumed at other instances")
+		keys = []string{uuid.NewString()}
+	}
+	return tleventid.New(keys)
+}
