Send calls that must not repeat under claims folded from the log

Claims, outcomes and releases are folded by pure rules in core/tlclaim. The ledger appends many claims at once, reads its own claim back, and refuses with NotRun only when this instance will never send; a claim whose fate it does not know is released, also before it is seen.

--- /dev/null
+++ b/core/tlclaim/decision.go
@@ -0,0 +1,48 @@
+package tlclaim
+
+// Decision says what an instance may do with a key at one place in the log.
+type Decision int
+
+// The decisions.
+const (
+	// Append is for a key that no claim holds: a claim may be appended.
+	Append Decision = iota
+	// Send is for the holder alone.
+	Send
+	// Replay is for a key whose answer is in the log.
+	Replay
+	// Wait is for a key that another claim holds.
+	Wait
+	// MayHaveRun is for a key whose call was sent and not answered.
+	MayHaveRun
+	// Reused is for a key that holds another request.
+	Reused
+	// GivenUp is for a claim that was released.
+	GivenUp
+)
+
+var decisionNames = [...]string{"Append", "Send", "Replay", "Wait", "MayHaveRun", "Reused", "GivenUp"}
+
+// String returns the decision's name.
+func (d Decision) String() string {
+	return decisionNames[d]
+}
+
+// Decide returns what the claim with a nonce and a digest may do.
+func (e Entry) Decide(nonce uint64, d Digest) Decision {
+	switch {
+	case e.State == Released && e.Nonce == nonce:
+		return GivenUp
+	case e.State == Free || e.State == Released:
+		return Append
+	case e.Digest != d:
+		return Reused
+	case e.State == Ran:
+		return Replay
+	case e.State == Unknown:
+		return MayHaveRun
+	case e.Nonce == nonce:
+		return Send
+	}
+	return Wait
+}
--- /dev/null
+++ b/core/tlclaim/state.go
@@ -0,0 +1,25 @@
+package tlclaim
+
+// State says what became of a key.
+type State uint8
+
+// The states of a key.
+const (
+	// Free is a key that no claim holds.
+	Free State = iota
+	// Held is a key whose holder may send, or may have sent.
+	Held
+	// Ran is a key whose call was answered.
+	Ran
+	// Unknown is a key whose call was sent and not answered.
+	Unknown
+	// Released is a key whose last claim was given up before anything was sent.
+	Released
+)
+
+var stateNames = [...]string{"Free", "Held", "Ran", "Unknown", "Released"}
+
+// String returns the state's name.
+func (s State) String() string {
+	return stateNames[s]
+}
--- /dev/null
+++ b/core/tlclaim/table.go
@@ -0,0 +1,134 @@
+package tlclaim
+
+import (
+	"time"
+
+	"trefoillanding/core/tlrecord"
+	"trefoillanding/core/tlwire"
+)
+
+// Table is the fold of one stream's records; it is not safe for concurrent use.
+type Table struct {
+	entries  map[ID]Entry
+	order    []place
+	coverage Coverage
+	next     uint64
+	skipped  uint64
+	time     time.Time
+}
+
+// place remembers which entry a record made, so that retention can drop it.
+type place struct {
+	id     ID
+	offset uint64
+	time   time.Time
+}
+
+// Change tells which key a record was about.
+type Change struct {
+	ID    ID
+	Kind  tlwire.RecordKind
+	Nonce uint64
+	Entry Entry
+}
+
+// NewTable returns the table of a stream whose first record is folded next.
+func NewTable() *Table {
+	return &Table{entries: map[ID]Entry{}, coverage: Coverage{IsComplete: true}, next: 1}
+}
+
+// Next returns the offset of the record that has to be folded next.
+func (t *Table) Next() uint64 {
+	return t.next
+}
+
+// Time returns the log's time at the last record.
+func (t *Table) Time() time.Time {
+	return t.time
+}
+
+// Len returns the number of keys.
+func (t *Table) Len() int {
+	return len(t.entries)
+}
+
+// Skipped returns the number of records of an unknown kind or a later version.
+func (t *Table) Skipped() uint64 {
+	return t.skipped
+}
+
+// Coverage says how far back the table knows every claim.
+func (t *Table) Coverage() Coverage {
+	return t.coverage
+}
+
+// Lookup returns the entry of a key; an unknown key is free.
+func (t *Table) Lookup(id ID) Entry {
+	return t.entries[id]
+}
+
+// Restart forgets everything, since records up to an offset were never read.
+func (t *Table) Restart(oldest uint64) {
+	*t = Table{entries: map[ID]Entry{}, next: oldest, skipped: t.skipped, time: t.time}
+}
+
+// Apply folds the next record and tells which key it was about, if any.
+func (t *Table) Apply(r tlwire.LogRecord) (Change, bool) {
+	if r.Offset != t.next {
+		return Change{}, false
+	}
+	t.next++
+	t.time = r.Time
+	if !t.coverage.IsComplete && t.coverage.Since.IsZero() {
+		t.coverage.Since = r.Time
+	}
+	id, v, ok := t.parse(r)
+	if !ok {
+		return Change{}, false
+	}
+	e := t.entries[id]
+	if rule, found := ruleFor(e, v); found {
+		e = t.put(id, rule.next(e, v, r.Offset), r.Time)
+	}
+	return Change{ID: id, Kind: v.kind, Nonce: v.nonce, Entry: e}, true
+}
+
+// Drop forgets the keys whose records the log no longer keeps.
+func (t *Table) Drop(oldest uint64) {
+	n := 0
+	for n < len(t.order) && t.order[n].offset < oldest {
+		p := t.order[n]
+		if t.entries[p.id].Offset == p.offset {
+			delete(t.entries, p.id)
+		}
+		t.coverage = Coverage{Since: p.time}
+		n++
+	}
+	t.order = t.order[n:]
+}
+
+func (t *Table) put(id ID, e Entry, at time.Time) Entry {
+	if t.entries[id].Offset != e.Offset {
+		t.order = append(t.order, place{id: id, offset: e.Offset, time: at})
+	}
+	t.entries[id] = e
+	return e
+}
+
+func (t *Table) parse(r tlwire.LogRecord) (ID, event, bool) {
+	o, err := tlrecord.Open(r.Data)
+	if err != nil {
+		t.skipped++
+		return ID{}, event{}, false
+	}
+	p, known := parsers[o.Kind]
+	if !known {
+		t.skipped++
+		return ID{}, event{}, false
+	}
+	id, v, ok := p(o, r.Time)
+	if !ok {
+		t.skipped++
+	}
+	return id, v, ok
+}
--- /dev/null
+++ b/core/tlclaim/table_test.go
@@ -0,0 +1,169 @@
+package tlclaim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"trefoillanding/core/tlrecord"
+	"trefoillanding/core/tlwire"
+)
+
+var start = time.UnixMilli(1_800_000_000_000)
+
+func record[T tlrecord.Body](b T) []byte {
+	data, err := tlrecord.Encode(b)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func claim(key string, nonce uint64) []byte {
+	d := NewDigest([]byte("body"))
+	return record(tlwire.Claim{Service: "s", Key: key, Digest: d[:], Nonce: nonce})
+}
+
+func outcome(nonce uint64) []byte {
+	return record(tlwire.Outcome{Service: "s", Key: "k", Nonce: nonce, Answer: &tlwire.StoredAnswer{Status: 201}})
+}
+
+func lost(nonce uint64) []byte {
+	return record(tlwire.Outcome{Service: "s", Key: "k", Nonce: nonce, IsUnknown: true})
+}
+
+func release(nonce uint64) []byte {
+	return record(tlwire.Release{Service: "s", Key: "k", Nonce: nonce})
+}
+
+func fold(t *Table, from uint64, records ...[]byte) {
+	for i, r := range records {
+		t.Apply(tlwire.LogRecord{Offset: from + uint64(i), Time: start.Add(time.Duration(i) * time.Second), Data: r})
+	}
+}
+
+func TestFold(t *testing.T) {
+	cases := []struct {
+		name    string
+		records [][]byte
+		state   State
+		nonce   uint64
+	}{
+		{"1 nothing", nil, Free, 0},
+		{"2 first claim holds", [][]byte{claim("k", 1), claim("k", 2)}, Held, 1},
+		{"3 outcome of the holder", [][]byte{claim("k", 1), outcome(1)}, Ran, 1},
+		{"4 outcome of another", [][]byte{claim("k", 1), claim("k", 2), outcome(2)}, Held, 1},
+		{"5 lost answer", [][]byte{claim("k", 1), lost(1)}, Unknown, 1},
+		{"6 answer after a lost one", [][]byte{claim("k", 1), lost(1), outcome(1)}, Ran, 1},
+		{"7 release", [][]byte{claim("k", 1), release(1)}, Released, 1},
+		{"8 release of another", [][]byte{claim("k", 1), release(2)}, Held, 1},
+		{"9 no release after the outcome", [][]byte{claim("k", 1), outcome(1), release(1)}, Ran, 1},
+		{"10 claim after a release", [][]byte{claim("k", 1), release(1), claim("k", 2)}, Held, 2},
+		{"11 a losing claim stays void", [][]byte{claim("k", 1), claim("k", 2), release(1)}, Released, 1},
+		{"12 released twice into the log", [][]byte{claim("k", 1), release(1), claim("k", 1)}, Released, 1},
+		{"13 release before its claim", [][]byte{release(1), claim("k", 1)}, Released, 1},
+		{"14 unknown data", [][]byte{{0xff}, claim("k", 1)}, Held, 1},
+		{"15 no second claim after an outcome", [][]byte{claim("k", 1), outcome(1), claim("k", 2)}, Ran, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := NewTable()
+			fold(table, 1, c.records...)
+			e := table.Lookup(NewID("s", "k"))
+			assert.Equal(t, c.state, e.State)
+			assert.Equal(t, c.nonce, e.Nonce)
+		})
+	}
+}
+
+func timedKey(t time.Time) string {
+	u := uuid.Must(uuid.NewV7())
+	ms := t.UnixMilli()
+	for i := 5; i >= 0; i-- {
+		u[i] = byte(ms)
+		ms >>= 8
+	}
+	return u.String()
+}
+
+func TestCoverageAfterRetention(t *testing.T) {
+	table := NewTable()
+	fold(table, 1, claim("a", 1), claim("b", 2), claim("c", 3))
+	assert.True(t, table.Coverage().Covers("pay-17"))
+	table.Drop(2)
+	assert.Equal(t, 2, table.Len())
+	c := table.Coverage()
+	assert.False(t, c.Covers("pay-17"), "a key without age may have been dropped")
+	assert.False(t, c.Covers(timedKey(start)))
+	assert.False(t, c.Covers(timedKey(start.Add(KeySkew))))
+	assert.True(t, c.Covers(timedKey(start.Add(KeySkew+time.Millisecond))))
+}
+
+func TestRestartKnowsNothingBefore(t *testing.T) {
+	table := NewTable()
+	fold(table, 1, claim("k", 1))
+	table.Restart(5)
+	assert.False(t, table.Coverage().Covers(timedKey(start.Add(time.Hour))))
+	fold(table, 5, claim("x", 2))
+	assert.True(t, table.Coverage().Covers(timedKey(start.Add(time.Hour))))
+	assert.False(t, table.Coverage().Covers(timedKey(start)))
+}
+
+func TestKeyAheadOfTheLogDoesNotCount(t *testing.T) {
+	k := timedKey(start.Add(KeySkew + time.Second))
+	table := NewTable()
+	fold(table, 1, claim(k, 1))
+	assert.Equal(t, Free, table.Lookup(NewID("s", k)).State)
+	assert.Equal(t, uint64(1), table.Skipped())
+}
+
+// A key that a reader covers was never claimed before the reader's first record.
+func TestCoveredKeysAreNeverForgotten(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(r, "records")
+		all := NewTable()
+		log := make([]tlwire.LogRecord, n)
+		now := start
+		keys := map[string]bool{}
+		for i := range log {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(r, "seconds")) * time.Second)
+			skew := time.Duration(rapid.IntRange(-400, 400).Draw(r, "skew")) * time.Second
+			k := timedKey(now.Add(skew))
+			keys[k] = true
+			log[i] = tlwire.LogRecord{Offset: uint64(i + 1), Time: now, Data: claim(k, uint64(i+1))}
+			all.Apply(log[i])
+		}
+		oldest := uint64(rapid.IntRange(1, n).Draw(r, "oldest"))
+		late := NewTable()
+		if oldest > 1 {
+			late.Restart(oldest)
+		}
+		for _, l := range log[oldest-1:] {
+			late.Apply(l)
+		}
+		for k := range keys {
+			id := NewID("s", k)
+			if late.Coverage().Covers(k) {
+				require.Equal(r, all.Lookup(id), late.Lookup(id))
+			}
+		}
+	})
+}
+
+func BenchmarkFold(b *testing.B) {
+	log := make([]tlwire.LogRecord, 100_000)
+	for i := range log {
+		log[i] = tlwire.LogRecord{Offset: uint64(i + 1), Time: start, Data: claim(uuid.NewString(), uint64(i))}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		t := NewTable()
+		for _, r := range log {
+			t.Apply(r)
+		}
+	}
+}
--- a/core/tlverdict/error_test.go
+++ b/core/tlverdict/error_test.go
@@ -13,6 +13,7 @@
 	allowed := map[tlwire.Verdict][]int{
 		tlwire.VerdictNotRun:     {400, 403, 404, 405, 413, 429, 503},
 		tlwire.VerdictMayHaveRun: {502, 504, 409},
+		tlwire.VerdictRan:        {409},
 	}
 	for r, k := range kinds {
 		assert.Contains(t, allowed[k.verdict], k.status, r)
--- a/core/tlverdict/reason.go
+++ b/core/tlverdict/reason.go
@@ -17,6 +17,8 @@
 	MissingKey        Reason = "MissingKey"
 	KeyTooOld         Reason = "KeyTooOld"
 	KeyReused         Reason = "KeyReused"
+	KeyAhead          Reason = "KeyAhead"
+	AnswerNotKept     Reason = "AnswerNotKept"
 	UnknownService    Reason = "UnknownService"
 	UnknownModel      Reason = "UnknownModel"
 	UnknownPath       Reason = "UnknownPath"
--- a/core/tlwire/record.go
+++ b/core/tlwire/record.go
@@ -31,6 +31,10 @@
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer *StoredAnswer `json:"Answer,omitempty" yaml:"Answer,omitempty" cbor:"Answer,omitempty"`
 
+	// IsUnresolved says that the claim may still come into the log, so that it has to
+	// be released.
+	IsUnresolved bool `json:"IsUnresolved,omitempty" yaml:"IsUnresolved,omitempty" cbor:"IsUnresolved,omitempty"`
+
 	// Kind says whether to send, to repeat the stored answer or to refuse.
 	Kind ClaimAnswerKind `json:"Kind" yaml:"Kind" cbor:"Kind"`
 
@@ -54,6 +58,10 @@
 type ClaimCall struct {
 	// Claim corresponds to the JSON schema field "Claim".
 	Claim Claim `json:"Claim" yaml:"Claim" cbor:"Claim"`
+
+	// Wait is how long the answer may take, also while another claim of the key is
+	// held.
+	Wait time.Duration `json:"Wait" yaml:"Wait" cbor:"Wait"`
 }
 
 // ClaimNote asks the home of a claim's stream to append the end of a claim.
--- /dev/null
+++ b/io/tlledger/counter.go
@@ -0,0 +1,28 @@
+package tlledger
+
+// The counters of the ledger.
+const (
+	CountAppends          = "LogAppends"
+	CountRecords          = "LogRecords"
+	CountNotAppended      = "LogAppendRefused"
+	CountMayBeAppended    = "LogAppendUnanswered"
+	CountResolved         = "LogAppendFoundByReading"
+	CountReadFailed       = "LogReadFailed"
+	CountRetentionPassed  = "LogRetentionPassed"
+	CountSkipped          = "LogRecordsSkipped"
+	CountClaimsHeld       = "ClaimsHeld"
+	CountClaimsReplayed   = "ClaimsReplayed"
+	CountClaimsWaited     = "ClaimsWaited"
+	CountClaimsUnresolved = "ClaimsUnresolved"
+	CountNotesRetried     = "ClaimNotesRetried"
+	CountNotesDropped     = "ClaimNotesDropped"
+	CountHomeFailed       = "ClaimHomeFailed"
+)
+
+// CounterNames lists the counters of the ledger.
+var CounterNames = []string{
+	CountAppends, CountRecords, CountNotAppended, CountMayBeAppended, CountResolved,
+	CountReadFailed, CountRetentionPassed, CountSkipped, CountClaimsHeld,
+	CountClaimsReplayed, CountClaimsWaited, CountClaimsUnresolved,
+	CountNotesRetried, CountNotesDropped, CountHomeFailed,
+}
--- /dev/null
+++ b/io/tlledger/home.go
@@ -0,0 +1,184 @@
+package tlledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"trefoillanding/core/tlclaim"
+	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlwire"
+)
+
+const sweepEvery = time.Minute
+
+// HomeOptions sets up a Home.
+type HomeOptions struct {
+	// Log is the platform's log.
+	Log Log
+	// Streams is the number of streams that claims are spread over.
+	Streams int
+	// AppendsPerSecond is the budget of all streams of this home together.
+	AppendsPerSecond float64
+	// BatchDelay is how long an append waits for others to join it.
+	BatchDelay time.Duration
+	// Resolve bounds the wait for the log to take a claim and show it.
+	Resolve time.Duration
+	// Idle is how long a stream is folded after it was last asked about.
+	Idle time.Duration
+}
+
+// Home folds the claim streams that this instance is asked about.
+type Home struct {
+	options HomeOptions
+	limiter *rate.Limiter
+	stop    context.CancelFunc
+	done    chan struct{}
+
+	mu      sync.Mutex
+	streams map[int]*used
+}
+
+// used is a stream with the time it was last asked about.
+type used struct {
+	stream *Stream
+	last   time.Time
+	open   int
+}
+
+// NewHome returns a home that folds nothing yet.
+func NewHome(o HomeOptions) *Home {
+	ctx, stop := context.WithCancel(context.Background())
+	h := &Home{
+		options: o,
+		limiter: rate.NewLimiter(rate.Limit(o.AppendsPerSecond), 1),
+		stop:    stop,
+		done:    make(chan struct{}),
+		streams: map[int]*used{},
+	}
+	go h.sweep(ctx)
+	return h
+}
+
+// StreamName returns the log stream of a number.
+func StreamName(n int) string {
+	return fmt.Sprintf("claims-%d", n)
+}
+
+// Claim decides a claim of an instance.
+func (h *Home) Claim(ctx context.Context, c tlwire.ClaimCall) tlwire.ClaimAnswer {
+	if len(c.Claim.Digest) != len(tlclaim.Digest{}) {
+		return refusal(tlverdict.New(tlverdict.BadBody, "the digest has the wrong length"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	n := tlclaim.NewID(c.Claim.Service, c.Claim.Key).Stream(h.options.Streams)
+	s := h.enter(n)
+	defer h.leave(n)
+	return s.claim(ctx, c.Claim, h.options.Resolve)
+}
+
+// Note appends the end of a claim and returns once it is in the log.
+func (h *Home) Note(ctx context.Context, n tlwire.ClaimNote) (tlwire.ClaimNoteAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.options.Resolve)
+	defer cancel()
+	id, ok := idOf(n)
+	if !ok {
+		return tlwire.ClaimNoteAnswer{}, tlverdict.New(tlverdict.BadBody, "the note is empty")
+	}
+	i := id.Stream(h.options.Streams)
+	s := h.enter(i)
+	defer h.leave(i)
+	if err := s.note(ctx, n); err != nil {
+		return tlwire.ClaimNoteAnswer{}, err
+	}
+	return tlwire.ClaimNoteAnswer{IsAppended: true}, nil
+}
+
+// Keys returns the number of keys known in all streams.
+func (h *Home) Keys() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, u := range h.streams {
+		n += u.stream.Keys()
+	}
+	return n
+}
+
+// Close stops folding.
+func (h *Home) Close() {
+	h.stop()
+	<-h.done
+	h.mu.Lock()
+	streams := h.streams
+	h.streams = map[int]*used{}
+	h.mu.Unlock()
+	for _, u := range streams {
+		u.stream.Close()
+	}
+}
+
+// Done is closed when the home has ended.
+func (h *Home) Done() <-chan struct{} {
+	return h.done
+}
+
+func (h *Home) enter(n int) *Stream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u, ok := h.streams[n]
+	if !ok {
+		name := StreamName(n)
+		a := NewAppender(name, h.options.Log, h.limiter, h.options.BatchDelay)
+		u = &used{stream: NewStream(name, h.options.Log, a)}
+		h.streams[n] = u
+	}
+	u.open++
+	u.last = time.Now()
+	return u.stream
+}
+
+func (h *Home) leave(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if u, ok := h.streams[n]; ok {
+		u.open--
+		u.last = time.Now()
+	}
+}
+
+func (h *Home) sweep(ctx context.Context) {
+	defer close(h.done)
+	for sleep(ctx, sweepEvery) {
+		for _, s := range h.idle() {
+			s.Close()
+		}
+	}
+}
+
+func (h *Home) idle() []*Stream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var idle []*Stream
+	for n, u := range h.streams {
+		if u.open == 0 && time.Since(u.last) > h.options.Idle {
+			idle = append(idle, u.stream)
+			delete(h.streams, n)
+		}
+	}
+	return idle
+}
+
+func idOf(n tlwire.ClaimNote) (tlclaim.ID, bool) {
+	switch {
+	case n.Outcome != nil:
+		return tlclaim.NewID(n.Outcome.Service, n.Outcome.Key), true
+	case n.Release != nil:
+		return tlclaim.NewID(n.Release.Service, n.Release.Key), true
+	}
+	return tlclaim.ID{}, false
+}
--- /dev/null
+++ b/io/tlledger/log.go
@@ -0,0 +1,42 @@
+package tlledger
+
+import (
+	"context"
+	"time"
+
+	"trefoillanding/core/tlwire"
+)
+
+// Log is the platform's log, as a client gives it.
+type Log struct {
+	// Append appends records in one step and returns the first one's offset.
+	Append func(ctx context.Context, stream string, records [][]byte) (uint64, error)
+	// Read reads records from an offset on, waiting for the first.
+	Read func(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (tlwire.ReadResult, error)
+	// Count raises a counter.
+	Count func(name string, n int64)
+}
+
+// backoff returns the delay before the next try after n failures.
+func backoff(n int) time.Duration {
+	const first, most = 20 * time.Millisecond, time.Second
+	if n > 6 {
+		return most
+	}
+	return min(first<<n, most)
+}
+
+// sleep waits for d and says whether ctx lasted.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
