--- a/core/tlmember/home.go
+++ b/core/tlmember/home.go
@@ -1,6 +1,7 @@
 package tlmember
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,26 @@
 	return home
 }
 
+// Chosen returns the live instances of a data centre that rendezvous hashing
+// picks for a purpose, at most n, best first; of all live ones where none is in
+// the data centre or none is named.
+func (v *View) Chosen(purpose, dataCentre string, n int) []string {
+	v.refresh()
+	from, to := v.span(dataCentre)
+	if from == to {
+		from, to = 0, len(v.live)
+	}
+	picked := slices.Clone(v.live[from:to])
+	slices.SortFunc(picked, func(a, b Member) int {
+		return cmp.Compare(score(purpose, b.Name), score(purpose, a.Name))
+	})
+	var names []string
+	for _, m := range picked[:min(n, len(picked))] {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // span returns where the live instances of a data centre begin and end.
 func (v *View) span(dataCentre string) (int, int) {
 	compare := func(m Member, d string) int {
--- a/core/tlwire/config.go
+++ b/core/tlwire/config.go
@@ -2,9 +2,22 @@
 
 package tlwire
 
+import "github.com/fxamacker/cbor/v2"
 import "net/netip"
 import "time"
 
+// AppliedProposal remembers a proposal that won.
+type AppliedProposal struct {
+	// Author is who applied it.
+	Author string `json:"Author,omitempty" yaml:"Author,omitempty" cbor:"Author,omitempty"`
+
+	// Generation is what it became.
+	Generation uint64 `json:"Generation" yaml:"Generation" cbor:"Generation"`
+
+	// Nonce is the proposal's nonce.
+	Nonce string `json:"Nonce" yaml:"Nonce" cbor:"Nonce"`
+}
+
 // Bounds limit queues and retries.
 type Bounds struct {
 	// AnswerBytes is the longest answer kept with a claim.
@@ -56,6 +69,59 @@
 	Services []Service `json:"Services,omitempty" yaml:"Services,omitempty" cbor:"Services,omitempty"`
 }
 
+// ConfigChange is the content of a proposal: what differs from its base, taken as
+// a whole or not at all.
+type ConfigChange struct {
+	// Digest is the digest of the outcome.
+	Digest []byte `json:"Digest" yaml:"Digest" cbor:"Digest"`
+
+	// Gone are no longer declared.
+	Gone []ConfigItemName `json:"Gone,omitempty" yaml:"Gone,omitempty" cbor:"Gone,omitempty"`
+
+	// Items are new or differ.
+	Items []ConfigItem `json:"Items,omitempty" yaml:"Items,omitempty" cbor:"Items,omitempty"`
+}
+
+// ConfigItem is one named part of a configuration.
+type ConfigItem struct {
+	// Body is the part in CBOR; what a later version added to it is kept.
+	Body cbor.RawMessage `json:"Body" yaml:"Body" cbor:"Body"`
+
+	// Name is its name.
+	Name string `json:"Name" yaml:"Name" cbor:"Name"`
+
+	// Section is the list that it belongs to, such as Pools.
+	Section string `json:"Section" yaml:"Section" cbor:"Section"`
+}
+
+// ConfigItemName names a part of a configuration.
+type ConfigItemName struct {
+	// Name is its name.
+	Name string `json:"Name" yaml:"Name" cbor:"Name"`
+
+	// Section is the list that it belongs to.
+	Section string `json:"Section" yaml:"Section" cbor:"Section"`
+}
+
+// ConfigState is a whole configuration with its place in the log, as in snapshots
+// and between instances.
+type ConfigState struct {
+	// Applied are the latest proposals that won.
+	Applied []AppliedProposal `json:"Applied,omitempty" yaml:"Applied,omitempty" cbor:"Applied,omitempty"`
+
+	// Digest is the digest of the items.
+	Digest []byte `json:"Digest" yaml:"Digest" cbor:"Digest"`
+
+	// Generation is its number.
+	Generation uint64 `json:"Generation" yaml:"Generation" cbor:"Generation"`
+
+	// Items are all parts in order of section and name.
+	Items []ConfigItem `json:"Items,omitempty" yaml:"Items,omitempty" cbor:"Items,omitempty"`
+
+	// Offset is the last record that it takes in.
+	Offset uint64 `json:"Offset" yaml:"Offset" cbor:"Offset"`
+}
+
 // DataCentre is a place where instances and endpoints stand.
 type DataCentre struct {
 	// CallerDelay is the one-way delay to callers.
--- a/core/tlwire/peer.go
+++ b/core/tlwire/peer.go
@@ -29,6 +29,29 @@
 	RetryAfter time.Duration `json:"RetryAfter,omitempty" yaml:"RetryAfter,omitempty" cbor:"RetryAfter,omitempty"`
 }
 
+// FollowAnswer holds the records that were asked for, or a whole state where they
+// are no longer at hand.
+type FollowAnswer struct {
+	// Age is how long ago the sender last saw the log's end.
+	Age time.Duration `json:"Age,omitempty" yaml:"Age,omitempty" cbor:"Age,omitempty"`
+
+	// Records are in order of offset, without gaps.
+	Records []PassedRecord `json:"Records,omitempty" yaml:"Records,omitempty" cbor:"Records,omitempty"`
+
+	// State is a ConfigState in CBOR.
+	State []byte `json:"State,omitempty" yaml:"State,omitempty" cbor:"State,omitempty"`
+}
+
+// FollowCall asks a reader of the log for the records of the configuration from an
+// offset on.
+type FollowCall struct {
+	// Next is the first offset wanted; 0 asks for a whole state.
+	Next uint64 `json:"Next" yaml:"Next" cbor:"Next"`
+
+	// Wait is how long the answer may wait for a record.
+	Wait time.Duration `json:"Wait" yaml:"Wait" cbor:"Wait"`
+}
+
 // Gossip is what an instance tells its peers at each heartbeat.
 type Gossip struct {
 	// Draining says that the sender is leaving.
@@ -71,6 +94,21 @@
 	Token string `json:"Token,omitempty" yaml:"Token,omitempty" cbor:"Token,omitempty"`
 }
 
+// InForceAnswer tells which generation is in force.
+type InForceAnswer struct {
+	// Generation is in force at the instance that answers.
+	Generation uint64 `json:"Generation" yaml:"Generation" cbor:"Generation"`
+}
+
+// InForceCall asks an instance whether a generation is in force there.
+type InForceCall struct {
+	// Generation is waited for.
+	Generation uint64 `json:"Generation" yaml:"Generation" cbor:"Generation"`
+
+	// Wait is how long the answer may wait.
+	Wait time.Duration `json:"Wait" yaml:"Wait" cbor:"Wait"`
+}
+
 // InstanceLoad tells how busy an instance is.
 type InstanceLoad struct {
 	// Age is how old the figure is.
@@ -92,6 +130,18 @@
 	Open int `json:"Open" yaml:"Open" cbor:"Open"`
 }
 
+// PassedRecord is a record of the log that one instance passes on to another.
+type PassedRecord struct {
+	// Data is what was appended.
+	Data []byte `json:"Data" yaml:"Data" cbor:"Data"`
+
+	// Offset is its place.
+	Offset uint64 `json:"Offset" yaml:"Offset" cbor:"Offset"`
+
+	// Time is the service's clock at the append.
+	Time time.Time `json:"Time" yaml:"Time" cbor:"Time"`
+}
+
 // PoolSummary is what others know of a pool.
 type PoolSummary struct {
 	// Age is how old the summary is.
--- /dev/null
+++ b/io/tlconfigure/cluster_test.go
@@ -0,0 +1,229 @@
+package tlconfigure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"trefoillanding/core/tlconfig"
+	"trefoillanding/core/tlmember"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlpeer"
+)
+
+var (
+	errDown = errors.New("the log is down")
+	errLost = errors.New("the answer was lost")
+	errGone = errors.New("the offset is gone")
+)
+
+// fakeLog is the configuration's stream, with faults that a test switches on.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []tlwire.LogRecord
+	oldest  uint64
+	moved   chan struct{}
+	down    bool
+	lose    int
+	delay   time.Duration
+	reads   int
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{oldest: 1, moved: make(chan struct{})}
+}
+
+func (l *fakeLog) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+func (l *fakeLog) append(_ context.Context, data []byte) (uint64, error) {
+	time.Sleep(l.delay)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, errDown
+	}
+	at := uint64(len(l.records) + 1)
+	l.records = append(l.records, tlwire.LogRecord{Offset: at, Time: time.Now(), Data: data})
+	close(l.moved)
+	l.moved = make(chan struct{})
+	if l.lose > 0 {
+		l.lose--
+		return 0, errLost
+	}
+	return at, nil
+}
+
+func (l *fakeLog) read(ctx context.Context, from uint64, limit int, wait time.Duration) (tlwire.ReadResult, error) {
+	time.Sleep(l.delay)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		r, moved, err := l.slice(from, limit)
+		if err != nil || len(r.Records) > 0 {
+			return r, err
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return r, nil
+		}
+	}
+}
+
+func (l *fakeLog) slice(from uint64, limit int) (tlwire.ReadResult, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	r := tlwire.ReadResult{Oldest: l.oldest, Next: uint64(len(l.records) + 1)}
+	if l.down {
+		return r, nil, errDown
+	}
+	if from < l.oldest {
+		return r, nil, errGone
+	}
+	if from < r.Next {
+		r.Records = l.records[from-1:]
+		r.Records = r.Records[:min(limit, len(r.Records))]
+	}
+	return r, l.moved, nil
+}
+
+func (l *fakeLog) log() Log {
+	return Log{
+		Append: l.append,
+		Read:   l.read,
+		Oldest: func(err error) (uint64, bool) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.oldest, errors.Is(err, errGone)
+		},
+		NotAppended: func(err error) bool { return errors.Is(err, errDown) },
+	}
+}
+
+// instance is one entry instance with no more than a configurer.
+type instance struct {
+	mesh       *tlpeer.Mesh
+	gossip     *tlpeer.Gossip
+	configurer *Configurer
+	mu         sync.Mutex
+	counts     map[string]int64
+}
+
+func (i *instance) add(reason string, n int64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counts[reason] += n
+}
+
+func (i *instance) count(reason string) int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.counts[reason]
+}
+
+func testTimes() Times {
+	t := DefaultTimes()
+	t.Wait, t.Timeout, t.LagAfter = 2*time.Second, time.Second, 200*time.Millisecond
+	return t
+}
+
+func quietLogger() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return logrus.NewEntry(l)
+}
+
+func newInstance(tb testing.TB, l *fakeLog, name, dataCentre string, heartbeat time.Duration, t Times) *instance {
+	tb.Helper()
+	i := &instance{counts: map[string]int64{}}
+	m, err := tlpeer.New(tlpeer.Options{
+		Name: name, Incarnation: 1, DataCentre: dataCentre, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Heartbeat: heartbeat, SuspectAfter: 5 * time.Second, Idle: time.Minute,
+		Now: time.Now, Log: quietLogger(), Add: i.add,
+	})
+	require.NoError(tb, err)
+	i.mesh = m
+	i.gossip = tlpeer.NewGossip(m, tlpeer.GossipOptions{
+		Times: tlmember.Times{SuspectAfter: 5 * time.Second, GoneAfter: 10 * time.Second},
+		Self: func() tlpeer.Self {
+			g, _ := i.configurer.Current()
+			return tlpeer.Self{Generation: g}
+		},
+		Newer: func(peer string, g uint64) { i.configurer.Newer(peer, g) },
+	})
+	i.configurer = New(Options{
+		Name: name, DataCentre: dataCentre, Log: l.log(), Mesh: m, Gossip: i.gossip, Times: t,
+		Changed: func(uint64, *tlconfig.Config) {}, Now: time.Now, Logger: quietLogger(), Add: i.add,
+	})
+	tb.Cleanup(i.close)
+	return i
+}
+
+func (i *instance) close() {
+	i.configurer.Close()
+	i.mesh.Close()
+	<-i.mesh.Done()
+	<-i.configurer.Done()
+	<-i.gossip.Done()
+}
+
+// newCluster starts instances spread over data centres of the given size.
+func newCluster(tb testing.TB, l *fakeLog, count, perDataCentre int, heartbeat time.Duration, t Times) []*instance {
+	tb.Helper()
+	var all []*instance
+	var list tlwire.InstanceList
+	for n := range count {
+		name, dc := fmt.Sprintf("n%03d", n), fmt.Sprintf("d%02d", n/perDataCentre)
+		i := newInstance(tb, l, name, dc, heartbeat, t)
+		all = append(all, i)
+		list.Instances = append(list.Instances, tlwire.Instance{
+			Name: name, Kind: tlwire.InstanceKindEntry, DataCentre: dc,
+			PeerAddress: i.mesh.Address(), State: tlwire.InstanceStateLive,
+		})
+	}
+	for _, i := range all {
+		i.start(list)
+	}
+	return all
+}
+
+func (i *instance) start(list tlwire.InstanceList) {
+	i.gossip.SetInstances(list)
+	i.mesh.Start()
+	i.gossip.Start()
+	i.configurer.Start()
+}
+
+// declare returns a call that applies a small configuration with a mark in it.
+func declare(nonce string, pieces int) tlwire.ApplyCall {
+	data := fmt.Sprintf(`Services:
+  - {Name: llm, Kind: Completions, Models: [{Name: kiosk, Version: v1}]}
+Pools:
+  - Name: p
+    Service: llm
+    DataCentre: izmir
+    PieceTokens: %d
+    Engines: [{Name: a, Address: "127.0.0.1:7100", Role: Both}]
+`, pieces)
+	return tlwire.ApplyCall{Files: []tlwire.ApplyFile{{Name: "a.yaml", Data: []byte(data)}}, Nonce: nonce}
+}
+
+func soon(tb testing.TB) context.Context {
+	tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	tb.Cleanup(cancel)
+	return ctx
+}
--- /dev/null
+++ b/io/tlconfigure/configurer_test.go
@@ -0,0 +1,168 @@
+package tlconfigure
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlwire"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const beat = 100 * time.Millisecond
+
+func TestApplyComesIntoForceEverywhereAndFewReadTheLog(t *testing.T) {
+	l := newFakeLog()
+	all := newCluster(t, l, 10, 5, beat, testTimes())
+	for n := 1; n <= 3; n++ {
+		g, err := all[n].configurer.Apply(soon(t), declare(fmt.Sprint(n), n))
+		require.NoError(t, err)
+		assert.EqualValues(t, n, g)
+		assert.Empty(t, all[9].configurer.WaitInForce(soon(t), g))
+	}
+	followers := 0
+	for _, i := range all {
+		_, c := i.configurer.Current()
+		p, _ := c.Pool("p")
+		assert.Equal(t, 3, p.PieceTokens)
+		assert.EqualValues(t, 3, i.count("Accepted"), "each record is folded once")
+		if len(i.configurer.followed()) > 0 {
+			followers++
+		}
+		assert.Less(t, i.configurer.Age(), 5*time.Second)
+	}
+	assert.Equal(t, 4, followers, "three of each data centre read the log")
+}
+
+func TestOfRacingOperatorsOneWins(t *testing.T) {
+	l := newFakeLog()
+	l.delay = 20 * time.Millisecond
+	all := newCluster(t, l, 4, 2, beat, testTimes())
+	var w sync.WaitGroup
+	results := make([]error, len(all))
+	for n, i := range all {
+		w.Go(func() { _, results[n] = i.configurer.Apply(soon(t), declare(fmt.Sprint(n), 100+n)) })
+	}
+	w.Wait()
+	winners := 0
+	for n, err := range results {
+		if err == nil {
+			winners++
+			_, c := all[n].configurer.Current()
+			p, _ := c.Pool("p")
+			assert.Equal(t, 100+n, p.PieceTokens)
+			continue
+		}
+		assert.Equal(t, tlverdict.ConfigConflict, tlverdict.Of(err).Reason)
+		assert.Contains(t, err.Error(), "generation 1, applied through n00")
+	}
+	assert.Equal(t, 1, winners)
+	assert.Empty(t, all[0].configurer.WaitInForce(soon(t), 1))
+
+	call := declare("again", 7)
+	call.Base = 9
+	_, err := all[0].configurer.Apply(soon(t), call)
+	assert.Equal(t, tlverdict.ConfigConflict, tlverdict.Of(err).Reason)
+}
+
+func TestApplyWhoseAnswersAreLostAppliesOnce(t *testing.T) {
+	l := newFakeLog()
+	all := newCluster(t, l, 3, 3, beat, testTimes())
+	l.set(func() { l.lose = 2 })
+	g, err := all[0].configurer.Apply(soon(t), declare("n", 1))
+	require.NoError(t, err)
+	assert.EqualValues(t, 1, g)
+	assert.Len(t, l.records, 3)
+	g, err = all[1].configurer.Apply(soon(t), declare("n2", 2))
+	require.NoError(t, err)
+	assert.EqualValues(t, 2, g)
+	g, err = all[2].configurer.Apply(soon(t), declare("n", 1))
+	require.NoError(t, err, "a repeated call is answered as the first, though another came since")
+	assert.EqualValues(t, 1, g)
+	now, _ := all[2].configurer.Current()
+	assert.EqualValues(t, 2, now)
+}
+
+func TestOutage(t *testing.T) {
+	l := newFakeLog()
+	all := newCluster(t, l, 3, 3, beat, testTimes())
+	_, err := all[0].configurer.Apply(soon(t), declare("1", 1))
+	require.NoError(t, err)
+	require.Empty(t, all[0].configurer.WaitInForce(soon(t), 1))
+	l.set(func() { l.down = true })
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = all[0].configurer.Apply(ctx, declare("2", 2))
+	assert.Equal(t, tlverdict.LogUnavailable, tlverdict.Of(err).Reason)
+	assert.Equal(t, tlwire.VerdictNotRun, tlverdict.Of(err).Verdict)
+
+	n := newInstance(t, l, "new", "d00", beat, testTimes())
+	list := tlwire.InstanceList{}
+	for _, i := range append(all, n) {
+		name := "new"
+		if i != n {
+			name = i.configurer.o.Name
+		}
+		list.Instances = append(list.Instances, tlwire.Instance{
+			Name: name, Kind: tlwire.InstanceKindEntry, DataCentre: "d00",
+			PeerAddress: i.mesh.Address(), State: tlwire.InstanceStateLive,
+		})
+	}
+	n.start(list)
+	require.Eventually(t, func() bool {
+		g, _ := n.configurer.Current()
+		return g == 1
+	}, 5*time.Second, 5*time.Millisecond, "a new instance begins with a peer's state")
+
+	l.set(func() { l.down = false })
+	_, err = n.configurer.Apply(soon(t), declare("3", 3))
+	require.NoError(t, err)
+	assert.Empty(t, n.configurer.WaitInForce(soon(t), 2))
+}
+
+func TestANewInstanceAloneBeginsWithASnapshot(t *testing.T) {
+	l := newFakeLog()
+	times := testTimes()
+	times.SnapshotChanges, times.SnapshotEvery = 2, time.Hour
+	first := newCluster(t, l, 1, 1, beat, times)[0]
+	for n := 1; n <= 5; n++ {
+		_, err := first.configurer.Apply(soon(t), declare(fmt.Sprint(n), n))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return first.count(countSnapshot) >= 1 }, 8*time.Second, 10*time.Millisecond)
+	l.set(func() { l.oldest = uint64(len(l.records)) })
+	second := newCluster(t, l, 1, 1, beat, times)[0]
+	require.Eventually(t, func() bool {
+		g, _ := second.configurer.Current()
+		return g == 5
+	}, 5*time.Second, 5*time.Millisecond)
+	assert.EqualValues(t, 1, second.count("Restored"))
+	assert.EqualValues(t, 1, second.count(countRetention))
+}
+
+func TestAFollowerThatIsPassedNothingReadsTheLog(t *testing.T) {
+	l := newFakeLog()
+	all := newCluster(t, l, 5, 5, beat, testTimes())
+	_, err := all[0].configurer.Apply(soon(t), declare("1", 1))
+	require.NoError(t, err)
+	require.Empty(t, all[0].configurer.WaitInForce(soon(t), 1))
+	var follower *instance
+	for _, i := range all {
+		if len(i.configurer.followed()) > 0 {
+			follower = i
+		}
+	}
+	require.NotNil(t, follower)
+	follower.configurer.Newer("nobody", 99)
+	require.Eventually(t, func() bool { return follower.count(countLagging) > 0 && follower.count(countLogRead) > 1 }, 5*time.Second, 5*time.Millisecond)
+}
--- /dev/null
+++ b/io/tlconfigure/recent.go
@@ -0,0 +1,37 @@
+package tlconfigure
+
+import "trefoillanding/core/tlwire"
+
+// The bounds of the records kept for peers.
+const (
+	maxRecent      = 512
+	maxRecentBytes = 4 << 20
+)
+
+// recent holds the latest records of the log, without gaps, for peers that
+// follow this instance.
+type recent struct {
+	records []tlwire.LogRecord
+	bytes   int
+}
+
+func (r *recent) add(l tlwire.LogRecord) {
+	if n := len(r.records); n > 0 && r.records[n-1].Offset+1 != l.Offset {
+		*r = recent{}
+	}
+	r.records = append(r.records, l)
+	r.bytes += len(l.Data)
+	for len(r.records) > maxRecent || r.bytes > maxRecentBytes {
+		r.bytes -= len(r.records[0].Data)
+		r.records = r.records[1:]
+	}
+}
+
+// from returns the records from an offset on; false when it is no longer held.
+func (r *recent) from(offset uint64) ([]tlwire.LogRecord, bool) {
+	if len(r.records) == 0 || offset < r.records[0].Offset {
+		return nil, false
+	}
+	i := min(offset-r.records[0].Offset, uint64(len(r.records)))
+	return r.records[i:], true
+}
--- a/io/tlpeer/gossip.go
+++ b/io/tlpeer/gossip.go
@@ -118,6 +118,13 @@
 	return g.view.Home(pool, dataCentre)
 }
 
+// Chosen returns the live instances of a data centre picked for a purpose, best first.
+func (g *Gossip) Chosen(purpose, dataCentre string, n int) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view.Chosen(purpose, dataCentre, n)
+}
+
 // OwnerFate says whether an incarnation of an instance may still serve its streams.
 func (g *Gossip) OwnerFate(owner string, incarnation uint64) tlmember.Fate {
 	g.mu.Lock()
