--- a/core/tlsched/options.go
+++ b/core/tlsched/options.go
@@ -12,6 +12,8 @@
 	LateLane bool
 	// Admission refuses requests whose predicted wait is too long.
 	Admission bool
+	// Spill refuses requests that would miss their target here while their owner may ask another pool.
+	Spill bool
 	// Reserve takes decode memory before a prefill starts.
 	Reserve bool
 	// Bet starts prefills on memory that is about to be freed.
@@ -35,6 +37,8 @@
 
 	// PrefillDepth is the most prefills given to one engine at once.
 	PrefillDepth int
+	// PrefillLead is how long before an engine is idle it is given its next prefill.
+	PrefillLead time.Duration
 	// MostStreams is the most streams on one decode engine whatever the estimate says.
 	MostStreams int
 	// AssumedPieces is the memory of an engine that has not reported yet.
@@ -68,6 +72,7 @@
 		Slack:        true,
 		LateLane:     true,
 		Admission:    true,
+		Spill:        true,
 		Reserve:      true,
 		Bet:          true,
 		Prefix:       true,
@@ -80,12 +85,13 @@
 		Shed:         true,
 
 		PrefillDepth:   2,
+		PrefillLead:    10 * time.Millisecond,
 		MostStreams:    64,
 		AssumedPieces:  40,
 		AssumedAnswer:  300,
 		AnswerQuantile: 0.7,
 		LateShare:      0.03,
-		LateReserve:    0.05,
+		LateReserve:    0.2,
 		LookAhead:      4,
 		Attempts:       6,
 		RetryBurst:     4,
