Make racing operators in the test name their common base

Under load one run failed: an operator that began after the winner's record was in the log is no racer, and its apply rightly became the next generation.

--- a/io/tlconfigure/configurer_test.go
+++ b/io/tlconfigure/configurer_test.go
@@ -48,10 +48,14 @@
 	l := newFakeLog()
 	l.delay = 20 * time.Millisecond
 	all := newCluster(t, l, 4, 2, beat, testTimes())
+	_, err := all[0].configurer.Apply(soon(t), declare("first", 99))
+	require.NoError(t, err)
 	var w sync.WaitGroup
 	results := make([]error, len(all))
 	for n, i := range all {
-		w.Go(func() { _, results[n] = i.configurer.Apply(soon(t), declare(fmt.Sprint(n), 100+n)) })
+		call := declare(fmt.Sprint(n), 100+n)
+		call.Base = 1
+		w.Go(func() { _, results[n] = i.configurer.Apply(soon(t), call) })
 	}
 	w.Wait()
 	winners := 0
@@ -64,14 +68,14 @@
 			continue
 		}
 		assert.Equal(t, tlverdict.ConfigConflict, tlverdict.Of(err).Reason)
-		assert.Contains(t, err.Error(), "generation 1, applied through n00")
+		assert.Contains(t, err.Error(), "generation 2, applied through n00")
 	}
 	assert.Equal(t, 1, winners)
-	assert.Empty(t, all[0].configurer.WaitInForce(soon(t), 1))
+	assert.Empty(t, all[0].configurer.WaitInForce(soon(t), 2))
 
 	call := declare("again", 7)
 	call.Base = 9
-	_, err := all[0].configurer.Apply(soon(t), call)
+	_, err = all[0].configurer.Apply(soon(t), call)
 	assert.Equal(t, tlverdict.ConfigConflict, tlverdict.Of(err).Reason)
 }
 
