--- a/io/tlstandin/job.go
+++ b/io/tlstandin/job.go
@@ -1,6 +1,7 @@
 package tlstandin
 
 import (
+	"sync/atomic"
 	"time"
 
 	"trefoillanding/core/tlwire"
@@ -49,8 +50,14 @@
 	stallAt int
 	failAt  int
 	watch   *watcher
+
+	// ready is a copy of next for readers without the mutex, or ended.
+	ready atomic.Int64
 }
 
+// ended is the value of ready once a stream decodes no more.
+const ended = -1
+
 // watcher is one connection that reads a job's progress.
 type watcher struct {
 	wake chan struct{}
@@ -81,6 +88,7 @@
 		return
 	}
 	j.cause = cause
+	j.ready.Store(ended)
 	close(j.gone)
 	j.notify()
 }
--- a/io/tlstandin/stream.go
+++ b/io/tlstandin/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -68,6 +69,7 @@
 	if q.MaxTokens < j.stop {
 		j.stop, j.finish = q.MaxTokens, finishLength
 	}
+	j.ready.Store(int64(j.next))
 	j.stallAt, j.failAt = e.drawStops(j.first)
 	e.streams[q.Stream] = j
 	e.running[j] = struct{}{}
@@ -108,6 +110,7 @@
 // tokens stay for a while; it needs the mutex.
 func (e *Engine) finish(j *job) {
 	j.stage = tlwire.StageFinished
+	j.ready.Store(ended)
 	delete(e.running, j)
 	e.free += j.pieces
 	j.pieces = 0
@@ -150,6 +153,7 @@
 		e.finish(j)
 		return
 	}
+	j.ready.Store(int64(j.next))
 	j.notify()
 }
 
@@ -172,6 +176,9 @@
 }
 
 func (e *Engine) view(j *job) view {
+	if n := j.ready.Load(); n != ended {
+		return view{next: int(n), stop: math.MaxInt}
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return view{
