--- a/io/tlstandin/stream.go
+++ b/io/tlstandin/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -68,6 +69,7 @@
 	if q.MaxTokens < j.stop {
 		j.stop, j.finish = q.MaxTokens, finishLength
 	}
+	j.ready.Store(int64(j.next))
 	j.stallAt, j.failAt = e.drawStops(j.first)
 	e.streams[q.Stream] = j
 	e.running[j] = struct{}{}
@@ -108,6 +110,7 @@
 // tokens stay for a while; it needs the mutex.
 func (e *Engine) finish(j *job) {
 	j.stage = tlwire.StageFinished
+	j.ready.Store(ended)
 	delete(e.running, j)
 	e.free += j.pieces
 	j.pieces = 0
@@ -150,6 +153,7 @@
 		e.finish(j)
 		return
 	}
+	j.ready.Store(int64(j.next))
 	j.notify()
 }
 
@@ -172,6 +176,9 @@
 }
 
 func (e *Engine) view(j *job) view {
+	if n := j.ready.Load(); n != ended {
+		return view{next: int(n), stop: math.MaxInt}
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return view{
@@ -198,9 +205,13 @@
 		if _, err := w.Write(b); err != nil || c.Flush() != nil {
 			return
 		}
-		if l.isCut() {
+		if l.reached(l.cutAt) {
 			panic(http.ErrAbortHandler)
 		}
+		if l.reached(l.freezeAt) {
+			e.holdFrozen(r, j)
+			return
+		}
 		if ended {
 			return
 		}
@@ -215,36 +226,55 @@
 	}
 }
 
+// holdFrozen keeps a connection open until its reader leaves or the engine dies.
+func (e *Engine) holdFrozen(r *http.Request, j *job) {
+	select {
+	case <-r.Context().Done():
+		return
+	case <-j.gone:
+	}
+	if e.view(j).cause == goneKilled {
+		panic(http.ErrAbortHandler)
+	}
+	<-r.Context().Done()
+}
+
 // lines writes token events.
 type lines struct {
 	attempt []byte
 	crossed []byte
 	seed    uint64
 	index   int
-	cutAt   int
-	faults  *Faults
-	set     tlwire.Faults
-	buffer  []byte
+	// cutAt and freezeAt are where faults stop the reader; -1 is nowhere.
+	cutAt    int
+	freezeAt int
+	faults   *Faults
+	set      tlwire.Faults
+	buffer   []byte
 }
 
 func newLines(attempt string, seed uint64, first int, f *Faults) *lines {
 	l := &lines{
-		attempt: prefix(attempt),
-		crossed: prefix(crossedAttempt),
-		seed:    seed,
-		index:   first,
-		cutAt:   -1,
-		faults:  f,
-		set:     f.Get(),
+		attempt:  prefix(attempt),
+		crossed:  prefix(crossedAttempt),
+		seed:     seed,
+		index:    first,
+		cutAt:    -1,
+		freezeAt: -1,
+		faults:   f,
+		set:      f.Get(),
 	}
 	if f.draw(l.set.CutStreams) {
 		l.cutAt = first + l.set.StopAfter
 	}
+	if f.draw(l.set.FreezeStreams) {
+		l.freezeAt = first + l.set.StopAfter
+	}
 	return l
 }
 
-func (l *lines) isCut() bool {
-	return l.cutAt >= 0 && l.index >= l.cutAt
+func (l *lines) reached(index int) bool {
+	return index >= 0 && l.index >= index
 }
 
 // upTo returns the events that a view adds, and whether they end the answer.
@@ -254,7 +284,7 @@
 		l.event(l.attempt, l.index, s.finish, false)
 		return l.buffer, true
 	}
-	for l.index < s.next && !l.isCut() {
+	for l.index < s.next && !l.reached(l.cutAt) && !l.reached(l.freezeAt) {
 		l.token(s)
 	}
 	if s.cause != "" {
