--- a/io/tlstandin/engine.go
+++ b/io/tlstandin/engine.go
@@ -50,6 +50,13 @@
 // NewEngine returns an engine with these models loaded; it runs until Close.
 func NewEngine(c tlwire.Engine, l []tlwire.Model, b Behaviour) *Engine {
 	x, cancel := context.WithCancel(context.Background())
+	e := newEngine(c, l, b)
+	e.cancel = cancel
+	go e.run(x)
+	return e
+}
+
+func newEngine(c tlwire.Engine, l []tlwire.Model, b Behaviour) *Engine {
 	e := &Engine{
 		name:    c.Name,
 		address: c.Address,
@@ -57,7 +64,6 @@
 		set:     b,
 		faults:  NewFaults(),
 		client:  &http.Client{Transport: &http.Transport{}},
-		cancel:  cancel,
 		done:    make(chan struct{}),
 		queued:  make(chan struct{}, 1),
 		role:    c.Role,
@@ -66,7 +72,6 @@
 	}
 	e.reset()
 	e.handler = e.routes()
-	go e.run(x)
 	return e
 }
 
--- a/io/tlstandin/export.go
+++ b/io/tlstandin/export.go
@@ -9,13 +9,13 @@
 // export tells an importing engine what is held, and keeps it for as long as
 // that engine leaves the answer open.
 func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
-	j := e.pin(r.PathValue("handle"))
+	j, x := e.pin(r.PathValue("handle"))
 	if j == nil {
 		refuse(w, http.StatusNotFound, reasonUnknown, "no such cache is held")
 		return
 	}
 	defer e.unpin(j)
-	answer(w, tlwire.Export{Attempt: j.attempt, Prompt: j.prompt, Tokens: j.tokens, Bytes: j.bytes})
+	answer(w, x)
 	_ = http.NewResponseController(w).Flush()
 	select {
 	case <-r.Context().Done():
@@ -24,16 +24,16 @@
 	}
 }
 
-func (e *Engine) pin(handle string) *job {
+func (e *Engine) pin(handle string) (*job, tlwire.Export) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for _, j := range e.prefills {
 		if j.handle == handle && handle != "" {
 			j.pins++
-			return j
+			return j, tlwire.Export{Attempt: j.attempt, Prompt: j.prompt, Tokens: j.tokens, Bytes: j.bytes}
 		}
 	}
-	return nil
+	return nil, tlwire.Export{}
 }
 
 func (e *Engine) unpin(j *job) {
--- a/io/tlstandin/import.go
+++ b/io/tlstandin/import.go
@@ -180,7 +180,7 @@
 	if j.cause == "" && j.stage == tlwire.StageImporting {
 		j.stage = tlwire.StageHeld
 		close(j.ended)
-		time.AfterFunc(e.set.ImportedFor, func() { e.lapseImport(j) })
+		j.lapse = time.AfterFunc(e.set.ImportedFor, func() { e.lapseImport(j) })
 	}
 	return true
 }
--- a/io/tlstandin/job.go
+++ b/io/tlstandin/job.go
@@ -38,6 +38,7 @@
 	bytes  int64
 	pins   int
 	lapsed bool
+	lapse  *time.Timer
 
 	moved int64
 
@@ -89,6 +90,10 @@
 	}
 	j.cause = cause
 	j.ready.Store(ended)
+	j.prompt = ""
+	if j.lapse != nil {
+		j.lapse.Stop()
+	}
 	close(j.gone)
 	j.notify()
 }
--- a/io/tlstandin/prefill.go
+++ b/io/tlstandin/prefill.go
@@ -174,7 +174,7 @@
 	j.handle = fmt.Sprintf("%s-%d", e.name, e.handles)
 	j.stage = tlwire.StageHeld
 	close(j.ended)
-	time.AfterFunc(e.set.HoldFor, func() { e.lapsePrefill(j) })
+	j.lapse = time.AfterFunc(e.set.HoldFor, func() { e.lapsePrefill(j) })
 }
 
 // lapsePrefill forgets a held result unless an engine is fetching it.
--- a/io/tlstandin/step.go
+++ b/io/tlstandin/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 )
@@ -19,6 +20,7 @@
 	var g sync.WaitGroup
 	g.Go(func() { e.runPrefills(c) })
 	g.Go(func() { e.runSteps(c) })
+	g.Go(func() { e.runTombstones(c) })
 	g.Wait()
 }
 
@@ -55,7 +57,7 @@
 	}
 }
 
-// keepReport keeps a load report where reports lag, and forgets old tombstones.
+// keepReport keeps a load report where reports lag.
 func (e *Engine) keepReport(now time.Time) {
 	lag := e.faults.Get().LoadLag
 	e.mutex.Lock()
@@ -66,9 +68,24 @@
 	if len(e.reports) > reportsKept {
 		e.reports = e.reports[len(e.reports)-reportsKept:]
 	}
-	for a, t := range e.tombstones {
-		if now.Sub(t) > tombstoneFor {
-			delete(e.tombstones, a)
+}
+
+func (e *Engine) runTombstones(c context.Context) {
+	t := time.NewTicker(tombstoneFor / 4)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			e.forgetTombstones(now)
+		case <-c.Done():
+			return
 		}
 	}
 }
+
+// forgetTombstones forgets cancels that nothing can come for any more.
+func (e *Engine) forgetTombstones(now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	maps.DeleteFunc(e.tombstones, func(_ string, t time.Time) bool { return now.Sub(t) > tombstoneFor })
+}
--- a/io/tlstandin/stream.go
+++ b/io/tlstandin/stream.go
@@ -1,10 +1,8 @@
 package tlstandin
 
 import (
-	"encoding/json"
 	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"trefoillanding/core/tlwire"
@@ -13,8 +11,6 @@
 const (
 	finishStop   = "stop"
 	finishLength = "length"
-	// crossedAttempt is the attempt of the tokens that a fault mixes in.
-	crossedAttempt = "another-attempt"
 )
 
 func (e *Engine) decode(w http.ResponseWriter, r *http.Request) {
@@ -66,6 +62,7 @@
 	j.owner, j.incarnation = q.Owner, q.Incarnation
 	j.seed, j.first, j.next = seedOf(o), q.FirstIndex, q.FirstIndex
 	j.stop, j.finish = e.set.Length(o), finishStop
+	j.prompt = ""
 	if q.MaxTokens < j.stop {
 		j.stop, j.finish = q.MaxTokens, finishLength
 	}
@@ -115,7 +112,7 @@
 	e.free += j.pieces
 	j.pieces = 0
 	e.wakePrefill()
-	time.AfterFunc(e.set.FinishedFor, func() { e.dropDecodeNow(j, goneLapsed) })
+	j.lapse = time.AfterFunc(e.set.FinishedFor, func() { e.dropDecodeNow(j, goneLapsed) })
 	j.notify()
 }
 
@@ -238,117 +235,3 @@
 	}
 	<-r.Context().Done()
 }
-
-// lines writes token events.
-type lines struct {
-	attempt []byte
-	crossed []byte
-	seed    uint64
-	index   int
-	// cutAt and freezeAt are where faults stop the reader; -1 is nowhere.
-	cutAt    int
-	freezeAt int
-	faults   *Faults
-	set      tlwire.Faults
-	buffer   []byte
-}
-
-func newLines(attempt string, seed uint64, first int, f *Faults) *lines {
-	l := &lines{
-		attempt:  prefix(attempt),
-		crossed:  prefix(crossedAttempt),
-		seed:     seed,
-		index:    first,
-		cutAt:    -1,
-		freezeAt: -1,
-		faults:   f,
-		set:      f.Get(),
-	}
-	if f.draw(l.set.CutStreams) {
-		l.cutAt = first + l.set.StopAfter
-	}
-	if f.draw(l.set.FreezeStreams) {
-		l.freezeAt = first + l.set.StopAfter
-	}
-	return l
-}
-
-func (l *lines) reached(index int) bool {
-	return index >= 0 && l.index >= index
-}
-
-// upTo returns the events that a view adds, and whether they end the answer.
-func (l *lines) upTo(s view) ([]byte, bool) {
-	l.buffer = l.buffer[:0]
-	if s.done && l.index >= s.stop {
-		l.event(l.attempt, l.index, s.finish, false)
-		return l.buffer, true
-	}
-	for l.index < s.next && !l.reached(l.cutAt) && !l.reached(l.freezeAt) {
-		l.token(s)
-	}
-	if s.cause != "" {
-		l.buffer = append(l.buffer, l.error(s.cause)...)
-		return l.buffer, true
-	}
-	return l.buffer, s.done && l.index >= s.stop
-}
-
-// token adds one token with the faults that are switched on.
-func (l *lines) token(s view) {
-	finish := ""
-	if l.index == s.stop-1 {
-		finish = s.finish
-	}
-	if l.faults.draw(l.set.CrossShare) {
-		l.event(l.crossed, l.index, "", true)
-	}
-	if !l.faults.draw(l.set.SkipShare) {
-		l.event(l.attempt, l.index, finish, true)
-	}
-	if l.faults.draw(l.set.RepeatShare) {
-		l.event(l.attempt, l.index, finish, true)
-	}
-	l.index++
-}
-
-func (l *lines) event(start []byte, index int, finish string, text bool) {
-	b := append(l.buffer, start...)
-	b = strconv.AppendInt(b, int64(index), 10)
-	b = append(b, `,"Text":"`...)
-	if text {
-		b = appendToken(b, l.seed, index)
-	}
-	b = append(b, '"')
-	if finish != "" {
-		b = append(b, `,"Finish":"`...)
-		b = append(b, finish...)
-		b = append(b, '"')
-	}
-	l.buffer = append(b, '}', '\n')
-}
-
-func (l *lines) error(cause string) []byte {
-	b, err := json.Marshal(tlwire.TokenEvent{Attempt: l.name(), Index: l.index, Error: cause})
-	if err != nil {
-		panic(err)
-	}
-	return append(b, '\n')
-}
-
-// name returns the attempt that the lines belong to.
-func (l *lines) name() string {
-	var v struct{ Attempt string }
-	_ = json.Unmarshal(append(append([]byte{}, l.attempt[:len(l.attempt)-len(`,"Index":`)]...), '}'), &v)
-	return v.Attempt
-}
-
-// prefix returns the start of every event of an attempt.
-func prefix(attempt string) []byte {
-	q, err := json.Marshal(attempt)
-	if err != nil {
-		panic(err)
-	}
-	b := append([]byte(`{"Attempt":`), q...)
-	return append(b, `,"Index":`...)
-}
