--- a/core/tlbaseline/maker.go
+++ b/core/tlbaseline/maker.go
@@ -27,6 +27,8 @@
 	Prefill func(engine string) *tlmodel.PrefillEngine
 	Decode  func(engine string) *tlmodel.DecodeEngine
 	Model   tlwire.EngineModel
+	// LargestCost returns the cost up to which all requests together just fit.
+	LargestCost func() float64
 }
 
 // Maker names a policy and makes it for a pool.
@@ -36,8 +38,13 @@
 	Make  func(p tlwire.Pool, s tlwire.Service, o []tlwire.Organisation, r *rand.Rand, t Truth) Policy
 }
 
-// Makers lists every policy, the program's own first.
+// Makers lists every policy, the program's own first and without one of its
+// mechanisms last.
 func Makers() []Maker {
+	return append(whole(), Ablations()...)
+}
+
+func whole() []Maker {
 	return []Maker{
 		{Name: "Scheduler", Scope: ScopePool, Make: makeScheduler},
 		{Name: "SchedulerWithoutHomes", Scope: ScopeInstance, Make: makeScheduler},
@@ -46,6 +53,7 @@
 		{Name: "TwoChoices", Scope: ScopeInstance, Make: makeTwoChoices},
 		{Name: "Oracle", Scope: ScopeAll, Make: makeOracle},
 		{Name: "OracleSmallestFirst", Scope: ScopeAll, Make: makeSmallestFirst},
+		{Name: "OracleWithoutLarge", Scope: ScopeAll, Make: makeWithoutLarge},
 	}
 }
 
@@ -82,3 +90,9 @@
 func makeSmallestFirst(p tlwire.Pool, _ tlwire.Service, o []tlwire.Organisation, _ *rand.Rand, t Truth) Policy {
 	return newOracle(p, o, t, bySize).Policy()
 }
+
+func makeWithoutLarge(p tlwire.Pool, _ tlwire.Service, o []tlwire.Organisation, _ *rand.Rand, t Truth) Policy {
+	n := newOracle(p, o, t, byFairness)
+	n.largest = t.LargestCost()
+	return n.Policy()
+}
--- a/io/tlengine/client_test.go
+++ b/io/tlengine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -26,26 +27,36 @@
 // bench is a client before one prefill and one decode engine.
 type bench struct {
 	*tlstandin.Deployment
-	client *tlengine.Client
-	mutex  sync.Mutex
-	counts map[string]int64
+	client  *tlengine.Client
+	decoder string
+	mutex   sync.Mutex
+	counts  map[string]int64
 }
 
 func newBench(t testing.TB, change func(*tlstandin.Behaviour, *tlengine.Options)) *bench {
+	return newBenchOf(t, 1, change)
+}
+
+// newBenchOf has several decode engines, d, d1, d2 and so on.
+func newBenchOf(t testing.TB, decoders int, change func(*tlstandin.Behaviour, *tlengine.Options)) *bench {
 	s, o := tlstandin.NewBehaviour(), tlengine.NewOptions()
 	s.TokenEvery = 500 * time.Microsecond
 	b := &bench{counts: map[string]int64{}}
 	o.Count = b.count
 	change(&s, &o)
+	engines := []tlwire.Engine{
+		{Name: "p", Address: tlstandin.AnyPort, Role: tlwire.RolePrefill},
+		{Name: "d", Address: tlstandin.AnyPort, Role: tlwire.RoleDecode},
+	}
+	for i := 1; i < decoders; i++ {
+		engines = append(engines, tlwire.Engine{Name: fmt.Sprint("d", i), Address: tlstandin.AnyPort, Role: tlwire.RoleDecode})
+	}
 	d, err := tlstandin.NewDeployment(tlwire.Config{
 		Services: []tlwire.Service{{Name: "kiosk-llm", Models: []tlwire.Model{{Name: "menu", Version: "1"}}}},
-		Pools: []tlwire.Pool{{Name: "izmir", Service: "kiosk-llm", Engines: []tlwire.Engine{
-			{Name: "p", Address: tlstandin.AnyPort, Role: tlwire.RolePrefill},
-			{Name: "d", Address: tlstandin.AnyPort, Role: tlwire.RoleDecode},
-		}}},
+		Pools:    []tlwire.Pool{{Name: "izmir", Service: "kiosk-llm", Engines: engines}},
 	}, tlstandin.AnyPort, nil, s)
 	require.NoError(t, err)
-	b.Deployment, b.client = d, tlengine.New(o)
+	b.Deployment, b.client, b.decoder = d, tlengine.New(o), "d"
 	t.Cleanup(func() {
 		x, stop := context.WithTimeout(t.Context(), 0)
 		defer stop()
@@ -74,14 +85,14 @@
 }
 
 func (b *bench) load(x context.Context, attempt string, p tlwire.PrefillResult) error {
-	return b.client.Import(x, b.Servers()["d"], tlwire.ImportRequest{
+	return b.client.Import(x, b.Servers()[b.decoder], tlwire.ImportRequest{
 		Attempt: attempt, Request: "r", Owner: "izmir-1", Incarnation: 1,
 		Source: b.Servers()["p"], Handle: p.Handle, Tokens: p.Tokens, Pieces: 1,
 	}, nil)
 }
 
 func (b *bench) decode(x context.Context, attempt string, first int) (*tlengine.Stream, error) {
-	return b.client.Decode(x, b.Servers()["d"], tlwire.DecodeRequest{
+	return b.client.Decode(x, b.Servers()[b.decoder], tlwire.DecodeRequest{
 		Attempt: attempt, Stream: attempt, Request: "r", Owner: "izmir-1", Incarnation: 1,
 		Model: "menu", FirstIndex: first, MaxTokens: 1 << 20,
 	})
@@ -93,12 +104,26 @@
 	})
 }
 
-// open brings an attempt to its first token.
+// at is the bench with another decode engine.
+func (b *bench) at(decoder string) *bench {
+	return &bench{Deployment: b.Deployment, client: b.client, decoder: decoder}
+}
+
+// try brings an attempt to the start of its stream.
+func (b *bench) try(x context.Context, attempt, prompt string) (*tlengine.Stream, error) {
+	p, err := b.prefill(x, attempt, prompt)
+	if err != nil {
+		return nil, err
+	}
+	err = b.load(x, attempt, p)
+	if err != nil {
+		return nil, err
+	}
+	return b.decode(x, attempt, 0)
+}
+
 func (b *bench) open(t testing.TB, attempt, prompt string) *tlengine.Stream {
-	p, err := b.prefill(t.Context(), attempt, prompt)
-	require.NoError(t, err)
-	require.NoError(t, b.load(t.Context(), attempt, p))
-	s, err := b.decode(t.Context(), attempt, 0)
+	s, err := b.try(t.Context(), attempt, prompt)
 	require.NoError(t, err)
 	return s
 }
@@ -156,10 +181,11 @@
 		cause  string
 	}{
 		{"connection cut", tlwire.Faults{CutStreams: 1, StopAfter: 20}, "Lost"},
+		{"connection frozen", tlwire.Faults{FreezeStreams: 1, StopAfter: 20}, "Stalled"},
 		{"token left out", tlwire.Faults{Seed: 1, SkipShare: 0.05}, "Gap"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			b := newBench(t, plain)
+			b := newBench(t, func(_ *tlstandin.Behaviour, o *tlengine.Options) { o.TokenStall = 100 * time.Millisecond })
 			b.Engines["d"].Faults().Set(c.faults)
 			s := b.open(t, "a", "answer=100")
 			defer s.Close()
@@ -272,14 +298,7 @@
 		}},
 		{"decoding", tlwire.StageDecoding, func(b *bench, x context.Context) error {
 			b.Engines["d"].Faults().Set(tlwire.Faults{StallStreams: 1})
-			p, err := b.prefill(x, "a", "menu")
-			if err != nil {
-				return err
-			}
-			if err = b.load(x, "a", p); err != nil {
-				return err
-			}
-			s, err := b.decode(x, "a", 0)
+			s, err := b.try(x, "a", "menu")
 			if err != nil {
 				return err
 			}
@@ -325,6 +344,8 @@
 		{"call dropped", tlwire.Faults{DropShare: 1}},
 		{"outage", tlwire.Faults{Outage: true}},
 		{"half open", tlwire.Faults{HalfOpen: true}},
+		{"answered late", tlwire.Faults{LateShare: 1, LateBy: 200 * time.Millisecond}},
+		{"answered under another attempt", tlwire.Faults{CrossAnswers: 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBench(t, func(_ *tlstandin.Behaviour, o *tlengine.Options) { o.CallTimeout = 50 * time.Millisecond })
@@ -344,6 +365,20 @@
 	}
 }
 
+func TestCrossedAnswersAreNotTakenForOurs(t *testing.T) {
+	b := newBench(t, plain)
+	f := tlwire.Faults{CrossAnswers: 1}
+	b.Engines["p"].Faults().Set(f)
+	_, err := b.prefill(t.Context(), "a", "menu")
+	require.ErrorContains(t, err, "Crossed")
+	b.Engines["p"].Faults().Set(tlwire.Faults{})
+	p, err := b.prefill(t.Context(), "b", "menu")
+	require.NoError(t, err)
+	b.Engines["d"].Faults().Set(f)
+	require.Error(t, b.load(t.Context(), "b", p))
+	require.Positive(t, b.counted(tlengine.CountCrossed))
+}
+
 func TestRefusalsSayWhetherTheWorkRan(t *testing.T) {
 	b := newBench(t, plain)
 	_, err := b.decode(t.Context(), "never", 0)
--- a/io/tlplatform/client_test.go
+++ b/io/tlplatform/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -31,6 +32,11 @@
 	}
 }
 
+func stall(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 func TestAppendTellsWhetherItMayHaveTakenEffect(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -41,7 +47,7 @@
 		{"2 server error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, false},
 		{"3 unavailable", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, false},
 		{"4 answer lost", hangUp, false},
-		{"5 answer stalled", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, false},
+		{"5 answer stalled", stall, false},
 		{"6 answer cut", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"First`)) }, false},
 	}
 	for _, c := range cases {
--- a/io/tlstandin/prefill.go
+++ b/io/tlstandin/prefill.go
@@ -32,7 +32,7 @@
 func (e *Engine) answerPrefill(w http.ResponseWriter, j *job) {
 	e.mutex.Lock()
 	cause, v := j.cause, tlwire.PrefillResult{
-		Attempt:      j.attempt,
+		Attempt:      e.faults.attempt(j.attempt),
 		Handle:       j.handle,
 		Tokens:       j.tokens,
 		CachedTokens: j.cached,
@@ -174,7 +174,7 @@
 	j.handle = fmt.Sprintf("%s-%d", e.name, e.handles)
 	j.stage = tlwire.StageHeld
 	close(j.ended)
-	time.AfterFunc(e.set.HoldFor, func() { e.lapsePrefill(j) })
+	j.lapse = time.AfterFunc(e.set.HoldFor, func() { e.lapsePrefill(j) })
 }
 
 // lapsePrefill forgets a held result unless an engine is fetching it.
