--- /dev/null
+++ b/agreement.go
@@ -0,0 +1,147 @@
+package trefoillanding
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlconfigure"
+	"trefoillanding/io/tlentry"
+	"trefoillanding/io/tlledger"
+	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlplain"
+	"trefoillanding/io/tlplatform"
+)
+
+// The kinds of messages about claims.
+const (
+	kindClaim = "Claim"
+	kindNote  = "ClaimNote"
+)
+
+const (
+	// claimResolve bounds the wait for the log to take a claim and show it.
+	claimResolve = 5 * time.Second
+	// claimWait bounds a claim of a call without a deadline.
+	claimWait = 10 * time.Second
+	// claimStreamIdle is how long a claim stream is folded after its last use.
+	claimStreamIdle = 10 * time.Minute
+	// noteTimeout bounds one message about the end of a claim.
+	noteTimeout = 6 * time.Second
+)
+
+func (i *Instance) configureOptions() tlconfigure.Options {
+	p := i.platform
+	return tlconfigure.Options{
+		Name:       i.settings.Name,
+		DataCentre: i.settings.DataCentre,
+		Log: tlconfigure.Log{
+			Append: func(ctx context.Context, record []byte) (uint64, error) {
+				return p.Append(ctx, tlconfigure.Stream, [][]byte{record})
+			},
+			Read: func(ctx context.Context, from uint64, limit int, wait time.Duration) (tlwire.ReadResult, error) {
+				return p.Read(ctx, tlconfigure.Stream, from, limit, wait)
+			},
+			Oldest:      oldestOf,
+			NotAppended: isNotAppended,
+		},
+		Mesh:    i.mesh,
+		Gossip:  i.gossip,
+		Times:   tlconfigure.DefaultTimes(),
+		Changed: i.use,
+		Now:     time.Now,
+		Logger:  i.log,
+		Add:     i.metrics.Group("Configuration", tlconfigure.CounterNames...).Add,
+	}
+}
+
+func oldestOf(err error) (uint64, bool) {
+	var r *tlplatform.RetentionError
+	if errors.As(err, &r) {
+		return r.Oldest, true
+	}
+	return 0, false
+}
+
+func isNotAppended(err error) bool {
+	var n *tlplatform.NotAppendedError
+	return errors.As(err, &n)
+}
+
+func (i *Instance) claimOptions() tlledger.HomeOptions {
+	p := i.settings.Platform
+	return tlledger.HomeOptions{
+		Log: tlledger.Log{
+			Append: i.platform.Append,
+			Read:   i.platform.Read,
+			Count:  i.metrics.Group("Claims", tlledger.CounterNames...).Add,
+		},
+		Streams:          p.ClaimStreams,
+		AppendsPerSecond: p.AppendsPerSecond,
+		BatchDelay:       p.BatchDelay,
+		Resolve:          claimResolve,
+		Idle:             claimStreamIdle,
+	}
+}
+
+func (i *Instance) ledgerOptions() tlledger.LedgerOptions {
+	return tlledger.LedgerOptions{
+		Streams:     i.settings.Platform.ClaimStreams,
+		Instance:    i.settings.Name,
+		Incarnation: i.incarnation,
+		Wait:        claimWait,
+		HomeOf:      func(stream int) string { return i.gossip.Home(tlledger.StreamName(stream), "") },
+		Claim:       i.claimAt,
+		Note:        i.noteAt,
+		Nonce:       rand.Uint64,
+		Count:       i.metrics.Group("Claims").Add,
+	}
+}
+
+func (i *Instance) handleClaims() {
+	tlpeer.Handle(i.mesh, kindClaim, func(ctx context.Context, _ tlpeer.Peer, c tlwire.ClaimCall) (tlwire.ClaimAnswer, error) {
+		return i.claims.Claim(ctx, c), nil
+	})
+	tlpeer.Handle(i.mesh, kindNote, func(ctx context.Context, _ tlpeer.Peer, n tlwire.ClaimNote) (tlwire.ClaimNoteAnswer, error) {
+		return i.claims.Note(ctx, n)
+	})
+}
+
+func (i *Instance) claimAt(ctx context.Context, home string, c tlwire.ClaimCall) (tlwire.ClaimAnswer, error) {
+	if home == i.settings.Name {
+		return i.claims.Claim(ctx, c), nil
+	}
+	ctx, stop := context.WithTimeout(ctx, c.Wait+peerTimeout)
+	defer stop()
+	return tlpeer.Call[tlwire.ClaimCall, tlwire.ClaimAnswer](ctx, i.mesh, home, kindClaim, c)
+}
+
+func (i *Instance) noteAt(ctx context.Context, home string, n tlwire.ClaimNote) (tlwire.ClaimNoteAnswer, error) {
+	if home == i.settings.Name {
+		return i.claims.Note(ctx, n)
+	}
+	ctx, stop := context.WithTimeout(ctx, noteTimeout)
+	defer stop()
+	return tlpeer.Call[tlwire.ClaimNote, tlwire.ClaimNoteAnswer](ctx, i.mesh, home, kindNote, n)
+}
+
+func (i *Instance) plainOptions() tlplain.Options {
+	return tlplain.Options{
+		DataCentre: i.settings.DataCentre,
+		Leaving:    i.leaving,
+		Ledger: tlplain.Ledger{
+			Claim:   i.ledger.Claim,
+			Outcome: i.ledger.Outcome,
+			Release: i.ledger.Release,
+		},
+		Now:   time.Now,
+		Count: i.metrics.Group("Plain", tlplain.CounterNames...).Count,
+	}
+}
+
+func (i *Instance) plain(ctx context.Context, s tlwire.Service, c tlentry.PlainCall) (tlentry.PlainAnswer, error) {
+	a, err := i.plains.Do(ctx, s, tlplain.Call(c))
+	return tlentry.PlainAnswer(a), err
+}
--- a/cmd/trefoillanding/apply.go
+++ b/cmd/trefoillanding/apply.go
@@ -12,8 +12,6 @@
 	"trefoillanding/core/tlwire"
 )
 
-const statusEvery = 100 * time.Millisecond
-
 func applyCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "apply",
@@ -52,32 +50,17 @@
 	return waitInForce(ctx, c, a.Generation)
 }
 
-// waitInForce asks until every live instance has the generation, and names those that have not.
+// waitInForce waits until every live instance has the generation, and names those that have not.
 func waitInForce(ctx context.Context, c *cli.Command, generation uint64) error {
-	ctx, stop := context.WithTimeout(ctx, c.Duration("timeout"))
-	defer stop()
 	start := time.Now()
-	for {
-		s, err := ask[tlwire.Status](ctx, c, http.MethodGet, "/v1/operator/status?Fresh=true", nil)
-		behind := behindOf(s, generation)
-		if err == nil && len(behind) == 0 {
-			fmt.Printf("in force on %d instances after %s\n", len(s.Instances), time.Since(start).Round(time.Millisecond))
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("generation %d is not in force on %v", generation, behind)
-		case <-time.After(statusEvery):
-		}
+	path := fmt.Sprintf("/v1/operator/in-force?Generation=%d&Wait=%s", generation, c.Duration("timeout"))
+	s, err := ask[tlwire.InForceStatus](ctx, c, http.MethodGet, path, nil)
+	if err != nil {
+		return err
 	}
-}
-
-func behindOf(s tlwire.Status, generation uint64) []string {
-	var behind []string
-	for _, i := range s.Instances {
-		if i.Generation < generation {
-			behind = append(behind, i.Name)
-		}
+	if len(s.Behind) > 0 {
+		return fmt.Errorf("generation %d is not in force on %v", generation, s.Behind)
 	}
-	return behind
+	fmt.Printf("in force on every live instance after %s\n", time.Since(start).Round(time.Millisecond))
+	return nil
 }
--- a/cmd/trefoillanding/client.go
+++ b/cmd/trefoillanding/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -24,20 +25,25 @@
 	}
 }
 
-// ask makes one operator's call and decodes its answer.
+// ask makes one operator's call at the instance that the flags name.
 func ask[A any](ctx context.Context, c *cli.Command, method, path string, body any) (A, error) {
-	var answer A
 	ctx, stop := context.WithTimeout(ctx, operatorTimeout)
 	defer stop()
+	return request[A](ctx, method, baseOf(c.String("instance"))+path, c.String("token"), body)
+}
+
+// request makes one call and decodes its answer.
+func request[A any](ctx context.Context, method, url, token string, body any) (A, error) {
+	var answer A
 	b, err := json.Marshal(body)
 	if err != nil {
 		return answer, err
 	}
-	r, err := http.NewRequestWithContext(ctx, method, baseOf(c.String("instance"))+path, bytes.NewReader(b))
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(b))
 	if err != nil {
 		return answer, usagef("%v", err)
 	}
-	r.Header.Set("Authorization", "Bearer "+c.String("token"))
+	r.Header.Set("Authorization", "Bearer "+token)
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return answer, err
@@ -49,8 +55,26 @@
 	return answer, json.NewDecoder(res.Body).Decode(&answer)
 }
 
+// send makes one call with an idempotency key and returns status, verdict and body.
+func send(ctx context.Context, method, url, key, body string) (int, string, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", "", err
+	}
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, res.Header.Get("Trefoil-Verdict"), strings.TrimSpace(string(b)), err
+}
+
 func baseOf(instance string) string {
-	if bytes.Contains([]byte(instance), []byte("://")) {
+	if strings.Contains(instance, "://") {
 		return instance
 	}
 	return "http://" + instance
--- a/core/tlwire/operator.go
+++ b/core/tlwire/operator.go
@@ -39,6 +39,15 @@
 	Generation uint64 `json:"Generation" yaml:"Generation" cbor:"Generation"`
 }
 
+// InForceStatus tells where a generation is not in force.
+type InForceStatus struct {
+	// Behind names the live instances that do not have it.
+	Behind []string `json:"Behind" yaml:"Behind" cbor:"Behind"`
+
+	// Generation was asked about.
+	Generation uint64 `json:"Generation" yaml:"Generation" cbor:"Generation"`
+}
+
 // InstanceStatus is what one instance knows of another.
 type InstanceStatus struct {
 	// DataCentre is where it stands.
--- a/instance.go
+++ b/instance.go
@@ -12,13 +12,18 @@
 
 	"trefoillanding/core/tlconfig"
 	"trefoillanding/core/tleventid"
+	"trefoillanding/core/tlsweep"
 	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlconfigure"
 	"trefoillanding/io/tlengine"
 	"trefoillanding/io/tlentry"
 	"trefoillanding/io/tlhome"
+	"trefoillanding/io/tlledger"
 	"trefoillanding/io/tlmetric"
+	"trefoillanding/io/tlorphan"
 	"trefoillanding/io/tloutbox"
 	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlplain"
 	"trefoillanding/io/tlplatform"
 	"trefoillanding/io/tlrelay"
 )
@@ -39,9 +44,15 @@
 	engines  *tlengine.Client
 	relay    *tlrelay.Relay
 	homes    *tlhome.Homes
+	sweeper  *tlorphan.Sweeper
+	claims   *tlledger.Home
+	ledger   *tlledger.Ledger
+	plains   *tlplain.Caller
 	entry    *tlentry.Entry
 	server   *tlentry.Server
 
+	configurer *tlconfigure.Configurer
+
 	config    atomic.Pointer[inForce]
 	endpoints atomic.Pointer[map[string]bool]
 	draining  atomic.Bool
@@ -102,20 +113,28 @@
 	i.engines = tlengine.New(i.engineOptions())
 	i.homes = tlhome.New(i.homeDeps())
 	i.gossip = tlpeer.NewGossip(i.mesh, i.gossipOptions())
+	i.configurer = tlconfigure.New(i.configureOptions())
+	i.claims = tlledger.NewHome(i.claimOptions())
+	i.ledger = tlledger.NewLedger(i.ledgerOptions())
+	i.plains = tlplain.New(i.plainOptions())
 	i.relay = tlrelay.New(i.relayDeps())
+	i.sweeper = tlorphan.New(i.orphanDeps(), tlorphan.NewTimes(), tlsweep.NewLimits(i.settings.Peers.OrphanGrace))
 	i.entry = tlentry.New(i.entryDeps())
 	i.handleMessages()
+	i.handleClaims()
 }
 
 func (i *Instance) start() {
 	i.mesh.Start()
 	i.gossip.Start()
 	i.running.Go(func() { i.watchList(i.ctx) })
+	i.configurer.Start()
 	i.running.Go(func() { i.keepHomes(i.ctx) })
+	i.running.Go(func() { i.sweeper.Run(i.ctx) })
 }
 
-// Use puts a configuration in force at this instance.
-func (i *Instance) Use(generation uint64, c *tlconfig.Config) {
+// use puts a configuration in force at this instance.
+func (i *Instance) use(generation uint64, c *tlconfig.Config) {
 	i.config.Store(&inForce{generation, c})
 	i.log.WithField("Generation", generation).Info("configuration in force")
 	i.takeHomes()
@@ -160,9 +179,13 @@
 func (i *Instance) closeParts() {
 	ctx, stop := context.WithTimeout(context.Background(), cancelsTimeout)
 	defer stop()
+	i.configurer.Close()
+	i.ledger.Close(ctx)
+	i.claims.Close()
 	i.homes.Close()
 	i.outbox.Close()
 	i.mesh.Close()
+	i.plains.Close()
 	i.engines.Close(ctx)
 	i.platform.Close()
 }
--- a/io/tlhome/homes.go
+++ b/io/tlhome/homes.go
@@ -23,12 +23,14 @@
 	mu     sync.Mutex
 	config tlwire.Config
 	pools  map[string]*pool
+	// closed holds the counts of pools that are no longer here.
+	closed tlsched.Counts
 }
 
 // New returns homes without any pool; Close ends them.
 func New(d Deps) *Homes {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Homes{
+	h := &Homes{
 		deps:     d,
 		counters: d.Metrics.Group("Home", counterNames...),
 		ctx:      ctx,
@@ -36,6 +38,8 @@
 		done:     make(chan struct{}),
 		pools:    map[string]*pool{},
 	}
+	d.Metrics.Gauge("Scheduler", func() any { return h.Counts() })
+	return h
 }
 
 // Use makes this instance the home of those pools of c that mine accepts; a
@@ -79,6 +83,7 @@
 			continue
 		}
 		p.stop()
+		p.counts().Each(func(c tlsched.Counter, n uint64) { h.closed[c] += n })
 		delete(h.pools, name)
 		h.counters.Count(homeLeft)
 	}
@@ -124,6 +129,29 @@
 	return out
 }
 
+// Engines returns the engines of the pools here.
+func (h *Homes) Engines() []tlwire.Engine {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var engines []tlwire.Engine
+	for _, p := range h.pools {
+		engines = append(engines, p.engines()...)
+	}
+	return engines
+}
+
+// Counts returns what the schedulers here have counted since this instance began.
+func (h *Homes) Counts() map[string]uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := map[string]uint64{}
+	h.closed.Each(func(c tlsched.Counter, n uint64) { all[c.String()] += n })
+	for _, p := range h.pools {
+		p.counts().Each(func(c tlsched.Counter, n uint64) { all[c.String()] += n })
+	}
+	return all
+}
+
 // Close ends all pools and waits for their loops.
 func (h *Homes) Close() {
 	h.mu.Lock()
--- a/io/tlhome/pool.go
+++ b/io/tlhome/pool.go
@@ -122,6 +122,18 @@
 	return len(p.requests) > 0
 }
 
+func (p *pool) engines() []tlwire.Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.config.Engines
+}
+
+func (p *pool) counts() tlsched.Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.Counts()
+}
+
 func (p *pool) summary() tlwire.PoolSummary {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/tloperator/handler.go
+++ b/io/tloperator/handler.go
@@ -5,7 +5,9 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"trefoillanding/core/tlconfig"
 	"trefoillanding/core/tlverdict"
@@ -15,6 +17,9 @@
 // maxCallBytes is the longest call of an operator, in bytes.
 const maxCallBytes = 16 << 20
 
+// maxWait is the longest wait for a generation to be in force.
+const maxWait = 10 * time.Minute
+
 // Deps is what the operators' calls need from their surroundings.
 type Deps struct {
 	// Token must come with every call when it is set.
@@ -23,8 +28,11 @@
 	Apply func(ctx context.Context, c tlwire.ApplyCall) (uint64, error)
 	// Config returns the configuration in force, or nil before there is one.
 	Config func() (uint64, *tlconfig.Config)
-	// Status tells what is going on; fresh asks every instance anew.
-	Status func(ctx context.Context, fresh bool) tlwire.Status
+	// Status tells what is going on.
+	Status func() tlwire.Status
+	// Behind waits until a generation is in force on every live instance, and
+	// returns those on which it is not when ctx ends.
+	Behind func(ctx context.Context, generation uint64) []string
 	// Refuse writes an error with its verdict and counts it.
 	Refuse func(w http.ResponseWriter, err error)
 }
@@ -35,6 +43,7 @@
 	m.Handle("POST /v1/operator/configuration", handle(d, d.apply))
 	m.Handle("GET /v1/operator/configuration", handle(d, d.get))
 	m.Handle("GET /v1/operator/status", handle(d, d.status))
+	m.Handle("GET /v1/operator/in-force", handle(d, d.inForce))
 	m.Handle("/", handle(d, unknown))
 	return m
 }
@@ -82,8 +91,23 @@
 	return tlwire.ConfigAnswer{Generation: g, Config: c.Declared}, nil
 }
 
-func (d Deps) status(_ http.ResponseWriter, r *http.Request) (tlwire.Status, error) {
-	return d.Status(r.Context(), r.URL.Query().Get("Fresh") == "true"), nil
+func (d Deps) status(http.ResponseWriter, *http.Request) (tlwire.Status, error) {
+	return d.Status(), nil
+}
+
+func (d Deps) inForce(_ http.ResponseWriter, r *http.Request) (tlwire.InForceStatus, error) {
+	q := r.URL.Query()
+	generation, err := strconv.ParseUint(q.Get("Generation"), 10, 64)
+	if err != nil {
+		return tlwire.InForceStatus{}, tlverdict.New(tlverdict.BadHeader, "Generation is not a number")
+	}
+	wait, err := time.ParseDuration(q.Get("Wait"))
+	if err != nil || wait > maxWait {
+		return tlwire.InForceStatus{}, tlverdict.New(tlverdict.BadHeader, "Wait is not a duration up to %s", maxWait)
+	}
+	ctx, stop := context.WithTimeout(r.Context(), wait)
+	defer stop()
+	return tlwire.InForceStatus{Generation: generation, Behind: d.Behind(ctx, generation)}, nil
 }
 
 func unknown(_ http.ResponseWriter, r *http.Request) (struct{}, error) {
--- a/io/tlrelay/decode.go
+++ b/io/tlrelay/decode.go
@@ -147,8 +147,8 @@
 
 // resume reads a stream on whose owner may be another instance, or none.
 func (r *run) resume(ctx context.Context, p tleventid.Position) error {
-	r.started, r.attempt, r.decoding = true, p.Attempt, p.Engine
-	r.tries = attemptNumber(p.Attempt)
+	r.begin(p.Attempt)
+	r.started, r.decoding, r.tries = true, p.Engine, attemptNumber(p.Attempt)
 	r.pool = r.poolNamed(p.Pool)
 	stage, stop := r.enter(ctx, p.Attempt)
 	defer stop()
--- a/io/tlrelay/relay.go
+++ b/io/tlrelay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 
 	"trefoillanding/core/tleventid"
@@ -77,6 +78,23 @@
 	return owned
 }
 
+// Holds says for each attempt whether it is the current one of a request that is open here.
+func (r *Relay) Holds(attempts []string) []bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := make([]bool, len(attempts))
+	for i, a := range attempts {
+		n := r.runs[requestOf(a)]
+		held[i] = n != nil && n.holds(a)
+	}
+	return held
+}
+
+// requestOf returns the request that an attempt belongs to.
+func requestOf(attempt string) string {
+	return attempt[:max(0, strings.LastIndexByte(attempt, '/'))]
+}
+
 // Open counts the requests that are open here.
 func (r *Relay) Open() int {
 	r.mu.Lock()
--- a/io/tlrelay/run.go
+++ b/io/tlrelay/run.go
@@ -42,6 +42,7 @@
 	hasText   bool
 
 	mu        sync.Mutex
+	held      string
 	stage     string
 	interrupt context.CancelFunc
 	isTaken   bool
@@ -97,7 +98,8 @@
 // restart makes the next submission a new one for the pool's present home.
 func (r *run) restart() {
 	r.cancelAttempt()
-	r.attempt, r.last = "", tlwire.Report{}
+	r.begin("")
+	r.last = tlwire.Report{}
 	r.home, r.base = r.relay.deps.Homes.Name(r.pool), r.tries
 }
 
@@ -195,6 +197,20 @@
 	r.relay.deps.Homes.Report(p)
 }
 
+// begin makes an attempt the current one.
+func (r *run) begin(attempt string) {
+	r.attempt = attempt
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held = attempt
+}
+
+func (r *run) holds(attempt string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held == attempt
+}
+
 // verdict turns a refusal into one that is true of this request.
 func (r *run) verdict(err error) error {
 	e := tlverdict.Of(err)
--- a/io/tlrelay/step.go
+++ b/io/tlrelay/step.go
@@ -41,7 +41,8 @@
 		return false, nil
 	}
 	r.cancelAttempt()
-	r.attempt, r.tries = s.Attempt, n
+	r.begin(s.Attempt)
+	r.tries = n
 	engine, ok := r.engine(s.Engine)
 	if !ok {
 		r.report(tlwire.ReportKindPrefillFailed)
--- a/message.go
+++ b/message.go
@@ -37,6 +37,9 @@
 	tlpeer.Handle(i.mesh, kindOwns, func(_ context.Context, _ tlpeer.Peer, c tlwire.OwnsCall) (tlwire.OwnsAnswer, error) {
 		return tlwire.OwnsAnswer{Owned: i.ownsHere(c)}, nil
 	})
+	tlpeer.Handle(i.mesh, kindHolds, func(_ context.Context, _ tlpeer.Peer, c tlwire.OwnsCall) (tlwire.OwnsAnswer, error) {
+		return tlwire.OwnsAnswer{Owned: i.holdsHere(c)}, nil
+	})
 }
 
 func (i *Instance) ownsHere(c tlwire.OwnsCall) []bool {
--- a/site_test.go
+++ b/site_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.yaml.in/yaml/v3"
 
 	"trefoillanding/core/tlconfig"
 	"trefoillanding/core/tlsettings"
@@ -55,9 +56,27 @@
 	for _, v := range s.settings {
 		s.instances = append(s.instances, s.startInstance(t, v))
 	}
+	s.apply(t)
 	return s
 }
 
+// apply puts the deployment's configuration in force everywhere.
+func (s *site) apply(t *testing.T) {
+	t.Helper()
+	data, err := yaml.Marshal(s.deployment.Config())
+	require.NoError(t, err)
+	ctx := bounded(t, 8*time.Second)
+	c := tlwire.ApplyCall{Files: []tlwire.ApplyFile{{Name: "configuration", Data: data}}, Nonce: t.Name()}
+	g, err := s.instances[0].configurer.Apply(ctx, c)
+	require.NoError(t, err)
+	for _, i := range s.instances {
+		require.Eventually(t, func() bool {
+			now, _ := i.current()
+			return now >= g
+		}, 8*time.Second, time.Millisecond)
+	}
+}
+
 func testSettings(place string, platform, listen, peer netip.AddrPort) tlwire.Settings {
 	v := tlsettings.Default()
 	v.Name, v.DataCentre = place+"-1", place
@@ -82,7 +101,6 @@
 			i.Close()
 		}
 	})
-	i.Use(1, tlconfig.New(s.deployment.Config()))
 	return i
 }
 
--- a/status.go
+++ b/status.go
@@ -1,7 +1,6 @@
 package trefoillanding
 
 import (
-	"context"
 	"net/http"
 
 	"trefoillanding/core/tlwire"
@@ -11,15 +10,16 @@
 func (i *Instance) operator() http.Handler {
 	return tloperator.New(tloperator.Deps{
 		Token:  i.settings.Security.OperatorToken,
-		Apply:  i.apply,
+		Apply:  i.configurer.Apply,
 		Config: i.current,
 		Status: i.status,
+		Behind: i.configurer.WaitInForce,
 		Refuse: func(w http.ResponseWriter, err error) { i.entry.Refuse(w, err) },
 	})
 }
 
 // status tells what this instance knows.
-func (i *Instance) status(_ context.Context, _ bool) tlwire.Status {
+func (i *Instance) status() tlwire.Status {
 	generation, c := i.current()
 	s := tlwire.Status{
 		Name:        i.settings.Name,
@@ -27,6 +27,7 @@
 		Draining:    i.draining.Load(),
 		Generation:  generation,
 		Open:        i.entry.Open(),
+		Claims:      i.claims.Keys(),
 		Instances:   i.instanceStatuses(generation),
 		Pools:       []tlwire.PoolStatus{},
 	}
--- a/wire.go
+++ b/wire.go
@@ -65,7 +65,8 @@
 			SuspectAfter: i.settings.Peers.SuspectAfter,
 			GoneAfter:    i.settings.Peers.SuspectAfter,
 		},
-		Self: i.self,
+		Self:  i.self,
+		Newer: func(peer string, generation uint64) { i.configurer.Newer(peer, generation) },
 	}
 }
 
