Ask a reader's owner as soon as it lets go, and wait for a resume

Cause: an attempt whose owner died was asked about only after a second, and an instance that shuts down disowns streams which its callers are about to resume elsewhere: they were swept at once, at a prefill each. Change: an attempt that was read and is no longer is asked about at the next list; a disowned stream waits for its grace as that of a gone owner does. Fates are those of core/tlmember; the package's own are gone. Shown by: go test -race ./core/tlsweep ./io/tlorphan.

--- a/core/tlsweep/attempt.go
+++ b/core/tlsweep/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlwire"
 )
 
@@ -18,22 +19,25 @@
 	resumable  bool
 	hasReader  bool
 	unread     time.Time
+	wasRead    bool
 	gone       time.Time
 	silent     time.Time
+	disowned   time.Time
 	asked      time.Time
 	unanswered bool
 	swept      bool
 }
 
 // update takes in how the attempt is listed at present.
-func (a *attempt) update(now time.Time, i tlwire.StreamInfo, f Fate) {
+func (a *attempt) update(now time.Time, i tlwire.StreamInfo, f tlmember.Fate) {
 	a.resumable = i.Stage == tlwire.StageDecoding
 	a.hasReader = i.HasReader
+	a.wasRead = a.wasRead || a.hasReader
 	if a.hasReader || a.unread.IsZero() {
 		a.unread = now
 	}
-	a.gone = since(a.gone, now, f == Gone)
-	a.silent = since(a.silent, now, f != Live || a.unanswered)
+	a.gone = since(a.gone, now, f == tlmember.Gone)
+	a.silent = since(a.silent, now, f != tlmember.Alive || a.unanswered)
 }
 
 // verdict says whether the attempt is to be swept now, and why.
@@ -47,6 +51,17 @@
 	return "", false
 }
 
+// sweep appends a cancel to a list when the attempt is to be swept now.
+func (a *attempt) sweep(list []Cancel, now time.Time, l Limits, engine, name string) []Cancel {
+	r, due := a.verdict(now, l)
+	if !due {
+		return list
+	}
+	list = append(list, Cancel{engine, name, a.owner, r, a.swept})
+	a.swept = true
+	return list
+}
+
 // next returns when the attempt may have to be swept; zero is not at all.
 func (a *attempt) next(l Limits) time.Time {
 	var next time.Time
@@ -59,11 +74,22 @@
 	return next
 }
 
-// asks says whether the owner should be asked now; the fate of an owner whose
-// connection is open needs no question.
+// asks says whether the owner should be asked now. One whose connection is open
+// needs no question; one that has just let go of it is asked at once.
 func (a *attempt) asks(now time.Time, l Limits) bool {
-	return !a.swept && !a.hasReader && a.gone.IsZero() &&
-		now.Sub(a.unread) >= l.AskAfter && now.Sub(a.asked) >= l.askEvery(a)
+	if a.swept || a.hasReader || !a.gone.IsZero() || !a.disowned.IsZero() {
+		return false
+	}
+	late := a.wasRead || now.Sub(a.unread) >= l.AskAfter
+	return late && now.Sub(a.asked) >= l.askEvery(a)
+}
+
+// grace returns how long the attempt waits for another instance to resume it.
+func (a *attempt) grace(l Limits) time.Duration {
+	if a.resumable {
+		return l.Grace
+	}
+	return 0
 }
 
 // askEvery returns how soon an owner that did not answer is asked again.
@@ -83,10 +109,10 @@
 // rules are tried in this order.
 var rules = []rule{
 	{OwnerGone, func(a *attempt, l Limits) (time.Time, bool) {
-		if !a.resumable {
-			return a.gone, !a.gone.IsZero()
-		}
-		return a.gone.Add(l.Grace), !a.gone.IsZero()
+		return a.gone.Add(a.grace(l)), !a.gone.IsZero()
+	}},
+	{Disowned, func(a *attempt, l Limits) (time.Time, bool) {
+		return a.disowned.Add(a.grace(l)), !a.disowned.IsZero()
 	}},
 	{OwnerSilent, func(a *attempt, l Limits) (time.Time, bool) {
 		return a.silent.Add(l.Silent), !a.silent.IsZero() && !a.hasReader
--- a/core/tlsweep/sweep.go
+++ b/core/tlsweep/sweep.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlwire"
 )
 
@@ -39,7 +40,7 @@
 
 // See takes in what an engine holds and returns what to cancel there. An
 // attempt that is still listed later is returned again.
-func (s *Sweep) See(now time.Time, engine string, list []tlwire.StreamInfo, fate func(Owner) Fate) []Cancel {
+func (s *Sweep) See(now time.Time, engine string, list []tlwire.StreamInfo, fate func(Owner) tlmember.Fate) []Cancel {
 	before := s.engines[engine]
 	after := make(map[string]*attempt, len(list))
 	var cancels []Cancel
@@ -51,11 +52,7 @@
 		}
 		a.update(now, i, fate(o))
 		after[i.Attempt] = a
-		r, due := a.verdict(now, s.limits)
-		if due {
-			cancels = append(cancels, Cancel{engine, i.Attempt, o, r, a.swept})
-			a.swept = true
-		}
+		cancels = a.sweep(cancels, now, s.limits, engine, i.Attempt)
 	}
 	s.engines[engine] = after
 	return cancels
@@ -79,8 +76,9 @@
 	return questions
 }
 
-// Answer takes in which attempts an owner still serves, and returns what to cancel.
-func (s *Sweep) Answer(q Question, owned []bool) []Cancel {
+// Answer takes in which attempts an owner still serves, and returns what to
+// cancel at once; what may be resumed elsewhere waits for its grace.
+func (s *Sweep) Answer(now time.Time, q Question, owned []bool) []Cancel {
 	var cancels []Cancel
 	for i, name := range q.Attempts {
 		a := s.asked(q, name)
@@ -88,10 +86,8 @@
 			continue
 		}
 		a.unanswered = false
-		a.swept = i >= len(owned) || !owned[i]
-		if a.swept {
-			cancels = append(cancels, Cancel{q.Engine, name, q.Owner, Disowned, false})
-		}
+		a.disowned = since(a.disowned, now, i >= len(owned) || !owned[i])
+		cancels = a.sweep(cancels, now, s.limits, q.Engine, name)
 	}
 	return cancels
 }
--- a/core/tlsweep/sweep_test.go
+++ b/core/tlsweep/sweep_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlsweep"
 	"trefoillanding/core/tlwire"
 )
@@ -18,7 +19,7 @@
 	stage  tlwire.Stage
 	owner  string
 	reader bool
-	fate   tlsweep.Fate
+	fate   tlmember.Fate
 	answer string // of the owner, if it is asked: yes, no or none
 	want   tlsweep.Reason
 }
@@ -35,57 +36,74 @@
 	moments []moment
 }{
 	{"1 a live reader is left alone", []moment{
-		{0, decoding, "a", true, tlsweep.Live, "", ""},
-		{time.Hour, decoding, "a", true, tlsweep.Live, "", ""},
+		{0, decoding, "a", true, tlmember.Alive, "", ""},
+		{time.Hour, decoding, "a", true, tlmember.Alive, "", ""},
 	}},
 	{"2 a stream waits for its grace", []moment{
-		{0, decoding, "a", true, tlsweep.Live, "", ""},
-		{time.Second, decoding, "a", false, tlsweep.Gone, "", ""},
-		{1900 * time.Millisecond, decoding, "a", false, tlsweep.Gone, "", ""},
-		{2 * time.Second, decoding, "a", false, tlsweep.Gone, "", tlsweep.OwnerGone},
-		{3 * time.Second, decoding, "a", false, tlsweep.Gone, "", tlsweep.OwnerGone},
+		{0, decoding, "a", true, tlmember.Alive, "", ""},
+		{time.Second, decoding, "a", false, tlmember.Gone, "", ""},
+		{1900 * time.Millisecond, decoding, "a", false, tlmember.Gone, "", ""},
+		{2 * time.Second, decoding, "a", false, tlmember.Gone, "", tlsweep.OwnerGone},
+		{3 * time.Second, decoding, "a", false, tlmember.Gone, "", tlsweep.OwnerGone},
 	}},
 	{"3 a resumed stream belongs to the later owner", []moment{
-		{0, decoding, "a", false, tlsweep.Gone, "", ""},
-		{900 * time.Millisecond, decoding, "b", true, tlsweep.Live, "", ""},
-		{5 * time.Second, decoding, "b", true, tlsweep.Live, "", ""},
+		{0, decoding, "a", false, tlmember.Gone, "", ""},
+		{900 * time.Millisecond, decoding, "b", true, tlmember.Alive, "", ""},
+		{5 * time.Second, decoding, "b", true, tlmember.Alive, "", ""},
 	}},
 	{"4 what can't be resumed goes at once", []moment{
-		{0, queued, "a", false, tlsweep.Gone, "", tlsweep.OwnerGone},
-		{0, importing, "a", false, tlsweep.Gone, "", tlsweep.OwnerGone},
+		{0, queued, "a", false, tlmember.Gone, "", tlsweep.OwnerGone},
+		{0, importing, "a", false, tlmember.Gone, "", tlsweep.OwnerGone},
 	}},
 	{"5 a silent owner is waited for, with and without its connection", []moment{
-		{0, decoding, "a", true, tlsweep.Suspect, "", ""},
-		{4900 * time.Millisecond, decoding, "a", true, tlsweep.Suspect, "", ""},
-		{4950 * time.Millisecond, decoding, "a", false, tlsweep.Suspect, "none", tlsweep.OwnerSilent},
-		{5 * time.Second, decoding, "a", true, tlsweep.Suspect, "", tlsweep.OwnerPaused},
+		{0, decoding, "a", true, tlmember.Suspected, "", ""},
+		{4900 * time.Millisecond, decoding, "a", true, tlmember.Suspected, "", ""},
+		{4950 * time.Millisecond, decoding, "a", false, tlmember.Suspected, "none", tlsweep.OwnerSilent},
+		{5 * time.Second, decoding, "a", true, tlmember.Suspected, "", tlsweep.OwnerPaused},
 	}},
 	{"6 a paused owner that wakes keeps its stream", []moment{
-		{0, decoding, "a", true, tlsweep.Suspect, "", ""},
-		{4 * time.Second, decoding, "a", true, tlsweep.Live, "", ""},
-		{8 * time.Second, decoding, "a", true, tlsweep.Suspect, "", ""},
+		{0, decoding, "a", true, tlmember.Suspected, "", ""},
+		{4 * time.Second, decoding, "a", true, tlmember.Alive, "", ""},
+		{8 * time.Second, decoding, "a", true, tlmember.Suspected, "", ""},
 	}},
-	{"7 an unread attempt is asked for", []moment{
-		{0, decoding, "a", false, tlsweep.Live, "", ""},
-		{time.Second, decoding, "a", false, tlsweep.Live, "yes", ""},
-		{3 * time.Second, decoding, "a", false, tlsweep.Live, "", ""},
-		{6 * time.Second, decoding, "a", false, tlsweep.Live, "no", tlsweep.Disowned},
+	{"7 an unread attempt is asked for, and waits for its grace", []moment{
+		{0, decoding, "a", false, tlmember.Alive, "", ""},
+		{time.Second, decoding, "a", false, tlmember.Alive, "yes", ""},
+		{3 * time.Second, decoding, "a", false, tlmember.Alive, "", ""},
+		{6 * time.Second, decoding, "a", false, tlmember.Alive, "no", ""},
+		{7 * time.Second, decoding, "a", false, tlmember.Alive, "", tlsweep.Disowned},
 	}},
 	{"8 an owner that does not answer counts as silent", []moment{
-		{0, importing, "a", false, tlsweep.Live, "", ""},
-		{time.Second, importing, "a", false, tlsweep.Live, "none", ""},
-		{2 * time.Second, importing, "a", false, tlsweep.Live, "none", ""},
-		{3 * time.Second, importing, "a", false, tlsweep.Live, "none", tlsweep.OwnerSilent},
+		{0, importing, "a", false, tlmember.Alive, "", ""},
+		{time.Second, importing, "a", false, tlmember.Alive, "none", ""},
+		{2 * time.Second, importing, "a", false, tlmember.Alive, "none", ""},
+		{3 * time.Second, importing, "a", false, tlmember.Alive, "none", tlsweep.OwnerSilent},
 	}},
 	{"9 an owner that answers again is no longer silent", []moment{
-		{0, importing, "a", false, tlsweep.Live, "", ""},
-		{time.Second, importing, "a", false, tlsweep.Live, "none", ""},
-		{2 * time.Second, importing, "a", false, tlsweep.Live, "yes", ""},
-		{3 * time.Second, importing, "a", false, tlsweep.Live, "", ""},
+		{0, importing, "a", false, tlmember.Alive, "", ""},
+		{time.Second, importing, "a", false, tlmember.Alive, "none", ""},
+		{2 * time.Second, importing, "a", false, tlmember.Alive, "yes", ""},
+		{3 * time.Second, importing, "a", false, tlmember.Alive, "", ""},
 	}},
-	{"10 a finished stream holds no memory", []moment{
-		{0, finished, "a", false, tlsweep.Gone, "", ""},
-		{time.Hour, finished, "a", false, tlsweep.Gone, "", ""},
+	{"10 a reader that let go is asked at once", []moment{
+		{0, decoding, "a", true, tlmember.Alive, "", ""},
+		{time.Second, decoding, "a", false, tlmember.Alive, "none", ""},
+		{2 * time.Second, decoding, "a", false, tlmember.Alive, "none", ""},
+		{3 * time.Second, decoding, "a", false, tlmember.Alive, "", tlsweep.OwnerSilent},
+	}},
+	{"11 what its owner forgot and nobody can resume goes at once", []moment{
+		{0, importing, "a", false, tlmember.Alive, "", ""},
+		{time.Second, importing, "a", false, tlmember.Alive, "no", tlsweep.Disowned},
+	}},
+	{"12 a disowned stream that is resumed stays", []moment{
+		{0, decoding, "a", true, tlmember.Alive, "", ""},
+		{time.Second, decoding, "a", false, tlmember.Alive, "no", ""},
+		{1900 * time.Millisecond, decoding, "b", true, tlmember.Alive, "", ""},
+		{9 * time.Second, decoding, "b", true, tlmember.Alive, "", ""},
+	}},
+	{"13 a finished stream holds no memory", []moment{
+		{0, finished, "a", false, tlmember.Gone, "", ""},
+		{time.Hour, finished, "a", false, tlmember.Gone, "", ""},
 	}},
 }
 
@@ -104,7 +122,7 @@
 func run(t *testing.T, s *tlsweep.Sweep, m moment) tlsweep.Reason {
 	now := time.Unix(1_000, 0).Add(m.at)
 	list := []tlwire.StreamInfo{{Attempt: "x", Owner: m.owner, Incarnation: 1, Stage: m.stage, HasReader: m.reader}}
-	got := s.See(now, "d", list, func(tlsweep.Owner) tlsweep.Fate { return m.fate })
+	got := s.See(now, "d", list, func(tlsweep.Owner) tlmember.Fate { return m.fate })
 	for _, q := range s.Questions(now, "d") {
 		require.Equal(t, tlsweep.Owner{Name: m.owner, Incarnation: 1}, q.Owner)
 		if m.answer == "none" {
@@ -112,7 +130,7 @@
 			continue
 		}
 		require.NotEmpty(t, m.answer, "asked at %s", m.at)
-		got = append(got, s.Answer(q, []bool{m.answer == "yes"})...)
+		got = append(got, s.Answer(now, q, []bool{m.answer == "yes"})...)
 		m.answer = ""
 	}
 	require.True(t, m.answer == "" || m.answer == "none", "not asked at %s", m.at)
@@ -127,10 +145,10 @@
 func TestAnswerForAnEarlierOwnerIsDropped(t *testing.T) {
 	s := tlsweep.New(limits)
 	now := time.Unix(1_000, 0)
-	live := func(tlsweep.Owner) tlsweep.Fate { return tlsweep.Live }
+	live := func(tlsweep.Owner) tlmember.Fate { return tlmember.Alive }
 	s.See(now, "d", []tlwire.StreamInfo{{Attempt: "x", Owner: "a", Stage: decoding}}, live)
 	q := s.Questions(now.Add(time.Second), "d")
 	require.Len(t, q, 1)
 	s.See(now, "d", []tlwire.StreamInfo{{Attempt: "x", Owner: "b", Stage: decoding}}, live)
-	require.Empty(t, s.Answer(q[0], []bool{false}))
+	require.Empty(t, s.Answer(now, q[0], []bool{false}))
 }
--- a/io/tlorphan/sweeper.go
+++ b/io/tlorphan/sweeper.go
@@ -182,7 +182,7 @@
 		s.deps.Count(CountAskFailed, 1)
 		s.sweep.NoAnswer(s.deps.Now(), q)
 	} else {
-		cancels = s.sweep.Answer(q, owned)
+		cancels = s.sweep.Answer(s.deps.Now(), q, owned)
 	}
 	s.mutex.Unlock()
 	s.cancel(e, cancels)
--- a/io/tlorphan/sweeper_test.go
+++ b/io/tlorphan/sweeper_test.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/core/logx"
 	"go.uber.org/goleak"
 
+	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlsweep"
 	"trefoillanding/core/tlwire"
 	"trefoillanding/io/tlengine"
@@ -36,13 +37,13 @@
 	sweeper *tlorphan.Sweeper
 
 	mutex  sync.Mutex
-	fates  map[string]tlsweep.Fate
+	fates  map[string]tlmember.Fate
 	owned  map[string]bool
 	counts map[string]int64
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{fates: map[string]tlsweep.Fate{}, owned: map[string]bool{}, counts: map[string]int64{}}
+	s := &site{fates: map[string]tlmember.Fate{}, owned: map[string]bool{}, counts: map[string]int64{}}
 	b := tlstandin.NewBehaviour()
 	b.HoldFor = 100 * time.Millisecond
 	var err error
@@ -74,7 +75,7 @@
 		Engines: func() []tlwire.Engine { return s.Config().Pools[0].Engines },
 		List:    s.client.List,
 		Sweep:   s.client.Sweep,
-		Fate: func(o tlsweep.Owner) tlsweep.Fate {
+		Fate: func(o tlsweep.Owner) tlmember.Fate {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
 			return s.fates[o.Name]
@@ -82,7 +83,7 @@
 		Owns: func(_ context.Context, o tlsweep.Owner, attempts []string) ([]bool, error) {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
-			if s.fates[o.Name] != tlsweep.Live {
+			if s.fates[o.Name] != tlmember.Alive {
 				return nil, errors.New("unreachable")
 			}
 			v := make([]bool, len(attempts))
@@ -100,7 +101,7 @@
 	}
 }
 
-func (s *site) set(owner string, f tlsweep.Fate) {
+func (s *site) set(owner string, f tlmember.Fate) {
 	s.mutex.Lock()
 	s.fates[owner] = f
 	s.mutex.Unlock()
@@ -142,7 +143,7 @@
 	s := newSite(t)
 	d := s.open(t, "izmir-1", "a", answer)
 	d.Close()
-	s.set("izmir-1", tlsweep.Gone)
+	s.set("izmir-1", tlmember.Gone)
 	took := s.freed(t, "d")
 	require.GreaterOrEqual(t, took, grace/2)
 	require.Less(t, took, time.Second)
@@ -164,7 +165,7 @@
 	require.Eventually(t, func() bool { return len(p.Streams()) == 3 }, time.Second, time.Millisecond)
 	leave()
 	g.Wait()
-	s.set("izmir-1", tlsweep.Gone)
+	s.set("izmir-1", tlmember.Gone)
 	require.Eventually(t, func() bool { return len(p.Streams()) == 0 }, time.Second, time.Millisecond)
 	require.Zero(t, p.Prefilled())
 }
@@ -173,7 +174,7 @@
 	s := newSite(t)
 	d := s.open(t, "izmir-1", "a", answer)
 	defer d.Close()
-	s.set("izmir-1", tlsweep.Suspect)
+	s.set("izmir-1", tlmember.Suspected)
 	require.Less(t, s.freed(t, "d"), 5*time.Second)
 	require.EqualValues(t, 1, s.counted(tlsweep.OwnerPaused))
 	var e tlwire.TokenEvent
@@ -191,7 +192,7 @@
 	s := newSite(t)
 	d := s.open(t, "izmir-1", "a", answer)
 	d.Close()
-	s.set("izmir-1", tlsweep.Gone)
+	s.set("izmir-1", tlmember.Gone)
 	r, err := s.client.Resume(t.Context(), s.Servers()["d"], tlwire.ResumeRequest{Stream: "a", Owner: "bodrum-1", FirstIndex: 0})
 	require.NoError(t, err)
 	defer r.Close()
@@ -223,6 +224,6 @@
 	s.Engines["p"].Faults().Set(tlwire.Faults{})
 	s.open(t, "izmir-1", "a", answer).Close()
 	s.Engines["p"].Faults().Set(tlwire.Faults{HalfOpen: true})
-	s.set("izmir-1", tlsweep.Gone)
+	s.set("izmir-1", tlmember.Gone)
 	require.Less(t, s.freed(t, "d"), time.Second)
 }
