--- a/core/tlwire/peer.go
+++ b/core/tlwire/peer.go
@@ -130,7 +130,7 @@
 	Open int `json:"Open" yaml:"Open" cbor:"Open"`
 }
 
-// OwnsAnswer says for each request whether it is served still.
+// OwnsAnswer says for each request or attempt whether it is served still.
 type OwnsAnswer struct {
 	// Owned is in the order of the call.
 	Owned []bool `json:"Owned" yaml:"Owned" cbor:"Owned"`
@@ -220,6 +220,15 @@
 const ReportKindTransferFailed ReportKind = "TransferFailed"
 const ReportKindTransferStalled ReportKind = "TransferStalled"
 
+// ServesCall asks an owner which attempts it is at still.
+type ServesCall struct {
+	// Attempts are asked about.
+	Attempts []string `json:"Attempts" yaml:"Attempts" cbor:"Attempts"`
+
+	// Incarnation is the owner's life that began the attempts.
+	Incarnation uint64 `json:"Incarnation" yaml:"Incarnation" cbor:"Incarnation"`
+}
+
 // Sighting is what an instance knows of another's life.
 type Sighting struct {
 	// DoubtedFor is how long it has been doubted; 0 means that it is not.
--- a/instance.go
+++ b/instance.go
@@ -17,6 +17,7 @@
 	"trefoillanding/io/tlentry"
 	"trefoillanding/io/tlhome"
 	"trefoillanding/io/tlmetric"
+	"trefoillanding/io/tlorphan"
 	"trefoillanding/io/tloutbox"
 	"trefoillanding/io/tlpeer"
 	"trefoillanding/io/tlplatform"
@@ -39,6 +40,7 @@
 	engines  *tlengine.Client
 	relay    *tlrelay.Relay
 	homes    *tlhome.Homes
+	sweeper  *tlorphan.Sweeper
 	entry    *tlentry.Entry
 	server   *tlentry.Server
 
@@ -102,6 +104,7 @@
 	i.engines = tlengine.New(i.engineOptions())
 	i.homes = tlhome.New(i.homeDeps())
 	i.gossip = tlpeer.NewGossip(i.mesh, i.gossipOptions())
+	i.sweeper = i.newSweeper()
 	i.relay = tlrelay.New(i.relayDeps())
 	i.entry = tlentry.New(i.entryDeps())
 	i.handleMessages()
@@ -112,6 +115,7 @@
 	i.gossip.Start()
 	i.running.Go(func() { i.watchList(i.ctx) })
 	i.running.Go(func() { i.keepHomes(i.ctx) })
+	i.running.Go(func() { i.sweeper.Run(i.ctx) })
 }
 
 // Use puts a configuration in force at this instance.
--- a/io/tlhome/homes.go
+++ b/io/tlhome/homes.go
@@ -124,6 +124,19 @@
 	return out
 }
 
+// Engines returns the engines of the pools here.
+func (h *Homes) Engines() []tlwire.Engine {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var engines []tlwire.Engine
+	for _, p := range h.pools {
+		p.mu.Lock()
+		engines = append(engines, p.config.Engines...)
+		p.mu.Unlock()
+	}
+	return engines
+}
+
 // Close ends all pools and waits for their loops.
 func (h *Homes) Close() {
 	h.mu.Lock()
--- a/io/tlrelay/relay.go
+++ b/io/tlrelay/relay.go
@@ -77,6 +77,21 @@
 	return owned
 }
 
+// Serves says for each attempt whether a request that is open here is at it.
+func (r *Relay) Serves(attempts []string) []bool {
+	at := map[string]bool{}
+	r.mu.Lock()
+	for _, n := range r.runs {
+		at[n.current()] = true
+	}
+	r.mu.Unlock()
+	served := make([]bool, len(attempts))
+	for i, a := range attempts {
+		served[i] = at[a]
+	}
+	return served
+}
+
 // Open counts the requests that are open here.
 func (r *Relay) Open() int {
 	r.mu.Lock()
--- a/io/tlrelay/run.go
+++ b/io/tlrelay/run.go
@@ -173,6 +173,13 @@
 	}
 }
 
+// current returns the attempt that an engine was last asked for.
+func (r *run) current() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stage
+}
+
 // enter bounds a stage of an attempt so that a step or a takeover can end it early.
 func (r *run) enter(ctx context.Context, attempt string) (context.Context, context.CancelFunc) {
 	ctx, stop := context.WithCancel(ctx)
--- a/message.go
+++ b/message.go
@@ -18,6 +18,7 @@
 	kindReport = "Report"
 	kindStep   = "Step"
 	kindOwns   = "Owns"
+	kindServes = "Serves"
 )
 
 // noHomeRetryAfter is when a caller should come back while a pool's home can't be reached.
@@ -37,6 +38,9 @@
 	tlpeer.Handle(i.mesh, kindOwns, func(_ context.Context, _ tlpeer.Peer, c tlwire.OwnsCall) (tlwire.OwnsAnswer, error) {
 		return tlwire.OwnsAnswer{Owned: i.ownsHere(c)}, nil
 	})
+	tlpeer.Handle(i.mesh, kindServes, func(_ context.Context, _ tlpeer.Peer, c tlwire.ServesCall) (tlwire.OwnsAnswer, error) {
+		return tlwire.OwnsAnswer{Owned: i.servesHere(c)}, nil
+	})
 }
 
 func (i *Instance) ownsHere(c tlwire.OwnsCall) []bool {
--- /dev/null
+++ b/sweep.go
@@ -0,0 +1,45 @@
+package trefoillanding
+
+import (
+	"context"
+	"time"
+
+	"trefoillanding/core/tlmember"
+	"trefoillanding/core/tlsweep"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlorphan"
+	"trefoillanding/io/tlpeer"
+)
+
+// newSweeper sweeps the engines of the pools whose home this instance is.
+func (i *Instance) newSweeper() *tlorphan.Sweeper {
+	g := i.metrics.Group("Sweep", tlorphan.Counters()...)
+	return tlorphan.New(tlorphan.Deps{
+		Engines: i.homes.Engines,
+		List:    i.engines.List,
+		Sweep:   i.engines.Sweep,
+		Fate: func(o tlsweep.Owner) tlmember.Fate {
+			return i.gossip.OwnerFate(o.Name, o.Incarnation)
+		},
+		Owns:  i.serves,
+		Now:   time.Now,
+		Count: g.Add,
+	}, tlorphan.NewTimes(), tlsweep.NewLimits(i.settings.Peers.OrphanGrace))
+}
+
+// serves asks an owner which attempts it is at.
+func (i *Instance) serves(ctx context.Context, o tlsweep.Owner, attempts []string) ([]bool, error) {
+	c := tlwire.ServesCall{Incarnation: o.Incarnation, Attempts: attempts}
+	if o.Name == i.settings.Name {
+		return i.servesHere(c), nil
+	}
+	a, err := tlpeer.Call[tlwire.ServesCall, tlwire.OwnsAnswer](ctx, i.mesh, o.Name, kindServes, c)
+	return a.Owned, err
+}
+
+func (i *Instance) servesHere(c tlwire.ServesCall) []bool {
+	if c.Incarnation != i.incarnation {
+		return make([]bool, len(c.Attempts))
+	}
+	return i.relay.Serves(c.Attempts)
+}
--- /dev/null
+++ b/sweep_test.go
@@ -0,0 +1,39 @@
+package trefoillanding
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoillanding/io/tlstandin"
+)
+
+// leaveStream opens a stream at the first instance for a caller who never comes back.
+func (s *site) leaveStream(t *testing.T, n int) {
+	t.Helper()
+	b, err := json.Marshal(map[string]any{
+		"model": "kiosk-llm", "prompt": summary(n, 100_000).Prompt, "max_tokens": 4_000, "stream": true,
+	})
+	require.NoError(t, err)
+	w, err := http.Post("http://"+s.settings[0].Listen.String()+"/v1/completions", "application/json", bytes.NewReader(b))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = w.Body.Close() })
+	require.Equal(t, http.StatusOK, w.StatusCode)
+	_, err = w.Body.Read(make([]byte, 1))
+	require.NoError(t, err)
+}
+
+func TestMemoryOfADeadInstanceIsFreedWhenNobodyResumes(t *testing.T) {
+	s := newSite(t, func(b *tlstandin.Behaviour) { b.TokenEvery = 100 * time.Millisecond })
+	for n := range 6 {
+		s.leaveStream(t, n)
+	}
+	require.Positive(t, s.deployment.PiecesHeld())
+	s.instances[0].Close()
+	require.Positive(t, s.deployment.PiecesHeld())
+	s.requireNoMemoryHeld(t, 5*time.Second)
+}
