--- a/core/tlmember/view.go
+++ b/core/tlmember/view.go
@@ -61,7 +61,8 @@
 	if !isNew && !at.After(s.heard) {
 		return
 	}
-	if isNew || s.draining != draining {
+	isRestart := isNew && s.incarnation != 0
+	if isRestart || s.draining != draining {
 		s.news, v.isStale = at, true
 	}
 	s.incarnation, s.heard, s.draining = incarnation, at, draining
--- a/io/tlpeer/gossip.go
+++ b/io/tlpeer/gossip.go
@@ -171,11 +171,12 @@
 		Generation:  t.Generation,
 	})
 	for _, l := range t.Loads {
+		l.Age = max(l.Age, 0)
 		g.view.Heard(now.Add(-l.Age), l.Name, l.Incarnation, l.Draining)
 		g.putLoad(now, l)
 	}
 	for _, p := range t.Pools {
-		g.pools.Put(p.Pool, p, now.Add(-p.Age))
+		g.pools.Put(p.Pool, p, now.Add(-max(p.Age, 0)))
 	}
 	for _, s := range t.Sightings {
 		if g.view.Told(now, s) {
