--- a/instance.go
+++ b/instance.go
@@ -12,7 +12,6 @@
 
 	"trefoillanding/core/tlconfig"
 	"trefoillanding/core/tleventid"
-	"trefoillanding/core/tlsweep"
 	"trefoillanding/core/tlwire"
 	"trefoillanding/io/tlconfigure"
 	"trefoillanding/io/tlengine"
@@ -117,8 +116,8 @@
 	i.claims = tlledger.NewHome(i.claimOptions())
 	i.ledger = tlledger.NewLedger(i.ledgerOptions())
 	i.plains = tlplain.New(i.plainOptions())
+	i.sweeper = i.newSweeper()
 	i.relay = tlrelay.New(i.relayDeps())
-	i.sweeper = tlorphan.New(i.orphanDeps(), tlorphan.NewTimes(), tlsweep.NewLimits(i.settings.Peers.OrphanGrace))
 	i.entry = tlentry.New(i.entryDeps())
 	i.handleMessages()
 	i.handleClaims()
--- a/io/tlrelay/relay.go
+++ b/io/tlrelay/relay.go
@@ -78,16 +78,16 @@
 	return owned
 }
 
-// Holds says for each attempt whether it is the current one of a request that is open here.
-func (r *Relay) Holds(attempts []string) []bool {
+// Serves says for each attempt whether a request that is open here is at it.
+func (r *Relay) Serves(attempts []string) []bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	held := make([]bool, len(attempts))
+	served := make([]bool, len(attempts))
 	for i, a := range attempts {
 		n := r.runs[requestOf(a)]
-		held[i] = n != nil && n.holds(a)
+		served[i] = n != nil && n.current() == a
 	}
-	return held
+	return served
 }
 
 // requestOf returns the request that an attempt belongs to.
--- a/io/tlrelay/run.go
+++ b/io/tlrelay/run.go
@@ -42,7 +42,6 @@
 	hasText   bool
 
 	mu        sync.Mutex
-	held      string
 	stage     string
 	interrupt context.CancelFunc
 	isTaken   bool
@@ -98,8 +97,7 @@
 // restart makes the next submission a new one for the pool's present home.
 func (r *run) restart() {
 	r.cancelAttempt()
-	r.begin("")
-	r.last = tlwire.Report{}
+	r.attempt, r.last = "", tlwire.Report{}
 	r.home, r.base = r.relay.deps.Homes.Name(r.pool), r.tries
 }
 
@@ -175,6 +173,13 @@
 	}
 }
 
+// current returns the attempt that an engine was last asked for.
+func (r *run) current() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stage
+}
+
 // enter bounds a stage of an attempt so that a step or a takeover can end it early.
 func (r *run) enter(ctx context.Context, attempt string) (context.Context, context.CancelFunc) {
 	ctx, stop := context.WithCancel(ctx)
@@ -197,20 +202,6 @@
 	r.relay.deps.Homes.Report(p)
 }
 
-// begin makes an attempt the current one.
-func (r *run) begin(attempt string) {
-	r.attempt = attempt
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.held = attempt
-}
-
-func (r *run) holds(attempt string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.held == attempt
-}
-
 // verdict turns a refusal into one that is true of this request.
 func (r *run) verdict(err error) error {
 	e := tlverdict.Of(err)
--- a/io/tlrelay/step.go
+++ b/io/tlrelay/step.go
@@ -41,8 +41,7 @@
 		return false, nil
 	}
 	r.cancelAttempt()
-	r.begin(s.Attempt)
-	r.tries = n
+	r.attempt, r.tries = s.Attempt, n
 	engine, ok := r.engine(s.Engine)
 	if !ok {
 		r.report(tlwire.ReportKindPrefillFailed)
