--- a/core/tlqueue/queue.go
+++ b/core/tlqueue/queue.go
@@ -16,6 +16,7 @@
 	length   [2]int
 	total    [2]Cost
 	timers   heap[*Item[T]]
+	oldest   heap[*Item[T]]
 }
 
 const (
@@ -43,6 +44,7 @@
 		func(a, b *flow[T]) bool { return byRank(a.first(laneOnTime), b.first(laneOnTime)) },
 		func(f *flow[T]) *int { return &f.ready })
 	q.timers = newHeap(byLatest[T], func(i *Item[T]) *int { return &i.inTimer })
+	q.oldest = newHeap(byArrival[T], func(i *Item[T]) *int { return &i.inTimer })
 	return q
 }
 
@@ -92,9 +94,15 @@
 		q.weight[l] += f.weight
 	}
 	q.ready.fix(f)
-	if !i.late {
-		q.timers.push(i)
+	q.timer(i).push(i)
+}
+
+// timer returns the heap that says which item of a lane's is due next.
+func (q *Queue[T]) timer(i *Item[T]) *heap[*Item[T]] {
+	if i.late {
+		return &q.oldest
 	}
+	return &q.timers
 }
 
 func (q *Queue[T]) flow(name string) *flow[T] {
@@ -120,7 +128,7 @@
 	f.lanes[l].cost = f.lanes[l].cost.Minus(i.Cost)
 	q.length[l]--
 	q.total[l] = q.total[l].Minus(i.Cost)
-	q.timers.remove(i)
+	q.timer(i).remove(i)
 	i.flow = nil
 	if f.lanes[l].items.len() == 0 {
 		f.lanes[l].cost = Cost{}
@@ -248,16 +256,44 @@
 	return q.total[laneOf(late)]
 }
 
-// Backlog returns the cost that an organisation has waiting in a lane, and its
-// share of the weights of all that wait there, itself included.
-func (q *Queue[T]) Backlog(organisation string, late bool) (c Cost, share float64) {
-	l := laneOf(late)
+// Backlog returns the cost that an organisation has waiting in the lane of
+// those on time, and its share of the weights of all that wait there, itself included.
+func (q *Queue[T]) Backlog(organisation string) (c Cost, share float64) {
 	f := q.flows[organisation]
-	if f == nil || f.lanes[l].items.len() == 0 {
+	if f == nil || f.lanes[laneOnTime].items.len() == 0 {
 		w := q.weightOf(organisation)
-		return Cost{}, w / (w + q.weight[l])
+		return Cost{}, w / (w + q.weight[laneOnTime])
 	}
-	return f.lanes[l].cost, f.weight / q.weight[l]
+	return f.lanes[laneOnTime].cost, f.weight / q.weight[laneOnTime]
+}
+
+// LongestLate returns the organisation with most waiting in the late lane, in relation to its weight.
+func (q *Queue[T]) LongestLate() (organisation string, cost float64) {
+	for _, f := range q.lanes[laneLate].items {
+		if c := f.lanes[laneLate].cost.Longest() / f.weight; c > cost || (c == cost && f.name < organisation) {
+			organisation, cost = f.name, c
+		}
+	}
+	return organisation, cost
+}
+
+// OwnLate returns the cost that an organisation has waiting in the late lane, in relation to its weight.
+func (q *Queue[T]) OwnLate(organisation string) float64 {
+	f := q.flows[organisation]
+	if f == nil {
+		return 0
+	}
+	return f.lanes[laneLate].cost.Longest() / f.weight
+}
+
+// PopOlder takes out the late item that came first if it came before t, or returns nil.
+func (q *Queue[T]) PopOlder(t time.Time) *Item[T] {
+	if q.oldest.len() == 0 || !q.oldest.items[0].Arrived.Before(t) {
+		return nil
+	}
+	i := q.oldest.items[0]
+	q.Remove(i)
+	return i
 }
 
 // Longest returns the organisation with most waiting in both lanes, in relation to its weight.
--- a/core/tlqueue/queue_test.go
+++ b/core/tlqueue/queue_test.go
@@ -37,7 +37,7 @@
 	got := map[string]int{}
 	for range 400 {
 		for _, o := range []string{"a", "b"} {
-			if c, _ := q.Backlog(o, false); c.Decode < 0.05 {
+			if c, _ := q.Backlog(o); c.Decode < 0.05 {
 				q.Push(epoch, item(o, time.Second))
 			}
 		}
@@ -91,6 +91,7 @@
 				all = append(all, i)
 			},
 			"pop":     func(t *rapid.T) { take(q.Pop(rapid.Bool().Draw(t, "late"))) },
+			"older":   func(*rapid.T) { take(q.PopOlder(epoch.Add(1))) },
 			"overdue": func(*rapid.T) { take(q.Overdue(now)) },
 			"return": func(*rapid.T) {
 				if len(out) > 0 {
@@ -115,6 +116,7 @@
 			"": func(t *rapid.T) {
 				assert.Equal(t, len(in), q.Len(false)+q.Len(true))
 				assert.Equal(t, q.Len(false), q.timers.len())
+				assert.Equal(t, q.Len(true), q.oldest.len())
 				sum := 0
 				for _, f := range q.flows {
 					sum += f.lanes[0].items.len() + f.lanes[1].items.len()
--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -101,24 +101,33 @@
 
 // missesTarget says whether the requests of the same organisation that wait already use up the slack.
 func (s *Scheduler) missesTarget(now time.Time, r *request) bool {
-	c, share := s.queue.Backlog(r.item.Organisation, false)
+	c, share := s.queue.Backlog(r.item.Organisation)
 	return s.options.LateLane && c.Longest()/share > r.item.Latest.Sub(now).Seconds()
 }
 
-// admitLate refuses a request whose wait in the late lane would be too long.
+// admitLate says whether the late lane has room; a request of the organisation
+// with most in it is refused to make room for one of another.
 func (s *Scheduler) admitLate(now time.Time, r *request) bool {
-	w := s.lateWait(now, r)
-	if w <= s.bounds.QueueWait {
+	w := s.lateWait(now)
+	if s.queue.Len(true) == 0 || w <= s.bounds.QueueWait {
 		return true
 	}
-	s.refuse(r, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
-	return false
+	o, most := s.queue.LongestLate()
+	i := s.queue.Newest(o)
+	own := s.queue.OwnLate(r.item.Organisation) + r.item.Cost.Longest()
+	if o == r.item.Organisation || own >= most || i == nil || !i.Value.isFresh() {
+		s.refuse(r, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
+		return false
+	}
+	s.refuse(i.Value, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
+	s.end(now, i.Value)
+	return true
 }
 
-func (s *Scheduler) lateWait(now time.Time, r *request) time.Duration {
-	c, share := s.queue.Backlog(r.item.Organisation, true)
-	rate := max(s.options.LateShare, s.known.late.PerSecond(now), s.freeShare())
-	return seconds(c.Longest() / max(share*rate, 1e-6))
+// lateWait predicts the wait of a new request in the late lane.
+func (s *Scheduler) lateWait(now time.Time) time.Duration {
+	rate := max(s.options.LateShare, s.known.spare.PerSecond(now))
+	return seconds(s.queue.Total(true).Longest() / max(rate, 1e-6))
 }
 
 // freeShare returns the part of decode memory beyond what late requests leave free.
@@ -138,10 +147,10 @@
 	o := s.queue.Longest()
 	i := s.queue.Newest(o)
 	if o == r.item.Organisation || i == nil || !i.Value.isFresh() {
-		s.refuse(r, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now, r))
+		s.refuse(r, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now))
 		return false
 	}
-	s.refuse(i.Value, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now, i.Value))
+	s.refuse(i.Value, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now))
 	s.end(now, i.Value)
 	return true
 }
--- a/core/tlsched/benchmark_test.go
+++ b/core/tlsched/benchmark_test.go
@@ -58,6 +58,7 @@
 		case tlwire.StepKindStartTransfer:
 			r.Kind = tlwire.ReportKindTransferDone
 			names = append(names, t.Request)
+			defer decode(s, now, r)
 		default:
 			continue
 		}
@@ -66,6 +67,15 @@
 	return names
 }
 
+// decode reports the progress of an answer of 200 tokens.
+func decode(s *Scheduler, now time.Time, r tlwire.Report) {
+	r.Kind = tlwire.ReportKindProgress
+	for r.Tokens = 50; r.Tokens < 200; r.Tokens += 50 {
+		now = now.Add(time.Millisecond)
+		s.Report(now, r)
+	}
+}
+
 // BenchmarkWaiting submits and cancels a request while 10,000 wait.
 func BenchmarkWaiting(b *testing.B) {
 	s := newScheduler()
--- a/core/tlsched/knowledge.go
+++ b/core/tlsched/knowledge.go
@@ -16,7 +16,7 @@
 	assumedPrompt        = 2000 // tokens
 	linesHalfAfter       = 100  // points
 	freedOver            = 2 * time.Second
-	lateOver             = 5 * time.Second
+	spareOver            = 20 * time.Second
 	averageGain          = 0.05
 	// stepMargin is kept free below the target between tokens.
 	stepMargin = 0.95
@@ -31,7 +31,7 @@
 	heldFor       float64
 	freed         *tlestimate.Rate
 	freedEach     float64
-	late          *tlestimate.Rate
+	spare         *tlestimate.Rate
 }
 
 func newKnowledge(answer int) knowledge {
@@ -43,7 +43,7 @@
 		heldFor:       assumedHeldFor.Seconds(),
 		freed:         tlestimate.NewRate(freedOver),
 		freedEach:     1,
-		late:          tlestimate.NewRate(lateOver),
+		spare:         tlestimate.NewRate(spareOver),
 	}
 }
 
--- a/core/tlsched/placement.go
+++ b/core/tlsched/placement.go
@@ -28,13 +28,21 @@
 	s.demote(now)
 	s.unclaim()
 	s.fund(now)
+	s.fillOldest(now)
 	s.fillShare(now)
 	s.fill(now, false, s.options.LookAhead)
 	if s.queue.Len(false) == 0 && s.hasSpare(now) {
-		s.fill(now, true, s.options.LookAhead)
+		s.fillSpare(now)
 	}
 }
 
+// fillSpare starts late requests in memory that nobody else needs, and learns how much there is of it.
+func (s *Scheduler) fillSpare(now time.Time) {
+	before := s.queue.Total(true).Longest()
+	s.fill(now, true, s.options.LookAhead)
+	s.known.spare.Add(now, max(before-s.queue.Total(true).Longest(), 0))
+}
+
 func (s *Scheduler) expire(now time.Time) {
 	for i := 0; i < len(s.unfunded); {
 		r := s.unfunded[i]
@@ -73,6 +81,20 @@
 	s.unfunded = left
 }
 
+// fillOldest starts late requests that have waited for as long as any may.
+func (s *Scheduler) fillOldest(now time.Time) {
+	for {
+		i := s.queue.PopOlder(now.Add(-s.bounds.QueueWait))
+		if i == nil {
+			return
+		}
+		if s.start(now, i.Value) != started {
+			s.queue.Return(i)
+			return
+		}
+	}
+}
+
 // fillShare starts late requests for as long as their lane has saved up its share.
 func (s *Scheduler) fillShare(now time.Time) {
 	for s.queue.LateDue() {
@@ -155,7 +177,6 @@
 		s.counts[PlacedOnTime]++
 	} else {
 		s.counts[PlacedLate]++
-		s.known.late.Add(now, i.Cost.Longest())
 	}
 	if r.isFresh() {
 		s.budget.Earn(s.prefillTime(r.PromptTokens).Seconds())
