--- a/core/tlsched/placement.go
+++ b/core/tlsched/placement.go
@@ -145,7 +145,7 @@
 		s.counts[PlacedOnBet]++
 		s.unfunded = append(s.unfunded, r)
 	}
-	s.charge(now, r)
+	s.charge(r)
 	r.stage = StagePrefilling
 	r.prefill, r.work, r.expected = p, work, expected
 	r.started = p.ready(now)
@@ -169,7 +169,7 @@
 	return priorityOnTime
 }
 
-func (s *Scheduler) charge(now time.Time, r *request) {
+func (s *Scheduler) charge(r *request) {
 	i := &r.item
 	r.charged = i.Cost
 	s.queue.Charge(i.Organisation, i.Late(), i.Cost)
