--- a/io/tlload/run.go
+++ b/io/tlload/run.go
@@ -14,14 +14,21 @@
 	"trefoillanding/io/tlcaller"
 )
 
+// callers is how many callers share a load, each with its own choice of instance.
+const callers = 20
+
 // organisations is how many organisations the requests come from.
 const organisations = 5
 
 // Run carries out a plan and returns when its last request has ended.
 func Run(ctx context.Context, p Plan) *Summary {
 	s := newSummary()
-	c := tlcaller.New(p.Known, p.Tries)
-	defer c.Close()
+	var all []*tlcaller.Caller
+	for range callers {
+		c := tlcaller.New(p.Known, p.Tries)
+		defer c.Close()
+		all = append(all, c)
+	}
 	start := time.Now()
 	limit := rate.NewLimiter(rate.Limit(p.Rate), 1)
 	var running sync.WaitGroup
@@ -29,7 +36,7 @@
 		if limit.Wait(ctx) != nil {
 			break
 		}
-		running.Go(func() { p.one(ctx, c, n, s) })
+		running.Go(func() { p.one(ctx, all[n%callers], n, s) })
 	}
 	running.Wait()
 	s.Elapsed = time.Since(start)
