--- a/core/tlclaim/decision.go
+++ b/core/tlclaim/decision.go
@@ -28,11 +28,8 @@
 	return decisionNames[d]
 }
 
-// Decide returns what the claim with a nonce and a digest may do.
-func (e Entry) Decide(nonce uint64, d Digest) Decision {
+func (e Entry) decide(nonce uint64, d Digest) Decision {
 	switch {
-	case e.State == Released && e.Nonce == nonce:
-		return GivenUp
 	case e.State == Free || e.State == Released:
 		return Append
 	case e.Digest != d:
--- a/core/tlclaim/rule.go
+++ b/core/tlclaim/rule.go
@@ -8,6 +8,8 @@
 	nonce  uint64
 	digest Digest
 	isLost bool
+	// isGivenUp says that the nonce was released before.
+	isGivenUp bool
 }
 
 // rule says which state a record leads to from which state.
@@ -22,14 +24,13 @@
 // rules are tried in order; the first that fits is applied, and a record that
 // fits none changes nothing.
 var rules = []rule{
-	{"claim of a free key", tlwire.RecordKindClaim, Free, always, Held},
-	{"claim after a release", tlwire.RecordKindClaim, Released, otherNonce, Held},
+	{"claim of a free key", tlwire.RecordKindClaim, Free, notGivenUp, Held},
+	{"claim after a release", tlwire.RecordKindClaim, Released, notGivenUp, Held},
 	{"outcome without an answer", tlwire.RecordKindOutcome, Held, lostAnswer, Unknown},
 	{"outcome", tlwire.RecordKindOutcome, Held, sameNonce, Ran},
 	{"late outcome", tlwire.RecordKindOutcome, Unknown, lateAnswer, Ran},
 	{"release", tlwire.RecordKindRelease, Held, sameNonce, Released},
 	{"release before its claim", tlwire.RecordKindRelease, Free, always, Released},
-	{"release before its claim, again", tlwire.RecordKindRelease, Released, otherNonce, Released},
 }
 
 func always(Entry, event) bool {
@@ -40,8 +41,8 @@
 	return e.Nonce == v.nonce
 }
 
-func otherNonce(e Entry, v event) bool {
-	return e.Nonce != v.nonce
+func notGivenUp(_ Entry, v event) bool {
+	return !v.isGivenUp
 }
 
 func lostAnswer(e Entry, v event) bool {
--- a/core/tlclaim/table.go
+++ b/core/tlclaim/table.go
@@ -1,6 +1,7 @@
 package tlclaim
 
 import (
+	"slices"
 	"time"
 
 	"trefoillanding/core/tlrecord"
@@ -10,6 +11,7 @@
 // Table is the fold of one stream's records; it is not safe for concurrent use.
 type Table struct {
 	entries  map[ID]Entry
+	givenUp  map[ID][]uint64
 	order    []place
 	coverage Coverage
 	next     uint64
@@ -34,7 +36,12 @@
 
 // NewTable returns the table of a stream whose first record is folded next.
 func NewTable() *Table {
-	return &Table{entries: map[ID]Entry{}, coverage: Coverage{IsComplete: true}, next: 1}
+	return &Table{
+		entries:  map[ID]Entry{},
+		givenUp:  map[ID][]uint64{},
+		coverage: Coverage{IsComplete: true},
+		next:     1,
+	}
 }
 
 // Next returns the offset of the record that has to be folded next.
@@ -67,9 +74,23 @@
 	return t.entries[id]
 }
 
+// Decide returns what the claim of a key with a nonce and a digest may do.
+func (t *Table) Decide(id ID, nonce uint64, d Digest) Decision {
+	if t.isGivenUp(id, nonce) {
+		return GivenUp
+	}
+	return t.entries[id].decide(nonce, d)
+}
+
 // Restart forgets everything, since records up to an offset were never read.
 func (t *Table) Restart(oldest uint64) {
-	*t = Table{entries: map[ID]Entry{}, next: oldest, skipped: t.skipped, time: t.time}
+	*t = Table{
+		entries: map[ID]Entry{},
+		givenUp: map[ID][]uint64{},
+		next:    oldest,
+		skipped: t.skipped,
+		time:    t.time,
+	}
 }
 
 // Apply folds the next record and tells which key it was about, if any.
@@ -87,9 +108,13 @@
 		return Change{}, false
 	}
 	e := t.entries[id]
+	v.isGivenUp = t.isGivenUp(id, v.nonce)
 	if rule, found := ruleFor(e, v); found {
 		e = t.put(id, rule.next(e, v, r.Offset), r.Time)
 	}
+	if v.kind == tlwire.RecordKindRelease && !v.isGivenUp {
+		t.givenUp[id] = append(t.givenUp[id], v.nonce)
+	}
 	return Change{ID: id, Kind: v.kind, Nonce: v.nonce, Entry: e}, true
 }
 
@@ -100,6 +125,7 @@
 		p := t.order[n]
 		if t.entries[p.id].Offset == p.offset {
 			delete(t.entries, p.id)
+			delete(t.givenUp, p.id)
 		}
 		t.coverage = Coverage{Since: p.time}
 		n++
@@ -107,6 +133,10 @@
 	t.order = t.order[n:]
 }
 
+func (t *Table) isGivenUp(id ID, nonce uint64) bool {
+	return slices.Contains(t.givenUp[id], nonce)
+}
+
 func (t *Table) put(id ID, e Entry, at time.Time) Entry {
 	if t.entries[id].Offset != e.Offset {
 		t.order = append(t.order, place{id: id, offset: e.Offset, time: at})
--- a/core/tlclaim/table_test.go
+++ b/core/tlclaim/table_test.go
@@ -68,6 +68,8 @@
 		{"13 release before its claim", [][]byte{release(1), claim("k", 1)}, Released, 1},
 		{"14 unknown data", [][]byte{{0xff}, claim("k", 1)}, Held, 1},
 		{"15 no second claim after an outcome", [][]byte{claim("k", 1), outcome(1), claim("k", 2)}, Ran, 1},
+		{"16 late claim after two releases", [][]byte{release(1), claim("k", 2), release(2), claim("k", 1)}, Released, 2},
+		{"17 late claim after another's release", [][]byte{claim("k", 2), release(1), release(2), claim("k", 1)}, Released, 2},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/tlledger/claim.go
+++ b/io/tlledger/claim.go
@@ -17,7 +17,7 @@
 // claim decides what an instance may do with a key; resolve bounds the wait for
 // the log, and ctx the wait for another claim of the key.
 func (s *Stream) claim(ctx context.Context, c tlwire.Claim, resolve time.Duration) tlwire.ClaimAnswer {
-	if tlclaim.IsAhead(c.Key, time.Now()) {
+	if tlclaim.IsAhead(c.Key, s.now()) {
 		return refusal(tlverdict.New(tlverdict.KeyAhead, "the key's time lies ahead of ours"))
 	}
 	if !s.waitReady(ctx, resolve) {
--- a/io/tlledger/home.go
+++ b/io/tlledger/home.go
@@ -29,6 +29,8 @@
 	Resolve time.Duration
 	// Idle is how long a stream is folded after it was last asked about.
 	Idle time.Duration
+	// Now returns the time.
+	Now func() time.Time
 }
 
 // Home folds the claim streams that this instance is asked about.
@@ -38,8 +40,9 @@
 	stop    context.CancelFunc
 	done    chan struct{}
 
-	mu      sync.Mutex
-	streams map[int]*used
+	mu       sync.Mutex
+	streams  map[int]*used
+	isClosed bool
 }
 
 // used is a stream with the time it was last asked about.
@@ -76,7 +79,10 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Wait)
 	defer cancel()
 	n := tlclaim.NewID(c.Claim.Service, c.Claim.Key).Stream(h.options.Streams)
-	s := h.enter(n)
+	s, ok := h.enter(n)
+	if !ok {
+		return refusal(tlverdict.New(tlverdict.NoHome, "the instance is ending").After(retryAfter))
+	}
 	defer h.leave(n)
 	return s.claim(ctx, c.Claim, h.options.Resolve)
 }
@@ -90,7 +96,10 @@
 		return tlwire.ClaimNoteAnswer{}, tlverdict.New(tlverdict.BadBody, "the note is empty")
 	}
 	i := id.Stream(h.options.Streams)
-	s := h.enter(i)
+	s, ok := h.enter(i)
+	if !ok {
+		return tlwire.ClaimNoteAnswer{}, errStopped
+	}
 	defer h.leave(i)
 	if err := s.note(ctx, n); err != nil {
 		return tlwire.ClaimNoteAnswer{}, err
@@ -116,6 +125,7 @@
 	h.mu.Lock()
 	streams := h.streams
 	h.streams = map[int]*used{}
+	h.isClosed = true
 	h.mu.Unlock()
 	for _, u := range streams {
 		u.stream.Close()
@@ -127,19 +137,23 @@
 	return h.done
 }
 
-func (h *Home) enter(n int) *Stream {
+// enter returns a stream in use; false means that the home is closed.
+func (h *Home) enter(n int) (*Stream, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.isClosed {
+		return nil, false
+	}
 	u, ok := h.streams[n]
 	if !ok {
 		name := StreamName(n)
 		a := NewAppender(name, h.options.Log, h.limiter, h.options.BatchDelay)
-		u = &used{stream: NewStream(name, h.options.Log, a)}
+		u = &used{stream: NewStream(name, h.options.Log, a, h.options.Now)}
 		h.streams[n] = u
 	}
 	u.open++
-	u.last = time.Now()
-	return u.stream
+	u.last = h.options.Now()
+	return u.stream, true
 }
 
 func (h *Home) leave(n int) {
@@ -147,7 +161,7 @@
 	defer h.mu.Unlock()
 	if u, ok := h.streams[n]; ok {
 		u.open--
-		u.last = time.Now()
+		u.last = h.options.Now()
 	}
 }
 
@@ -165,7 +179,7 @@
 	defer h.mu.Unlock()
 	var idle []*Stream
 	for n, u := range h.streams {
-		if u.open == 0 && time.Since(u.last) > h.options.Idle {
+		if u.open == 0 && h.options.Now().Sub(u.last) > h.options.Idle {
 			idle = append(idle, u.stream)
 			delete(h.streams, n)
 		}
--- a/io/tlledger/stream.go
+++ b/io/tlledger/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"trefoillanding/core/tlclaim"
 	"trefoillanding/core/tlrecord"
@@ -18,6 +19,7 @@
 	log      Log
 	appender *Appender
 	reader   *Reader
+	now      func() time.Time
 	ready    chan struct{}
 
 	mu      sync.Mutex
@@ -30,11 +32,12 @@
 }
 
 // NewStream starts to fold a stream.
-func NewStream(name string, l Log, a *Appender) *Stream {
+func NewStream(name string, l Log, a *Appender, now func() time.Time) *Stream {
 	s := &Stream{
 		name:     name,
 		log:      l,
 		appender: a,
+		now:      now,
 		ready:    make(chan struct{}),
 		table:    tlclaim.NewTable(),
 		answers:  newAnswers(),
--- a/io/tlledger/view.go
+++ b/io/tlledger/view.go
@@ -27,11 +27,10 @@
 	id := tlclaim.NewID(c.Service, c.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.table.Lookup(id)
 	v := view{
 		id:       id,
-		decision: e.Decide(c.Nonce, tlclaim.Digest(c.Digest)),
-		entry:    e,
+		decision: s.table.Decide(id, c.Nonce, tlclaim.Digest(c.Digest)),
+		entry:    s.table.Lookup(id),
 		covered:  s.table.Coverage().Covers(c.Key),
 	}
 	if v.covered && v.decision == tlclaim.Wait {
--- a/io/tlplain/caller_test.go
+++ b/io/tlplain/caller_test.go
@@ -57,6 +57,7 @@
 		BatchDelay:       time.Millisecond,
 		Resolve:          400 * time.Millisecond,
 		Idle:             time.Minute,
+		Now:              time.Now,
 	})
 	ledger := tlledger.NewLedger(tlledger.LedgerOptions{
 		Streams: 2,
