--- a/core/tlqueue/queue.go
+++ b/core/tlqueue/queue.go
@@ -11,10 +11,12 @@
 	sequence uint64
 	flows    map[string]*flow[T]
 	lanes    [2]heap[*flow[T]]
+	ready    heap[*flow[T]]
 	weight   [2]float64
 	length   [2]int
 	total    [2]Cost
 	timers   heap[*Item[T]]
+	oldest   heap[*Item[T]]
 }
 
 const (
@@ -38,7 +40,11 @@
 			},
 			func(f *flow[T]) *int { return &f.lanes[l].place })
 	}
-	q.timers = newHeap(bySlack[T], func(i *Item[T]) *int { return &i.inTimer })
+	q.ready = newHeap(
+		func(a, b *flow[T]) bool { return byRank(a.first(laneOnTime), b.first(laneOnTime)) },
+		func(f *flow[T]) *int { return &f.ready })
+	q.timers = newHeap(byLatest[T], func(i *Item[T]) *int { return &i.inTimer })
+	q.oldest = newHeap(byArrival[T], func(i *Item[T]) *int { return &i.inTimer })
 	return q
 }
 
@@ -47,7 +53,7 @@
 	q.weights = weights
 	for _, f := range q.flows {
 		for l := range q.lanes {
-			if q.lanes[l].has(f) {
+			if f.lanes[l].items.len() > 0 {
 				q.weight[l] += q.weightOf(f.name) - f.weight
 			}
 		}
@@ -83,13 +89,20 @@
 	f.lanes[l].cost = f.lanes[l].cost.Plus(i.Cost)
 	q.length[l]++
 	q.total[l] = q.total[l].Plus(i.Cost)
-	if !q.lanes[l].has(f) {
+	if f.lanes[l].items.len() == 1 {
 		q.lanes[l].push(f)
 		q.weight[l] += f.weight
 	}
-	if !i.late {
-		q.timers.push(i)
+	q.ready.fix(f)
+	q.timer(i).push(i)
+}
+
+// timer returns the heap that says which item of a lane's is due next.
+func (q *Queue[T]) timer(i *Item[T]) *heap[*Item[T]] {
+	if i.late {
+		return &q.oldest
 	}
+	return &q.timers
 }
 
 func (q *Queue[T]) flow(name string) *flow[T] {
@@ -115,26 +128,50 @@
 	f.lanes[l].cost = f.lanes[l].cost.Minus(i.Cost)
 	q.length[l]--
 	q.total[l] = q.total[l].Minus(i.Cost)
-	q.timers.remove(i)
+	q.timer(i).remove(i)
 	i.flow = nil
 	if f.lanes[l].items.len() == 0 {
 		f.lanes[l].cost = Cost{}
 		q.lanes[l].remove(f)
 		q.weight[l] -= f.weight
+		if l == laneOnTime {
+			q.ready.remove(f)
+		}
 	}
+	q.ready.fix(f)
 }
 
 // Pop takes out the next item of a lane, or returns nil.
 func (q *Queue[T]) Pop(late bool) *Item[T] {
-	l := laneOf(late)
-	if q.lanes[l].len() == 0 {
+	f := q.next(laneOf(late))
+	if f == nil {
 		return nil
 	}
-	i := q.lanes[l].items[0].lanes[l].items.items[0]
+	i := f.first(laneOf(late))
 	q.Remove(i)
 	return i
 }
 
+// next returns the organisation whose turn it is in a lane: on time, the one
+// of the first rank of those that got no more than their share, otherwise
+// the one that got least.
+func (q *Queue[T]) next(l int) *flow[T] {
+	if l == laneOnTime {
+		for q.lanes[l].len() > 0 && q.lanes[l].items[0].virtual <= q.virtual {
+			f := q.lanes[l].items[0]
+			q.lanes[l].remove(f)
+			q.ready.push(f)
+		}
+		if q.ready.len() > 0 {
+			return q.ready.items[0]
+		}
+	}
+	if q.lanes[l].len() == 0 {
+		return nil
+	}
+	return q.lanes[l].items[0]
+}
+
 // Overdue takes out the next item that has become late by now, or returns nil.
 func (q *Queue[T]) Overdue(now time.Time) *Item[T] {
 	if q.timers.len() == 0 || !now.After(q.timers.items[0].Latest) {
@@ -192,6 +229,10 @@
 
 func (q *Queue[T]) move(f *flow[T], virtual float64) {
 	f.virtual = virtual
+	if q.ready.has(f) && virtual > q.virtual {
+		q.ready.remove(f)
+		q.lanes[laneOnTime].push(f)
+	}
 	for l := range q.lanes {
 		q.lanes[l].fix(f)
 	}
@@ -215,16 +256,44 @@
 	return q.total[laneOf(late)]
 }
 
-// Backlog returns the cost that an organisation has waiting in a lane, and its
-// share of the weights of all that wait there, itself included.
-func (q *Queue[T]) Backlog(organisation string, late bool) (c Cost, share float64) {
-	l := laneOf(late)
+// Backlog returns the cost that an organisation has waiting in the lane of
+// those on time, and its share of the weights of all that wait there, itself included.
+func (q *Queue[T]) Backlog(organisation string) (c Cost, share float64) {
 	f := q.flows[organisation]
-	if f == nil || !q.lanes[l].has(f) {
+	if f == nil || f.lanes[laneOnTime].items.len() == 0 {
 		w := q.weightOf(organisation)
-		return Cost{}, w / (w + q.weight[l])
+		return Cost{}, w / (w + q.weight[laneOnTime])
 	}
-	return f.lanes[l].cost, f.weight / q.weight[l]
+	return f.lanes[laneOnTime].cost, f.weight / q.weight[laneOnTime]
+}
+
+// LongestLate returns the organisation with most waiting in the late lane, in relation to its weight.
+func (q *Queue[T]) LongestLate() (organisation string, cost float64) {
+	for _, f := range q.lanes[laneLate].items {
+		if c := f.lanes[laneLate].cost.Longest() / f.weight; c > cost || (c == cost && f.name < organisation) {
+			organisation, cost = f.name, c
+		}
+	}
+	return organisation, cost
+}
+
+// OwnLate returns the cost that an organisation has waiting in the late lane, in relation to its weight.
+func (q *Queue[T]) OwnLate(organisation string) float64 {
+	f := q.flows[organisation]
+	if f == nil {
+		return 0
+	}
+	return f.lanes[laneLate].cost.Longest() / f.weight
+}
+
+// PopOlder takes out the late item that came first if it came before t, or returns nil.
+func (q *Queue[T]) PopOlder(t time.Time) *Item[T] {
+	if q.oldest.len() == 0 || !q.oldest.items[0].Arrived.Before(t) {
+		return nil
+	}
+	i := q.oldest.items[0]
+	q.Remove(i)
+	return i
 }
 
 // Longest returns the organisation with most waiting in both lanes, in relation to its weight.
--- a/core/tlqueue/queue_test.go
+++ b/core/tlqueue/queue_test.go
@@ -12,7 +12,7 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func item(o string, latest time.Duration) *Item[int] {
-	return &Item[int]{Organisation: o, Arrived: epoch, Latest: epoch.Add(latest), Cost: Cost{Decode: 0.01}}
+	return &Item[int]{Organisation: o, Arrived: epoch, Latest: epoch.Add(latest), Rank: epoch.Add(latest), Cost: Cost{Decode: 0.01}}
 }
 
 func TestAFloodTakesNothingFromOthers(t *testing.T) {
@@ -37,7 +37,7 @@
 	got := map[string]int{}
 	for range 400 {
 		for _, o := range []string{"a", "b"} {
-			if c, _ := q.Backlog(o, false); c.Decode < 0.05 {
+			if c, _ := q.Backlog(o); c.Decode < 0.05 {
 				q.Push(epoch, item(o, time.Second))
 			}
 		}
@@ -85,11 +85,13 @@
 			"push": func(t *rapid.T) {
 				i := item("o"+strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "o")), 0)
 				i.Latest = now.Add(time.Duration(rapid.IntRange(-50, 50).Draw(t, "slack")))
+				i.Rank = i.Latest
 				q.Push(now, i)
 				in[i] = true
 				all = append(all, i)
 			},
 			"pop":     func(t *rapid.T) { take(q.Pop(rapid.Bool().Draw(t, "late"))) },
+			"older":   func(*rapid.T) { take(q.PopOlder(epoch.Add(1))) },
 			"overdue": func(*rapid.T) { take(q.Overdue(now)) },
 			"return": func(*rapid.T) {
 				if len(out) > 0 {
@@ -114,6 +116,7 @@
 			"": func(t *rapid.T) {
 				assert.Equal(t, len(in), q.Len(false)+q.Len(true))
 				assert.Equal(t, q.Len(false), q.timers.len())
+				assert.Equal(t, q.Len(true), q.oldest.len())
 				sum := 0
 				for _, f := range q.flows {
 					sum += f.lanes[0].items.len() + f.lanes[1].items.len()
--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -10,6 +10,8 @@
 const (
 	leastRetryAfter = 200 * time.Millisecond
 	mostRetryAfter  = 30 * time.Second
+	// never is the slack of requests while no lane is kept for the late.
+	never = 24 * time.Hour
 	// spread is the random part of a RetryAfter, so that refused callers don't return at once.
 	spread = 0.5
 )
@@ -23,17 +25,23 @@
 	}
 	i.Arrived = r.Arrived
 	i.Cost = s.cost(r)
-	if !s.options.LateLane {
-		i.Latest = now.Add(mostRetryAfter * 1000)
-		if s.options.Slack {
-			i.Latest = i.Latest.Add(due.Sub(now))
-		}
-		return
+	i.Latest, i.Rank = s.latest(now, r, due)
+	if s.options.Slack {
+		i.Rank = i.Rank.Add(seconds(s.options.CostRank * i.Cost.Sum()))
+	}
+}
+
+// latest returns when the request must start to meet its target, and its rank without its cost.
+func (s *Scheduler) latest(now time.Time, r *request, due time.Time) (latest, rank time.Time) {
+	latest = due.Add(-s.firstToken(r))
+	rank = latest
+	if !s.options.Slack {
+		rank = r.Arrived
 	}
-	i.Latest = due.Add(-s.firstToken(r))
-	if !s.options.Slack && !now.After(i.Latest) {
-		i.Latest = now.Add(max(s.targets.FirstToken-s.firstToken(r), 0))
+	if !s.options.LateLane {
+		latest = now.Add(never)
 	}
+	return latest, rank
 }
 
 // firstToken predicts the time from the start of a request to its first token on idle engines.
@@ -93,24 +101,33 @@
 
 // missesTarget says whether the requests of the same organisation that wait already use up the slack.
 func (s *Scheduler) missesTarget(now time.Time, r *request) bool {
-	c, share := s.queue.Backlog(r.item.Organisation, false)
+	c, share := s.queue.Backlog(r.item.Organisation)
 	return s.options.LateLane && c.Longest()/share > r.item.Latest.Sub(now).Seconds()
 }
 
-// admitLate refuses a request whose wait in the late lane would be too long.
+// admitLate says whether the late lane has room; a request of the organisation
+// with most in it is refused to make room for one of another.
 func (s *Scheduler) admitLate(now time.Time, r *request) bool {
-	w := s.lateWait(now, r)
-	if w <= s.bounds.QueueWait {
+	w := s.lateWait(now)
+	if s.queue.Len(true) == 0 || w <= s.bounds.QueueWait {
 		return true
 	}
-	s.refuse(r, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
-	return false
+	o, most := s.queue.LongestLate()
+	i := s.queue.Newest(o)
+	own := s.queue.OwnLate(r.item.Organisation) + r.item.Cost.Longest()
+	if o == r.item.Organisation || own >= most || i == nil || !i.Value.isFresh() {
+		s.refuse(r, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
+		return false
+	}
+	s.refuse(i.Value, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
+	s.end(now, i.Value)
+	return true
 }
 
-func (s *Scheduler) lateWait(now time.Time, r *request) time.Duration {
-	c, share := s.queue.Backlog(r.item.Organisation, true)
-	rate := max(s.options.LateShare, s.known.late.PerSecond(now), s.freeShare())
-	return seconds(c.Plus(r.item.Cost).Longest() / max(share*rate, 1e-6))
+// lateWait predicts the wait of a new request in the late lane.
+func (s *Scheduler) lateWait(now time.Time) time.Duration {
+	rate := max(s.options.LateShare, s.known.spare.PerSecond(now))
+	return seconds(s.queue.Total(true).Longest() / max(rate, 1e-6))
 }
 
 // freeShare returns the part of decode memory beyond what late requests leave free.
@@ -130,10 +147,10 @@
 	o := s.queue.Longest()
 	i := s.queue.Newest(o)
 	if o == r.item.Organisation || i == nil || !i.Value.isFresh() {
-		s.refuse(r, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now, r))
+		s.refuse(r, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now))
 		return false
 	}
-	s.refuse(i.Value, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now, i.Value))
+	s.refuse(i.Value, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now))
 	s.end(now, i.Value)
 	return true
 }
