Take an endpoint that the list never had for a new one, not for one that left

Cause: the relay benchmark stuck: its engines were not on the instance list, so all were taken to be leaving, and requests waited for engines within the configured hour. Ruled out: lost steps, a full inbox (traced at the home: last step Abandon, no engine live). A list that lags must not make a new engine unusable either.

--- a/membership.go
+++ b/membership.go
@@ -43,18 +43,33 @@
 		i.platformCounters.Count(listFailed)
 		return
 	}
+	i.endpoints.Store(stayingOf(l, i.endpoints.Load()))
+	i.gossip.SetInstances(l)
+}
+
+// stayingOf says for each instance that was ever listed whether it is staying.
+func stayingOf(l tlwire.InstanceList, before *map[string]bool) *map[string]bool {
 	staying := map[string]bool{}
+	if before != nil {
+		for name := range *before {
+			staying[name] = false
+		}
+	}
 	for _, v := range l.Instances {
 		staying[v.Name] = v.State == tlwire.InstanceStateLive
 	}
-	i.endpoints.Store(&staying)
-	i.gossip.SetInstances(l)
+	return &staying
 }
 
-// leaving says whether the list, once read, has an endpoint as leaving or no more.
+// leaving says whether the list has an endpoint as leaving or no more; one that
+// it never had may be too new for a list that lags.
 func (i *Instance) leaving(endpoint string) bool {
 	staying := i.endpoints.Load()
-	return staying != nil && !(*staying)[endpoint]
+	if staying == nil {
+		return false
+	}
+	stays, known := (*staying)[endpoint]
+	return known && !stays
 }
 
 // keepHomes takes and gives up pools as instances come and go.
--- a/site_test.go
+++ b/site_test.go
@@ -142,7 +142,7 @@
 	return c.Declared
 }
 
-func freePorts(t *testing.T, n int) []netip.AddrPort {
+func freePorts(t testing.TB, n int) []netip.AddrPort {
 	t.Helper()
 	var ports []netip.AddrPort
 	for range n {
