Use the engines' connections again after the last line

Cause: a reader stops at the last token, or at the import's last line, and its stage's context ends; the answer's end had often not come by then, and the transport closed the connection. Change: Close reads the end in the background, bounded to 100 ms, and a call's context no longer ends with its caller's once its answer is whole.

--- a/io/tlengine/call.go
+++ b/io/tlengine/call.go
@@ -102,6 +102,13 @@
 	return v, nil
 }
 
+// detachable returns a context that ends with its parent until it is detached.
+func detachable(x context.Context) (context.Context, context.CancelCauseFunc, func() bool) {
+	y, stop := context.WithCancelCause(context.WithoutCancel(x))
+	detach := context.AfterFunc(x, func() { stop(context.Cause(x)) })
+	return y, stop, detach
+}
+
 // short bounds a short call.
 func (c *Client) short(x context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(x, c.options.CallTimeout)
--- a/io/tlengine/client.go
+++ b/io/tlengine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +21,8 @@
 	// idleConnections is how many idle connections are kept for each engine.
 	idleConnections = 64
 	idleTimeout     = 30 * time.Second
+	// finishTimeout bounds the wait for the end of an answer after its last line.
+	finishTimeout = 100 * time.Millisecond
 	// The keep-alive finds a dead engine's connections within about 5 s.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
@@ -33,6 +36,7 @@
 	service   httpc.Service
 	canceller *canceller
 	watchdog  *watchdog
+	drains    sync.WaitGroup
 	life      context.Context
 	end       context.CancelFunc
 	done      chan struct{}
@@ -75,9 +79,22 @@
 	g.Go(func() { c.canceller.run(c.life) })
 	g.Go(func() { c.watchdog.run(c.life) })
 	g.Wait()
+	c.drains.Wait()
 	c.transport.CloseIdleConnections()
 }
 
+// finish reads the end of an answer whose last line has come, so that its
+// connection can be used again, and then calls ended. It does not wait for that.
+func (c *Client) finish(body io.ReadCloser, ended func()) {
+	c.drains.Go(func() {
+		defer ended()
+		t := time.AfterFunc(finishTimeout, func() { _ = body.Close() })
+		defer t.Stop()
+		_, _ = io.Copy(io.Discard, io.LimitReader(body, bufferBytes))
+		_ = body.Close()
+	})
+}
+
 func newTransport(o Options) *http.Transport {
 	d := &net.Dialer{
 		Timeout: o.DialTimeout,
--- a/io/tlengine/client_test.go
+++ b/io/tlengine/client_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -379,6 +381,34 @@
 	require.Positive(t, b.counted(tlengine.CountCrossed))
 }
 
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	const rounds = 20
+	b := newBench(t, func(s *tlstandin.Behaviour, _ *tlengine.Options) { s.Linger = 2 * time.Millisecond })
+	var dialled atomic.Int64
+	x := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			if !i.Reused {
+				dialled.Add(1)
+			}
+		},
+	})
+	for i := range rounds {
+		a := fmt.Sprint("a", i)
+		p, err := b.prefill(t.Context(), a, "answer=5")
+		require.NoError(t, err)
+		y, leave := context.WithCancel(x)
+		require.NoError(t, b.load(y, a, p))
+		s, err := b.decode(y, a, 0)
+		require.NoError(t, err)
+		_, err = read(s)
+		require.NoError(t, err)
+		s.Close()
+		leave()
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Less(t, dialled.Load(), int64(rounds), "at least one connection a round is dialled anew")
+}
+
 func TestRefusalsSayWhetherTheWorkRan(t *testing.T) {
 	b := newBench(t, plain)
 	_, err := b.decode(t.Context(), "never", 0)
--- a/io/tlengine/import.go
+++ b/io/tlengine/import.go
@@ -17,18 +17,32 @@
 func (c *Client) Import(
 	x context.Context, a netip.AddrPort, r tlwire.ImportRequest, progress func(tlwire.ImportProgress),
 ) error {
-	x, stop := context.WithCancelCause(x)
-	defer stop(nil)
+	x, stop, detach := detachable(x)
+	defer detach()
 	t := time.AfterFunc(c.options.ImportStall, func() {
 		stop(c.stalled(CountImportStalled, c.options.ImportStall))
 	})
 	defer t.Stop()
 	w, err := c.send(x, http.MethodPost, a, "/engine/imports", r)
 	if err != nil {
+		stop(nil)
 		return err
 	}
-	defer w.Body.Close()
-	d := json.NewDecoder(w.Body)
+	err = c.follow(x, json.NewDecoder(io.LimitReader(w.Body, answerLimit)), r.Attempt, t, progress)
+	if err != nil {
+		stop(nil)
+		_ = w.Body.Close()
+		return err
+	}
+	c.finish(w.Body, func() { stop(nil) })
+	return nil
+}
+
+// follow reads lines until the last one, and puts the timer off at each that
+// tells of progress.
+func (c *Client) follow(
+	x context.Context, d *json.Decoder, attempt string, t *time.Timer, progress func(tlwire.ImportProgress),
+) error {
 	best := int64(-1)
 	for {
 		var p tlwire.ImportProgress
@@ -36,7 +50,7 @@
 		if err != nil {
 			return c.importError(x, err)
 		}
-		if p.Attempt != r.Attempt {
+		if p.Attempt != attempt {
 			c.options.Count(CountCrossed, 1)
 			continue
 		}
--- a/io/tlengine/stream.go
+++ b/io/tlengine/stream.go
@@ -33,12 +33,15 @@
 	client  *Client
 	context context.Context
 	stop    context.CancelCauseFunc
+	detach  func() bool
 	body    io.ReadCloser
 	reader  *bufio.Reader
 	attempt string
 	next    int
 	ended   bool
 	closed  bool
+	// complete says that the last token has come.
+	complete bool
 	// turns is odd while the reader waits for the engine.
 	turns atomic.Uint64
 	seen  uint64
@@ -57,12 +60,13 @@
 }
 
 func (c *Client) open(x context.Context, a netip.AddrPort, path, attempt string, first int, r any) (*Stream, error) {
-	x, stop := context.WithCancelCause(x)
-	s := &Stream{client: c, context: x, stop: stop, attempt: attempt, next: first}
+	x, stop, detach := detachable(x)
+	s := &Stream{client: c, context: x, stop: stop, detach: detach, attempt: attempt, next: first}
 	s.turns.Store(1)
 	c.watchdog.add(s)
 	w, err := c.send(x, http.MethodPost, a, path, r)
 	if err != nil {
+		detach()
 		s.release()
 		return nil, err
 	}
@@ -117,10 +121,16 @@
 		return
 	}
 	s.closed, s.ended = true, true
-	s.release()
-	_ = s.body.Close()
 	s.reader.Reset(nil)
 	buffers.Put(s.reader)
+	s.detach()
+	if s.complete {
+		s.client.watchdog.remove(s)
+		s.client.finish(s.body, func() { s.stop(nil) })
+		return
+	}
+	s.release()
+	_ = s.body.Close()
 }
 
 // release forgets the stream and ends its call.
@@ -150,7 +160,8 @@
 
 func (s *Stream) token(v event) tlwire.TokenEvent {
 	s.next++
-	s.ended = len(v.finish) > 0 || len(v.failure) > 0
+	s.complete = len(v.finish) > 0
+	s.ended = s.complete || len(v.failure) > 0
 	return tlwire.TokenEvent{
 		Attempt: s.attempt,
 		Index:   v.index,
--- a/io/tlstandin/behaviour.go
+++ b/io/tlstandin/behaviour.go
@@ -16,6 +16,8 @@
 	ImportedFor time.Duration
 	// FinishedFor is how long a finished stream can still be read again.
 	FinishedFor time.Duration
+	// Linger is how long an answer stays open after its last line.
+	Linger time.Duration
 	// PiecesTotal is the memory, in pieces.
 	PiecesTotal int
 	// PieceTokens is the size of a piece.
--- a/io/tlstandin/import.go
+++ b/io/tlstandin/import.go
@@ -213,7 +213,11 @@
 		if cause == goneKilled {
 			panic(http.ErrAbortHandler)
 		}
-		if x.Encode(p) != nil || c.Flush() != nil || p.Done || p.Error != "" {
+		if x.Encode(p) != nil || c.Flush() != nil {
+			return
+		}
+		if p.Done || p.Error != "" {
+			pause(r, e.set.Linger)
 			return
 		}
 		select {
--- a/io/tlstandin/stream.go
+++ b/io/tlstandin/stream.go
@@ -210,6 +210,7 @@
 			return
 		}
 		if ended {
+			pause(r, e.set.Linger)
 			return
 		}
 		select {
