--- a/core/tltrial/call.go
+++ b/core/tltrial/call.go
@@ -34,7 +34,7 @@
 	measured  bool
 }
 
-func (t *Trial) arrive(r *tlworkload.Request) {
+func (t *Trial) arrive(r *tlworkload.Request) *call {
 	x := t.setting.Experiment
 	c := &call{
 		trial:    t,
@@ -48,6 +48,7 @@
 	}
 	c.homes = t.choose(c)
 	c.submitNext()
+	return c
 }
 
 func (c *call) dataCentre() string {
@@ -218,6 +219,7 @@
 	if o == Good {
 		s.Good++
 	}
+	r.note(c.request.At-t.setting.Experiment.Warmup, o)
 	if !c.first.IsZero() {
 		s.Answered++
 		s.PieceTokens += float64(c.delivered * tlmodel.Pieces(t.model, c.request.Prompt+c.delivered))
--- a/core/tltrial/choose.go
+++ b/core/tltrial/choose.go
@@ -44,7 +44,7 @@
 func (c *call) comeBack(after time.Duration) {
 	t := c.trial
 	m := t.setting.Experiment.Callers
-	if m == nil || c.visits >= m.MaxRetries || t.random.Float64() >= m.RetryShare {
+	if t.setting.Condition != tlwire.ConditionKindStorm || m == nil || c.visits >= m.MaxRetries || t.random.Float64() >= m.RetryShare {
 		return
 	}
 	if m.IgnoreAdvice || after == 0 {
@@ -55,8 +55,7 @@
 	r.Name = r.Name + "+"
 	visits := c.visits + 1
 	t.clock.After(after, func() {
-		t.arrive(&r)
-		t.calls[r.Name].visits = visits
+		t.arrive(&r).visits = visits
 	})
 }
 
--- a/core/tltrial/result.go
+++ b/core/tltrial/result.go
@@ -42,7 +42,18 @@
 	BetweenTokens *hdrhistogram.Histogram
 	Counters      map[string]uint64
 	HeldShare     float64
-	samples       int
+	// Timeline counts the requests by when they first arrived.
+	Timeline []Span
+	samples  int
+}
+
+// SpanLength is how much time a span of a timeline covers.
+const SpanLength = 5 * time.Second
+
+// Span counts the requests that arrived in a part of the measured time.
+type Span struct {
+	Offered int
+	Good    int
 }
 
 // Share is what one organisation got.
@@ -61,6 +72,7 @@
 		FirstToken:    hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3),
 		BetweenTokens: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3),
 		Counters:      make(map[string]uint64),
+		Timeline:      make([]Span, x.Duration/SpanLength+1),
 	}
 }
 
@@ -77,6 +89,10 @@
 		r.Organisations[i].Answered += s.Answered
 		r.Organisations[i].PieceTokens += s.PieceTokens
 	}
+	for i, s := range o.Timeline {
+		r.Timeline[i].Offered += s.Offered
+		r.Timeline[i].Good += s.Good
+	}
 	r.Computed += o.Computed
 	r.Wasted += o.Wasted
 	r.Cached += o.Cached
@@ -142,6 +158,14 @@
 	return ratio(r.Organisations[0].PieceTokens, sum)
 }
 
+func (r *Result) note(at time.Duration, o Outcome) {
+	s := &r.Timeline[at/SpanLength]
+	s.Offered++
+	if o == Good {
+		s.Good++
+	}
+}
+
 func (r *Result) sampleHeld(share float64) {
 	r.samples++
 	r.HeldShare += (share - r.HeldShare) / float64(r.samples)
--- a/core/tlwire/experiment.go
+++ b/core/tlwire/experiment.go
@@ -8,8 +8,9 @@
 
 const ArrivalKindBursty ArrivalKind = "Bursty"
 const ArrivalKindPoisson ArrivalKind = "Poisson"
+const ArrivalKindSurge ArrivalKind = "Surge"
 
-// CallerModel sets what refused callers do.
+// CallerModel sets what refused callers do in the Storm condition.
 type CallerModel struct {
 	// IgnoreAdvice makes callers come back after 100 ms whatever they were told.
 	IgnoreAdvice bool `json:"IgnoreAdvice,omitempty" yaml:"IgnoreAdvice,omitempty" cbor:"IgnoreAdvice,omitempty"`
@@ -26,6 +27,7 @@
 const ConditionKindClean ConditionKind = "Clean"
 const ConditionKindFaulty ConditionKind = "Faulty"
 const ConditionKindHomeLoss ConditionKind = "HomeLoss"
+const ConditionKindStorm ConditionKind = "Storm"
 const ConditionKindTwoHomes ConditionKind = "TwoHomes"
 const ConditionKindUnflooded ConditionKind = "Unflooded"
 
--- a/core/tlworkload/workload.go
+++ b/core/tlworkload/workload.go
@@ -35,8 +35,11 @@
 // Requests returns the arrivals up to end at a mean rate a second.
 func (w *Workload) Requests(k tlwire.ArrivalKind, rate float64, end time.Duration) []*Request {
 	gap := w.poisson(rate)
-	if k == tlwire.ArrivalKindBursty {
+	switch k {
+	case tlwire.ArrivalKindBursty:
 		gap = w.bursty(rate)
+	case tlwire.ArrivalKindSurge:
+		gap = w.surge(rate)
 	}
 	var l []*Request
 	for at := gap(0); at < end; at += gap(at) {
@@ -79,6 +82,20 @@
 	}
 }
 
+// surge returns gaps at twice the rate in the middle third of the measured
+// time and at half of it outside.
+func (w *Workload) surge(rate float64) func(time.Duration) time.Duration {
+	first := w.experiment.Warmup + w.experiment.Duration/3
+	last := first + w.experiment.Duration/3
+	return func(now time.Duration) time.Duration {
+		next := now + w.wait(2/rate)
+		if now >= last || next < first {
+			return next - now
+		}
+		return max(now, first) + w.wait(1/(2*rate)) - now
+	}
+}
+
 func (w *Workload) wait(mean float64) time.Duration {
 	return time.Duration(w.random.ExpFloat64()*mean*float64(time.Second)) + 1
 }
--- a/core/tlworkload/workload_test.go
+++ b/core/tlworkload/workload_test.go
@@ -63,3 +63,15 @@
 		assert.InEpsilon(t, 0.5, float64(flood)/float64(len(l)), 0.05)
 	}
 }
+
+func TestSurgeDoublesTheMiddleThird(t *testing.T) {
+	x := testExperiment
+	x.Warmup, x.Duration = 1000*time.Second, 3000*time.Second
+	var thirds [4]int
+	for _, r := range New(x, 7).Requests(tlwire.ArrivalKindSurge, 10, 4000*time.Second) {
+		thirds[r.At/(1000*time.Second)]++
+	}
+	for i, want := range []int{5000, 5000, 20000, 5000} {
+		assert.InEpsilon(t, want, thirds[i], 0.05)
+	}
+}
--- a/io/tlexperiment/command.go
+++ b/io/tlexperiment/command.go
@@ -25,8 +25,8 @@
 		&cli.FloatSliceFlag{Name: "load", Usage: "run only this load (may be repeated)"},
 		&cli.StringSliceFlag{Name: "policy", Usage: "run only this policy (may be repeated)"},
 		&cli.BoolFlag{Name: "ablation", Usage: "run the scheduler whole and without each of its mechanisms"},
-		&cli.StringFlag{Name: "arrivals", Usage: "run only Poisson or Bursty arrivals"},
-		&cli.StringFlag{Name: "condition", Usage: "run only this condition: Clean, Faulty, Unflooded, HomeLoss or TwoHomes"},
+		&cli.StringFlag{Name: "arrivals", Usage: "run only Poisson, Bursty or Surge arrivals"},
+		&cli.StringFlag{Name: "condition", Usage: "run only this condition: Clean, Faulty, Unflooded, HomeLoss, TwoHomes or Storm"},
 		&cli.DurationFlag{Name: "duration", Usage: "measure so much virtual time"},
 		&cli.StringFlag{Name: "trace", Usage: "write every change of a request in the first run into `FILE`, and run nothing else"},
 	}
--- a/io/tlexperiment/run_test.go
+++ b/io/tlexperiment/run_test.go
@@ -63,7 +63,7 @@
 	require.NoError(t, Run(t.Context(), x, b, io.Discard))
 	l, err := os.ReadDir(a)
 	require.NoError(t, err)
-	assert.Len(t, l, 6)
+	assert.Len(t, l, 7)
 	for _, f := range l {
 		v, err := os.ReadFile(filepath.Join(a, f.Name()))
 		require.NoError(t, err)
--- a/io/tlreport/table.go
+++ b/io/tlreport/table.go
@@ -9,6 +9,9 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
+
+	"trefoillanding/core/tltrial"
 )
 
 // WriteTable writes the rows as an aligned table.
@@ -32,6 +35,9 @@
 	if err := writeCounters(filepath.Join(folder, name+"-counters.csv"), rows); err != nil {
 		return err
 	}
+	if err := writeTimeline(filepath.Join(folder, name+"-timeline.csv"), rows); err != nil {
+		return err
+	}
 	return writePlots(folder, name, rows)
 }
 
@@ -77,6 +83,22 @@
 	return writeRecords(path, records)
 }
 
+// writeTimeline writes the good part of the requests over the time of their arrival.
+func writeTimeline(path string, rows []*Row) error {
+	records := [][]string{{"Arrivals", "Condition", "Load", "Policy", "Second", "Offered", "Good"}}
+	for _, r := range rows {
+		for i, s := range r.Result.Timeline {
+			if s.Offered == 0 {
+				continue
+			}
+			at := time.Duration(i) * tltrial.SpanLength
+			records = append(records, append(values(r)[:4],
+				fmt.Sprint(at.Seconds()), fmt.Sprint(s.Offered), fmt.Sprint(s.Good)))
+		}
+	}
+	return writeRecords(path, records)
+}
+
 func writeRecords(path string, records [][]string) error {
 	f, err := os.Create(path)
 	if err != nil {
