--- a/agreement.go
+++ b/agreement.go
@@ -83,6 +83,7 @@
 		BatchDelay:       p.BatchDelay,
 		Resolve:          claimResolve,
 		Idle:             claimStreamIdle,
+		Now:              time.Now,
 	}
 }
 
