--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -55,20 +55,16 @@
 func (s *Scheduler) admit(now time.Time, r *request) bool {
 	c := s.capacity
 	if c.prefills == 0 || c.decodes == 0 {
-		s.refuse(r, RefusedNoEndpoint, tlverdict.NoEndpoint, time.Second)
+		s.refuse(now, r, RefusedNoEndpoint, tlverdict.NoEndpoint, time.Second)
 		return false
 	}
 	if s.pieces(r.PromptTokens) > c.largest {
-		s.refuse(r, RefusedPromptTooLong, tlverdict.PromptTooLong, 0)
+		s.refuse(now, r, RefusedPromptTooLong, tlverdict.PromptTooLong, 0)
 		return false
 	}
 	if !s.options.Admission {
 		return true
 	}
-	if s.spills(now, r) {
-		s.refuse(r, RefusedPoolBusy, tlverdict.PoolBusy, 0)
-		return false
-	}
 	if s.missesTarget(now, r) {
 		r.item.Latest = now.Add(-1)
 	}
@@ -90,6 +86,15 @@
 	return now.Add(w).After(r.item.Latest)
 }
 
+// spill refuses a request so that its owner asks another pool.
+func (s *Scheduler) spill(r *request) {
+	s.counts[RefusedPoolBusy]++
+	t := r.step(tlwire.StepKindRefuse)
+	t.Reason = string(tlverdict.PoolBusy)
+	t.RetryAfter = leastRetryAfter
+	s.steps = append(s.steps, t)
+}
+
 // memoryWait predicts when memory is freed for a request that finds none.
 func (s *Scheduler) memoryWait(now time.Time, r *request) time.Duration {
 	f := s.known.freed.PerSecond(now)
@@ -116,10 +121,10 @@
 	i := s.queue.Newest(o)
 	own := s.queue.OwnLate(r.item.Organisation) + r.item.Cost.Longest()
 	if o == r.item.Organisation || own >= most || i == nil || !i.Value.isFresh() {
-		s.refuse(r, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
+		s.refuse(now, r, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
 		return false
 	}
-	s.refuse(i.Value, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
+	s.refuse(now, i.Value, RefusedWaitTooLong, tlverdict.WaitTooLong, w-s.bounds.QueueWait)
 	s.end(now, i.Value)
 	return true
 }
@@ -147,10 +152,10 @@
 	o := s.queue.Longest()
 	i := s.queue.Newest(o)
 	if o == r.item.Organisation || i == nil || !i.Value.isFresh() {
-		s.refuse(r, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now))
+		s.refuse(now, r, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now))
 		return false
 	}
-	s.refuse(i.Value, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now))
+	s.refuse(now, i.Value, RefusedQueueFull, tlverdict.QueueFull, s.lateWait(now))
 	s.end(now, i.Value)
 	return true
 }
@@ -167,11 +172,20 @@
 	}
 }
 
-func (s *Scheduler) refuse(r *request, c Counter, v tlverdict.Reason, after time.Duration) {
+func (s *Scheduler) refuse(now time.Time, r *request, c Counter, v tlverdict.Reason, after time.Duration) {
 	s.counts[c]++
-	after = min(max(after, leastRetryAfter), mostRetryAfter)
+	s.known.refused.Add(now, 1)
 	t := r.step(tlwire.StepKindRefuse)
 	t.Reason = string(v)
-	t.RetryAfter = after + time.Duration(s.random.Float64()*spread*float64(after))
+	t.RetryAfter = s.retryAfter(now, after)
 	s.steps = append(s.steps, t)
 }
+
+// retryAfter advises when to come back; the more callers are refused, the
+// longer it takes, so that those who return spread over more time.
+func (s *Scheduler) retryAfter(now time.Time, least time.Duration) time.Duration {
+	share := s.known.refused.PerSecond(now) / max(s.known.asked.PerSecond(now), 1)
+	d := max(least, leastRetryAfter, seconds(min(share, 1)*mostRetryAfter.Seconds()))
+	d = min(d, mostRetryAfter)
+	return d + time.Duration(s.random.Float64()*spread*float64(d))
+}
--- a/core/tlsched/knowledge.go
+++ b/core/tlsched/knowledge.go
@@ -32,6 +32,8 @@
 	freed         *tlestimate.Rate
 	freedEach     float64
 	spare         *tlestimate.Rate
+	asked         *tlestimate.Rate
+	refused       *tlestimate.Rate
 }
 
 func newKnowledge(answer int) knowledge {
@@ -44,6 +46,8 @@
 		freed:         tlestimate.NewRate(freedOver),
 		freedEach:     1,
 		spare:         tlestimate.NewRate(spareOver),
+		asked:         tlestimate.NewRate(spareOver),
+		refused:       tlestimate.NewRate(spareOver),
 	}
 }
 
--- a/core/tlsched/lifecycle.go
+++ b/core/tlsched/lifecycle.go
@@ -93,7 +93,7 @@
 	}
 	s.release(now, r)
 	if r.number-r.Tries >= s.options.Attempts {
-		s.refuse(r, RefusedRetriesSpent, tlverdict.RetriesSpent, time.Second)
+		s.refuse(now, r, RefusedRetriesSpent, tlverdict.RetriesSpent, time.Second)
 		delete(s.requests, r.Request)
 		return
 	}
@@ -141,7 +141,7 @@
 	}
 	for _, r := range s.sorted() {
 		if r.stage == StageWaiting && r.isFresh() {
-			s.refuse(r, RefusedNoEndpoint, tlverdict.NoEndpoint, time.Second)
+			s.refuse(now, r, RefusedNoEndpoint, tlverdict.NoEndpoint, time.Second)
 			s.end(now, r)
 		}
 	}
--- a/core/tlsched/scheduler.go
+++ b/core/tlsched/scheduler.go
@@ -73,6 +73,11 @@
 	}
 	r.nextAttempt()
 	s.prepare(now, r, r.Due)
+	if s.spills(now, r) {
+		s.spill(r)
+		return s.take()
+	}
+	s.known.asked.Add(now, 1)
 	if s.admit(now, r) {
 		s.requests[r.Request] = r
 		s.queue.Push(now, &r.item)
