--- a/io/tlrelay/relay.go
+++ b/io/tlrelay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 
 	"trefoillanding/core/tleventid"
@@ -79,19 +80,21 @@
 
 // Serves says for each attempt whether a request that is open here is at it.
 func (r *Relay) Serves(attempts []string) []bool {
-	at := map[string]bool{}
 	r.mu.Lock()
-	for _, n := range r.runs {
-		at[n.current()] = true
-	}
-	r.mu.Unlock()
+	defer r.mu.Unlock()
 	served := make([]bool, len(attempts))
 	for i, a := range attempts {
-		served[i] = at[a]
+		n := r.runs[requestOf(a)]
+		served[i] = n != nil && n.current() == a
 	}
 	return served
 }
 
+// requestOf returns the request that an attempt belongs to.
+func requestOf(attempt string) string {
+	return attempt[:max(0, strings.LastIndexByte(attempt, '/'))]
+}
+
 // Open counts the requests that are open here.
 func (r *Relay) Open() int {
 	r.mu.Lock()
