--- a/cmd/trefoillanding/main.go
+++ b/cmd/trefoillanding/main.go
@@ -36,6 +36,7 @@
 			statusCommand(),
 			demoCommand(),
 			loadCommand(),
+			experimentCommand(),
 			standinCommand(),
 		},
 		OnUsageError:    usageFailed,
--- a/instance.go
+++ b/instance.go
@@ -24,6 +24,7 @@
 	"trefoillanding/io/tlpeer"
 	"trefoillanding/io/tlplain"
 	"trefoillanding/io/tlplatform"
+	"trefoillanding/io/tlreconcile"
 	"trefoillanding/io/tlrelay"
 )
 
@@ -51,6 +52,7 @@
 	server   *tlentry.Server
 
 	configurer *tlconfigure.Configurer
+	reconciler *tlreconcile.Reconciler
 
 	config    atomic.Pointer[inForce]
 	endpoints atomic.Pointer[map[string]bool]
@@ -119,6 +121,7 @@
 	i.sweeper = i.newSweeper()
 	i.relay = tlrelay.New(i.relayDeps())
 	i.entry = tlentry.New(i.entryDeps())
+	i.reconciler = tlreconcile.New(i.reconcileOptions())
 	i.handleMessages()
 	i.handleClaims()
 }
@@ -128,6 +131,7 @@
 	i.gossip.Start()
 	i.running.Go(func() { i.watchList(i.ctx) })
 	i.configurer.Start()
+	i.reconciler.Start()
 	i.running.Go(func() { i.keepHomes(i.ctx) })
 	i.running.Go(func() { i.sweeper.Run(i.ctx) })
 }
@@ -178,6 +182,7 @@
 func (i *Instance) closeParts() {
 	ctx, stop := context.WithTimeout(context.Background(), cancelsTimeout)
 	defer stop()
+	i.reconciler.Close()
 	i.configurer.Close()
 	i.ledger.Close(ctx)
 	i.claims.Close()
--- a/instance_test.go
+++ b/instance_test.go
@@ -53,6 +53,11 @@
 
 func TestStreamsOfADeadInstanceGoOnElsewhere(t *testing.T) {
 	s := newSite(t, nil)
+	defer func() {
+		if t.Failed() {
+			t.Log(s.instances[1].metrics.String(), s.instances[2].metrics.String())
+		}
+	}()
 	requireWhole(bounded(t, 30*time.Second), t, s.caller(t), 60, 300, func() {
 		time.Sleep(300 * time.Millisecond)
 		s.instances[0].Close()
--- a/io/tlengine/error.go
+++ b/io/tlengine/error.go
@@ -114,6 +114,11 @@
 	return is(err, Gap)
 }
 
+// IsOldNumber says that an engine refused an order for its fencing number.
+func IsOldNumber(err error) bool {
+	return isRefused(err, "OldFencingNumber")
+}
+
 func isRefused(err error, reason string) bool {
 	var e *Error
 	return errors.As(err, &e) && e.Cause == Refused && e.Reason == reason
--- a/io/tlrelay/relay.go
+++ b/io/tlrelay/relay.go
@@ -15,23 +15,29 @@
 type Relay struct {
 	deps     Deps
 	counters *tlmetric.Group
+	life     context.Context
+	leave    context.CancelFunc
 
-	mu        sync.Mutex
-	runs      map[string]*run
-	isLeaving bool
+	mu   sync.Mutex
+	runs map[string]*run
 }
 
 // New returns a relay without open requests.
 func New(d Deps) *Relay {
+	life, leave := context.WithCancel(context.Background())
 	return &Relay{
 		deps:     d,
 		counters: d.Metrics.Group("Relay", counterNames...),
+		life:     life,
+		leave:    leave,
 		runs:     map[string]*run{},
 	}
 }
 
 // Do serves a request until its whole answer is out; errors are tlverdict errors.
 func (r *Relay) Do(ctx context.Context, q Request, out Sink) error {
+	ctx, stop := r.bound(ctx)
+	defer stop()
 	n := newRun(r, q, out)
 	r.open(n)
 	defer r.close(n)
@@ -48,6 +54,8 @@
 		return nil
 	}
 	q.ID = p.Request
+	ctx, stop := r.bound(ctx)
+	defer stop()
 	n := newRun(r, q, out)
 	r.open(n)
 	defer r.close(n)
@@ -102,18 +110,20 @@
 	return len(r.runs)
 }
 
-// Leave lets streams go on at their engines when their requests end here, so
-// that callers can resume them at other instances.
+// Leave ends all requests here, those that come later too, and lets their
+// streams go on at the engines, so that callers can resume them elsewhere.
 func (r *Relay) Leave() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.isLeaving = true
+	r.leave()
 }
 
-func (r *Relay) leaves() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.isLeaving
+// bound ends a request when the relay leaves.
+func (r *Relay) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancel(ctx)
+	forget := context.AfterFunc(r.life, stop)
+	return ctx, func() {
+		forget()
+		stop()
+	}
 }
 
 func (r *Relay) open(n *run) {
@@ -139,7 +149,7 @@
 		r.counters.Count(answered)
 		return nil
 	}
-	if !r.leaves() {
+	if r.life.Err() == nil {
 		n.abandon(err)
 	}
 	return err
