--- a/core/tlconfig/fold.go
+++ b/core/tlconfig/fold.go
@@ -23,7 +23,7 @@
 	known   bool
 	first   uint64
 	last    uint64
-	changes int
+	covered uint64 // the generation of the latest snapshot
 	snapped time.Time
 }
 
@@ -69,8 +69,7 @@
 	if f.known && !isNewer || s.Generation < f.state.Generation {
 		return false
 	}
-	f.state, f.known = s, true
-	f.changes = 0
+	f.state, f.known, f.covered = s, true, s.Generation
 	return true
 }
 
@@ -137,7 +136,6 @@
 	n.Generation = f.state.Generation + 1
 	n.remember(p.Nonce, p.Author)
 	f.state = n
-	f.changes++
 	if !bytes.Equal(n.Digest.Bytes(), c.Digest) {
 		return Diverged
 	}
@@ -156,9 +154,8 @@
 	if err != nil || x.Generation != b.Generation || x.Offset >= r.Offset {
 		return Malformed
 	}
-	f.changes, f.snapped = 0, r.Time
 	if f.known {
-		return f.confirm(x)
+		return f.confirm(r, x)
 	}
 	if x.Offset+1 < f.first || x.Generation < f.state.Generation {
 		return Unjudged
@@ -168,11 +165,16 @@
 		return Malformed
 	}
 	f.state, f.known = s, true
+	f.covered, f.snapped = s.Generation, r.Time
 	return Restored
 }
 
 // confirm compares a snapshot with the state here, where both are of one generation.
-func (f *Fold) confirm(x tlwire.ConfigState) Ruling {
+func (f *Fold) confirm(r tlwire.LogRecord, x tlwire.ConfigState) Ruling {
+	if x.Generation > f.state.Generation {
+		return Malformed
+	}
+	f.covered, f.snapped = max(f.covered, x.Generation), r.Time
 	if x.Generation == f.state.Generation && !bytes.Equal(x.Digest, f.state.Digest.Bytes()) {
 		return Diverged
 	}
@@ -185,5 +187,5 @@
 	if !f.known || f.state.Generation == 0 {
 		return false
 	}
-	return f.changes >= changes || now.Sub(f.snapped) >= age
+	return f.state.Generation-f.covered >= uint64(changes) || now.Sub(f.snapped) >= age
 }
--- a/core/tlconfig/fold_test.go
+++ b/core/tlconfig/fold_test.go
@@ -105,6 +105,31 @@
 	assert.Equal(t, f.State().Digest, early.State().Digest)
 }
 
+func TestASnapshotCoversNoMoreThanItsOwnGeneration(t *testing.T) {
+	l := &logged{oldest: 1}
+	f := NewFold()
+	f.Begin(1)
+	assert.False(t, f.SnapshotDue(time.Unix(10, 0), 2, time.Hour), "nothing is in force")
+	l.append(proposal(t, f.State(), organisations("a"), "n1"))
+	l.follow(f)
+	assert.True(t, f.SnapshotDue(time.Unix(10, 0), 2, time.Hour), "there is none yet")
+	early, err := Snapshot(f.State())
+	require.NoError(t, err)
+	for n := range 2 {
+		l.append(proposal(t, f.State(), organisations("a", fmt.Sprint("b", n)), fmt.Sprint("m", n)))
+		l.follow(f)
+	}
+	l.append(early)
+	l.follow(f)
+	assert.True(t, f.SnapshotDue(time.Unix(10, 0), 2, time.Hour), "two changes came between its state and its place")
+	late, err := Snapshot(f.State())
+	require.NoError(t, err)
+	l.append(late)
+	l.follow(f)
+	assert.False(t, f.SnapshotDue(time.Unix(10, 0), 2, time.Hour))
+	assert.True(t, f.SnapshotDue(time.Unix(4000, 0), 2, time.Hour))
+}
+
 func TestRecordsOfLaterVersions(t *testing.T) {
 	f := NewFold()
 	f.Begin(1)
--- a/io/tlconfigure/apply.go
+++ b/io/tlconfigure/apply.go
@@ -11,9 +11,6 @@
 	"trefoillanding/core/tlwire"
 )
 
-// appendDelay is the time between two tries to append a proposal.
-const appendDelay = 100 * time.Millisecond
-
 // Apply puts files in force as a whole and returns their generation. Of racing
 // calls exactly one wins; the others fail with ConfigConflict. After
 // ConfigUnknown the same call, with the same nonce, may safely be repeated at
@@ -77,7 +74,7 @@
 		if reached, _ := c.next(); err == nil && reached > at {
 			continue
 		}
-		if !c.wait(ctx, appendDelay) {
+		if !c.wait(ctx, c.o.Times.Retry) {
 			return 0, tlverdict.New(tlverdict.ConfigUnknown, "the proposal is in the log, but its outcome could not be read: %v", err)
 		}
 	}
@@ -101,7 +98,7 @@
 		}
 		c.o.Add(countAppendFailed, 1)
 		mayBeThere = mayBeThere || !c.o.Log.NotAppended(err)
-		if c.wait(ctx, appendDelay) {
+		if c.wait(ctx, c.o.Times.Retry) {
 			continue
 		}
 		if mayBeThere {
--- a/io/tlconfigure/bench_test.go
+++ b/io/tlconfigure/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"syscall"
@@ -11,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlplatform"
+	"trefoillanding/io/tlstandin"
 )
 
 // cpu returns the processor time that this process has used.
@@ -70,18 +73,23 @@
 		name      string
 		instances int
 		delay     time.Duration
+		overHTTP  bool
 		call      func(n int) tlwire.ApplyCall
 	}{
-		{"7 instances", 7, 0, small},
-		{"7 instances, slow log", 7, 100 * time.Millisecond, small},
-		{"50 instances", 50, 0, small},
-		{"50 instances, slow log", 50, 100 * time.Millisecond, small},
-		{"7 instances, target size", 7, 0, targetSize},
+		{"7 instances", 7, 0, true, small},
+		{"7 instances, slow log", 7, 100 * time.Millisecond, true, small},
+		{"50 instances", 50, 0, true, small},
+		{"50 instances, slow log", 50, 100 * time.Millisecond, true, small},
+		{"7 instances, target size", 7, 0, false, targetSize},
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			l := newFakeLog()
 			l.delay = c.delay
-			all := newCluster(b, l, c.instances, (c.instances+3)/4, time.Second, testTimes())
+			source := l.log()
+			if c.overHTTP {
+				source = standin(b, c.delay)
+			}
+			all := newCluster(b, source, c.instances, (c.instances+3)/4, time.Second, testTimes())
 			g, err := all[0].configurer.Apply(soon(b), c.call(0))
 			require.NoError(b, err)
 			require.Empty(b, all[0].configurer.WaitInForce(soon(b), g))
@@ -104,6 +112,22 @@
 	}
 }
 
+// standin returns the configuration's stream of a stand-in of the platform.
+func standin(b *testing.B, lag time.Duration) Log {
+	b.Helper()
+	p := tlstandin.NewPlatform(tlstandin.NewPlatformLimits())
+	p.Faults().Set(tlwire.Faults{Lag: lag})
+	s, err := tlstandin.Listen(netip.MustParseAddrPort("127.0.0.1:0"), p)
+	require.NoError(b, err)
+	c := tlplatform.New(s.Address(), 2*time.Second)
+	b.Cleanup(func() {
+		c.Close()
+		s.Close()
+		<-s.Done()
+	})
+	return LogOf(c)
+}
+
 // BenchmarkIdle measures what instances spend with nothing to do, over one
 // period for each count of instances.
 func BenchmarkIdle(b *testing.B) {
@@ -111,7 +135,7 @@
 	for _, n := range []int{3, 7, 20, 50} {
 		b.Run(fmt.Sprint(n, " instances"), func(b *testing.B) {
 			l := newFakeLog()
-			all := newCluster(b, l, n, (n+3)/4, time.Second, testTimes())
+			all := newCluster(b, l.log(), n, (n+3)/4, time.Second, testTimes())
 			_, err := all[0].configurer.Apply(soon(b), declare("n", 1))
 			require.NoError(b, err)
 			time.Sleep(3 * time.Second)
--- a/io/tlconfigure/cluster_test.go
+++ b/io/tlconfigure/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"testing"
@@ -36,6 +37,15 @@
 	lose    int // how many answers to proposals are lost yet
 	delay   time.Duration
 	reads   int
+	random  *rand.Rand // draws faults when it is set
+}
+
+// faultShare is the share of calls that each kind of fault hits.
+const faultShare = 0.15
+
+// draw says whether a fault hits; mu is held.
+func (l *fakeLog) draw() bool {
+	return l.random != nil && l.random.Float64() < faultShare
 }
 
 func newFakeLog() *fakeLog {
@@ -52,13 +62,16 @@
 	time.Sleep(l.delay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.down {
+	if l.down || l.draw() {
 		return 0, errDown
 	}
 	at := uint64(len(l.records) + 1)
 	l.records = append(l.records, tlwire.LogRecord{Offset: at, Time: time.Now(), Data: data})
 	close(l.moved)
 	l.moved = make(chan struct{})
+	if l.draw() {
+		return 0, errLost
+	}
 	if _, ok := tlconfig.NonceOf(data); ok && l.lose > 0 {
 		l.lose--
 		return 0, errLost
@@ -88,7 +101,7 @@
 	defer l.mu.Unlock()
 	l.reads++
 	r := tlwire.ReadResult{Oldest: l.oldest, Next: uint64(len(l.records) + 1)}
-	if l.down {
+	if l.down || l.draw() {
 		return r, nil, errDown
 	}
 	if from < l.oldest {
@@ -165,6 +178,7 @@
 func testTimes() Times {
 	t := DefaultTimes()
 	t.Wait, t.Timeout, t.LagAfter = 2*time.Second, time.Second, 200*time.Millisecond
+	t.Retry = 5 * time.Millisecond
 	return t
 }
 
@@ -174,7 +188,7 @@
 	return logrus.NewEntry(l)
 }
 
-func newInstance(tb testing.TB, l *fakeLog, name, dataCentre string, heartbeat time.Duration, t Times) *instance {
+func newInstance(tb testing.TB, l Log, name, dataCentre string, heartbeat time.Duration, t Times) *instance {
 	tb.Helper()
 	i := &instance{counts: map[string]int64{}}
 	m, err := tlpeer.New(tlpeer.Options{
@@ -193,7 +207,7 @@
 		Newer: func(peer string, g uint64) { i.configurer.Newer(peer, g) },
 	})
 	i.configurer = New(Options{
-		Name: name, DataCentre: dataCentre, Log: l.log(), Mesh: m, Gossip: i.gossip, Times: t,
+		Name: name, DataCentre: dataCentre, Log: l, Mesh: m, Gossip: i.gossip, Times: t,
 		Changed: func(uint64, *tlconfig.Config) {}, Now: time.Now, Logger: quietLogger(), Add: i.add,
 	})
 	tb.Cleanup(i.close)
@@ -209,7 +223,7 @@
 }
 
 // newCluster starts instances spread over data centres of the given size.
-func newCluster(tb testing.TB, l *fakeLog, count, perDataCentre int, heartbeat time.Duration, t Times) []*instance {
+func newCluster(tb testing.TB, l Log, count, perDataCentre int, heartbeat time.Duration, t Times) []*instance {
 	tb.Helper()
 	var all []*instance
 	var list tlwire.InstanceList
@@ -255,3 +269,15 @@
 	tb.Cleanup(cancel)
 	return ctx
 }
+
+// foldTo folds the log's records up to a generation.
+func foldTo(l *fakeLog, generation uint64) tlconfig.State {
+	f := tlconfig.NewFold()
+	for _, r := range l.records {
+		f.Take(r)
+		if f.State().Generation == generation {
+			break
+		}
+	}
+	return f.State()
+}
--- a/io/tlconfigure/configurer_test.go
+++ b/io/tlconfigure/configurer_test.go
@@ -24,7 +24,7 @@
 
 func TestApplyComesIntoForceEverywhereAndFewReadTheLog(t *testing.T) {
 	l := newFakeLog()
-	all := newCluster(t, l, 10, 5, beat, testTimes())
+	all := newCluster(t, l.log(), 10, 5, beat, testTimes())
 	for n := 1; n <= 3; n++ {
 		g, err := all[n].configurer.Apply(soon(t), declare(fmt.Sprint(n), n))
 		require.NoError(t, err)
@@ -48,7 +48,7 @@
 func TestOfRacingOperatorsOneWins(t *testing.T) {
 	l := newFakeLog()
 	l.delay = 20 * time.Millisecond
-	all := newCluster(t, l, 4, 2, beat, testTimes())
+	all := newCluster(t, l.log(), 4, 2, beat, testTimes())
 	_, err := all[0].configurer.Apply(soon(t), declare("first", 99))
 	require.NoError(t, err)
 	var w sync.WaitGroup
@@ -82,7 +82,7 @@
 
 func TestApplyWhoseAnswersAreLostAppliesOnce(t *testing.T) {
 	l := newFakeLog()
-	all := newCluster(t, l, 3, 3, beat, testTimes())
+	all := newCluster(t, l.log(), 3, 3, beat, testTimes())
 	l.set(func() { l.lose = 2 })
 	g, err := all[0].configurer.Apply(soon(t), declare("n", 1))
 	require.NoError(t, err)
@@ -100,7 +100,7 @@
 
 func TestOutage(t *testing.T) {
 	l := newFakeLog()
-	all := newCluster(t, l, 3, 3, beat, testTimes())
+	all := newCluster(t, l.log(), 3, 3, beat, testTimes())
 	_, err := all[0].configurer.Apply(soon(t), declare("1", 1))
 	require.NoError(t, err)
 	require.Empty(t, all[0].configurer.WaitInForce(soon(t), 1))
@@ -111,7 +111,7 @@
 	assert.Equal(t, tlverdict.LogUnavailable, tlverdict.Of(err).Reason)
 	assert.Equal(t, tlwire.VerdictNotRun, tlverdict.Of(err).Verdict)
 
-	n := newInstance(t, l, "new", "d00", beat, testTimes())
+	n := newInstance(t, l.log(), "new", "d00", beat, testTimes())
 	list := tlwire.InstanceList{}
 	for _, i := range append(all, n) {
 		name := "new"
@@ -139,7 +139,7 @@
 	l := newFakeLog()
 	times := testTimes()
 	times.SnapshotChanges, times.SnapshotEvery = 2, time.Hour
-	first := newCluster(t, l, 1, 1, beat, times)[0]
+	first := newCluster(t, l.log(), 1, 1, beat, times)[0]
 	for n := 1; n <= 5; n++ {
 		_, err := first.configurer.Apply(soon(t), declare(fmt.Sprint(n), n))
 		require.NoError(t, err)
@@ -147,7 +147,7 @@
 	require.Eventually(t, func() bool { return first.count(countSnapshot) >= 2 }, 8*time.Second, 10*time.Millisecond)
 	l.set(func() { l.oldest = l.lastSnapshot() })
 	assert.Greater(t, l.oldest, uint64(1))
-	second := newCluster(t, l, 1, 1, beat, times)[0]
+	second := newCluster(t, l.log(), 1, 1, beat, times)[0]
 	require.Eventually(t, func() bool {
 		g, _ := second.configurer.Current()
 		return g == 5
@@ -158,7 +158,7 @@
 
 func TestAFollowerThatIsPassedNothingReadsTheLog(t *testing.T) {
 	l := newFakeLog()
-	all := newCluster(t, l, 5, 5, beat, testTimes())
+	all := newCluster(t, l.log(), 5, 5, beat, testTimes())
 	_, err := all[0].configurer.Apply(soon(t), declare("1", 1))
 	require.NoError(t, err)
 	require.Empty(t, all[0].configurer.WaitInForce(soon(t), 1))
--- a/io/tlconfigure/options.go
+++ b/io/tlconfigure/options.go
@@ -58,6 +58,8 @@
 	Wait time.Duration
 	// Timeout bounds one call beyond the time that it waits.
 	Timeout time.Duration
+	// Retry is the time between two tries to append.
+	Retry time.Duration
 	// LagAfter is how long a generation may be known elsewhere and not here
 	// before the log is read directly.
 	LagAfter time.Duration
@@ -73,6 +75,7 @@
 	return Times{
 		Wait:            10 * time.Second,
 		Timeout:         2 * time.Second,
+		Retry:           100 * time.Millisecond,
 		LagAfter:        time.Second,
 		SnapshotEvery:   10 * time.Minute,
 		SnapshotChanges: 256,
