List engines only when something is amiss

Cause: a list of every engine each second is about 5 KB an engine with 20 streams, 70 KB/s for a home of 14, where the target gives all of control 3 KB/s a node. Change: load reports count the attempts that no connection reads or waits for; the sweeper lists an engine when that is not zero, when an instance is no longer live, when something falls due, and otherwise once a minute. HasReader now covers prefills and imports too, so that their owners are not asked while their connections are open.

--- a/core/tlsweep/attempt.go
+++ b/core/tlsweep/attempt.go
@@ -31,7 +31,7 @@
 // update takes in how the attempt is listed at present.
 func (a *attempt) update(now time.Time, i tlwire.StreamInfo, f tlmember.Fate) {
 	a.resumable = i.Stage == tlwire.StageDecoding
-	a.hasReader = i.HasReader
+	a.hasReader = i.HasReader || i.Stage == tlwire.StageHeld
 	a.wasRead = a.wasRead || a.hasReader
 	if a.hasReader || a.unread.IsZero() {
 		a.unread = now
@@ -62,9 +62,10 @@
 	return list
 }
 
-// next returns when the attempt may have to be swept; zero is not at all.
+// next returns when the attempt may have to be swept, or its owner asked; zero
+// is not at all.
 func (a *attempt) next(l Limits) time.Time {
-	var next time.Time
+	next, _ := a.askAt(l)
 	for _, r := range rules {
 		d, ok := r.due(a, l)
 		if ok && (next.IsZero() || d.Before(next)) {
@@ -74,14 +75,20 @@
 	return next
 }
 
-// asks says whether the owner should be asked now. One whose connection is open
+// askAt returns when the owner is to be asked. One whose connection is open
 // needs no question; one that has just let go of it is asked at once.
-func (a *attempt) asks(now time.Time, l Limits) bool {
+func (a *attempt) askAt(l Limits) (time.Time, bool) {
 	if a.swept || a.hasReader || !a.gone.IsZero() || !a.disowned.IsZero() {
-		return false
+		return time.Time{}, false
 	}
-	late := a.wasRead || now.Sub(a.unread) >= l.AskAfter
-	return late && now.Sub(a.asked) >= l.askEvery(a)
+	at := a.unread
+	if !a.wasRead {
+		at = at.Add(l.AskAfter)
+	}
+	if again := a.asked.Add(l.askEvery(a)); !a.asked.IsZero() && again.After(at) {
+		at = again
+	}
+	return at, true
 }
 
 // grace returns how long the attempt waits for another instance to resume it.
--- a/core/tlsweep/sweep.go
+++ b/core/tlsweep/sweep.go
@@ -62,7 +62,8 @@
 func (s *Sweep) Questions(now time.Time, engine string) []Question {
 	asked := map[Owner][]string{}
 	for name, a := range s.engines[engine] {
-		if a.asks(now, s.limits) {
+		at, asks := a.askAt(s.limits)
+		if asks && !now.Before(at) {
 			a.asked = now
 			asked[a.owner] = append(asked[a.owner], name)
 		}
@@ -103,8 +104,8 @@
 	}
 }
 
-// Next returns when an attempt that was not swept yet has to be looked at
-// again; zero is when nothing waits.
+// Next returns when an engine has to be looked at again for an attempt that was
+// not swept yet; zero is when nothing waits.
 func (s *Sweep) Next(engine string) time.Time {
 	var next time.Time
 	for _, a := range s.engines[engine] {
--- a/core/tlwire/engine.go
+++ b/core/tlwire/engine.go
@@ -175,6 +175,9 @@
 
 	// Running counts the streams that decode.
 	Running int `json:"Running" yaml:"Running" cbor:"Running"`
+
+	// Unread counts the attempts at work that no connection reads or waits for.
+	Unread int `json:"Unread,omitempty" yaml:"Unread,omitempty" cbor:"Unread,omitempty"`
 }
 
 // LoadedModel is one model, version and adapter in an engine.
@@ -311,7 +314,7 @@
 	// Attempt is the attempt.
 	Attempt string `json:"Attempt" yaml:"Attempt" cbor:"Attempt"`
 
-	// HasReader says that a connection is reading it.
+	// HasReader says that a connection reads it or waits for it.
 	HasReader bool `json:"HasReader" yaml:"HasReader" cbor:"HasReader"`
 
 	// Incarnation is that owner's incarnation.
--- a/io/tlorphan/deps.go
+++ b/io/tlorphan/deps.go
@@ -30,8 +30,12 @@
 
 // Times sets how often engines are listed.
 type Times struct {
-	// Every is the time between two lists of an engine.
+	// Every is the time between two lists of an engine at which all is well; it
+	// only makes up for reports and nudges that were lost.
 	Every time.Duration
+	// Unread is the time between two lists of an engine that reports attempts
+	// which nobody reads.
+	Unread time.Duration
 	// Least is the shortest time between two lists of an engine, however urgent.
 	Least time.Duration
 	// Timeout bounds a list, and a question to an owner.
@@ -41,7 +45,8 @@
 // NewTimes returns the usual times.
 func NewTimes() Times {
 	return Times{
-		Every:   time.Second,
+		Every:   time.Minute,
+		Unread:  time.Second,
 		Least:   50 * time.Millisecond,
 		Timeout: 500 * time.Millisecond,
 	}
--- a/io/tlorphan/sweeper.go
+++ b/io/tlorphan/sweeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -25,10 +26,13 @@
 	watches map[string]*watch
 }
 
-// watch says when an engine was last listed, and whether that still runs.
+// watch says when an engine was last listed, whether that still runs, and
+// whether the engine reports attempts that nobody reads.
 type watch struct {
-	last time.Time
-	busy bool
+	address netip.AddrPort
+	last    time.Time
+	busy    bool
+	unread  bool
 }
 
 // New returns a sweeper that has not started.
@@ -53,6 +57,20 @@
 	}
 }
 
+// Reported takes in an engine's load report.
+func (s *Sweeper) Reported(a netip.AddrPort, l tlwire.LoadReport) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, w := range s.watches {
+		if w.address == a {
+			w.unread = l.Unread > 0
+		}
+	}
+	if l.Unread > 0 {
+		s.awake()
+	}
+}
+
 // Done is closed when the sweeper has ended.
 func (s *Sweeper) Done() <-chan struct{} {
 	return s.done
@@ -112,9 +130,12 @@
 // due returns when an engine is to be listed again; it needs the mutex.
 func (s *Sweeper) due(engine string, w *watch) time.Time {
 	d := w.last.Add(s.times.Every)
+	if w.unread {
+		d = w.last.Add(s.times.Unread)
+	}
 	n := s.sweep.Next(engine)
 	if n.After(w.last) && n.Before(d) {
-		return n
+		return later(n, w.last.Add(s.times.Least))
 	}
 	return d
 }
@@ -127,6 +148,7 @@
 		if s.watches[e.Name] == nil {
 			s.watches[e.Name] = &watch{}
 		}
+		s.watches[e.Name].address = e.Address
 	}
 	s.sweep.Keep(names)
 	maps.DeleteFunc(s.watches, func(n string, _ *watch) bool { return !slices.Contains(names, n) })
@@ -159,12 +181,23 @@
 	s.mutex.Lock()
 	w.busy = false
 	s.mutex.Unlock()
+	s.awake()
+}
+
+func (s *Sweeper) awake() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (s *Sweeper) list(x context.Context, e tlwire.Engine) (tlwire.StreamList, error) {
 	x, stop := context.WithTimeout(x, s.times.Timeout)
 	defer stop()
--- a/io/tlorphan/sweeper_test.go
+++ b/io/tlorphan/sweeper_test.go
@@ -43,6 +43,11 @@
 }
 
 func newSite(t *testing.T) *site {
+	return newSiteWith(t, 100*time.Millisecond)
+}
+
+// newSiteWith lists engines at which all is well so often.
+func newSiteWith(t *testing.T, every time.Duration) *site {
 	s := &site{fates: map[string]tlmember.Fate{}, owned: map[string]bool{}, counts: map[string]int64{}}
 	b := tlstandin.NewBehaviour()
 	b.HoldFor = 100 * time.Millisecond
@@ -57,7 +62,7 @@
 	require.NoError(t, err)
 	s.client = tlengine.New(tlengine.NewOptions())
 	times := tlorphan.NewTimes()
-	times.Every = 100 * time.Millisecond
+	times.Every, times.Unread = every, 100*time.Millisecond
 	s.sweeper = tlorphan.New(s.deps(), times, tlsweep.NewLimits(grace))
 	x, stop := context.WithCancel(context.Background())
 	go s.sweeper.Run(x)
@@ -227,3 +232,24 @@
 	s.set("izmir-1", tlmember.Gone)
 	require.Less(t, s.freed(t, "d"), time.Second)
 }
+
+func TestReportsOfUnreadAttemptsSaveLists(t *testing.T) {
+	s := newSiteWith(t, time.Hour)
+	a := s.Servers()["d"]
+	report := func() int {
+		l, err := s.client.Load(t.Context(), a)
+		require.NoError(t, err)
+		s.sweeper.Reported(a, l)
+		return l.Unread
+	}
+	d := s.open(t, "izmir-1", "a", answer)
+	require.Zero(t, report())
+	time.Sleep(300 * time.Millisecond)
+	s.mutex.Lock()
+	require.LessOrEqual(t, s.counts[tlorphan.CountListed], int64(2), "once for each engine")
+	s.mutex.Unlock()
+	d.Close()
+	require.Eventually(t, func() bool { return report() == 1 }, time.Second, 5*time.Millisecond)
+	require.Less(t, s.freed(t, "d"), time.Second)
+	require.EqualValues(t, 1, s.counted(tlsweep.Disowned))
+}
--- a/io/tlstandin/import.go
+++ b/io/tlstandin/import.go
@@ -25,6 +25,7 @@
 		refuse(w, no.status, no.reason, no.message)
 		return
 	}
+	defer e.detach(j)
 	fetched := make(chan *refusal, 1)
 	go e.fetch(j, q, fetched)
 	select {
@@ -75,6 +76,7 @@
 		pieces:      n,
 		tokens:      q.Tokens,
 		born:        time.Now(),
+		readers:     1,
 		ended:       make(chan struct{}),
 		gone:        make(chan struct{}),
 	}
--- a/io/tlstandin/job.go
+++ b/io/tlstandin/job.go
@@ -51,6 +51,8 @@
 	stallAt int
 	failAt  int
 	watch   *watcher
+	// readers counts the connections that read the job or wait for it.
+	readers int
 
 	// ready is a copy of next for readers without the mutex, or ended.
 	ready atomic.Int64
@@ -83,6 +85,12 @@
 	}
 }
 
+// isUnread says whether the job is at work and nobody is connected to it; a
+// held result lapses by itself.
+func (j *job) isUnread() bool {
+	return j.readers == 0 && j.stage != tlwire.StageHeld && j.stage != tlwire.StageFinished
+}
+
 // leave marks the job as gone for a cause; the second call does nothing.
 func (j *job) leave(cause string) {
 	if j.cause != "" {
--- a/io/tlstandin/load.go
+++ b/io/tlstandin/load.go
@@ -35,6 +35,14 @@
 	for _, j := range e.queue {
 		queued += j.tokens
 	}
+	unread := 0
+	for _, m := range []map[string]*job{e.prefills, e.decodes} {
+		for _, j := range m {
+			if j.isUnread() {
+				unread++
+			}
+		}
+	}
 	return tlwire.LoadReport{
 		Name:          e.name,
 		Role:          e.role,
@@ -43,6 +51,7 @@
 		PiecesFree:    e.free,
 		QueuedTokens:  queued,
 		Running:       len(e.running),
+		Unread:        unread,
 		Draining:      e.draining,
 		FencingNumber: e.fencing,
 		ReportedAt:    now,
@@ -78,7 +87,7 @@
 		Stage:       j.stage,
 		Pieces:      j.pieces,
 		Tokens:      j.next,
-		HasReader:   j.watch != nil && j.stream != "",
+		HasReader:   j.readers > 0,
 		Age:         now.Sub(j.born),
 	}
 }
--- a/io/tlstandin/prefill.go
+++ b/io/tlstandin/prefill.go
@@ -20,6 +20,7 @@
 		refuse(w, no.status, no.reason, no.message)
 		return
 	}
+	defer e.detach(j)
 	select {
 	case <-j.ended:
 	case <-j.gone:
@@ -50,6 +51,13 @@
 	}
 }
 
+// detach notes that one connection less waits for a job.
+func (e *Engine) detach(j *job) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	j.readers--
+}
+
 // refusal is why a call isn't carried out.
 type refusal struct {
 	status  int
@@ -82,6 +90,7 @@
 		tokens:      t,
 		bytes:       int64(t) * e.set.BytesPerToken,
 		born:        time.Now(),
+		readers:     1,
 		ended:       make(chan struct{}),
 		gone:        make(chan struct{}),
 	}
--- a/io/tlstandin/stream.go
+++ b/io/tlstandin/stream.go
@@ -70,6 +70,7 @@
 	j.stallAt, j.failAt = e.drawStops(j.first)
 	e.streams[q.Stream] = j
 	e.running[j] = struct{}{}
+	j.readers++
 	j.replace(v)
 	if j.next >= j.stop {
 		e.finish(j)
@@ -99,6 +100,7 @@
 		return nil, &refusal{http.StatusNotFound, reasonUnknown, "the stream is gone"}
 	}
 	j.owner, j.incarnation = q.Owner, q.Incarnation
+	j.readers++
 	j.replace(v)
 	return j, nil
 }
@@ -158,6 +160,7 @@
 func (e *Engine) leaveReader(j *job, v *watcher) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	j.readers--
 	if j.watch == v {
 		j.watch = nil
 	}
--- a/membership.go
+++ b/membership.go
@@ -61,12 +61,14 @@
 func (i *Instance) keepHomes(ctx context.Context) {
 	t := time.NewTicker(i.settings.Peers.Heartbeat)
 	defer t.Stop()
+	var live map[string]bool
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 			i.takeHomes()
+			live = i.nudgeSweeper(live)
 		}
 	}
 }
--- a/sweep.go
+++ b/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"trefoillanding/core/tlmember"
@@ -27,6 +28,30 @@
 	}, tlorphan.NewTimes(), tlsweep.NewLimits(i.settings.Peers.OrphanGrace))
 }
 
+// load asks an engine for its load and shows it to the sweeper too.
+func (i *Instance) load(ctx context.Context, a netip.AddrPort) (tlwire.LoadReport, error) {
+	l, err := i.engines.Load(ctx, a)
+	if err == nil {
+		i.sweeper.Reported(a, l)
+	}
+	return l, err
+}
+
+// nudgeSweeper makes the sweeper look at once when an instance is no longer live,
+// and returns who is.
+func (i *Instance) nudgeSweeper(before map[string]bool) map[string]bool {
+	live := map[string]bool{}
+	for _, m := range i.gossip.Live() {
+		live[m.Name] = true
+	}
+	for name := range before {
+		if !live[name] {
+			i.sweeper.Nudge()
+		}
+	}
+	return live
+}
+
 // serves asks an owner which attempts it is at.
 func (i *Instance) serves(ctx context.Context, o tlsweep.Owner, attempts []string) ([]bool, error) {
 	c := tlwire.ServesCall{Incarnation: o.Incarnation, Attempts: attempts}
--- a/wire.go
+++ b/wire.go
@@ -81,7 +81,7 @@
 func (i *Instance) homeDeps() tlhome.Deps {
 	return tlhome.Deps{
 		Deliver:     i.deliver,
-		Load:        i.engines.Load,
+		Load:        i.load,
 		CacheEvents: i.engines.CacheEvents,
 		Owns:        i.owns,
 		Leaving:     i.leaving,
