--- /dev/null
+++ b/io/tlholder/lease.go
@@ -0,0 +1,51 @@
+package tlholder
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"trefoillanding/core/tllease"
+	"trefoillanding/core/tlrecord"
+	"trefoillanding/core/tlwire"
+)
+
+// Lease is a lease that this instance holds.
+type Lease struct {
+	// Group is what it is for.
+	Group string
+	// Fence is its fencing number.
+	Fence uint64
+	// Until is when this instance stops acting under it, by its own clock.
+	Until time.Time
+
+	holder *Holder
+}
+
+// Holds says whether the lease lasts for at least d from now on.
+func (l Lease) Holds(d time.Duration) bool {
+	return l.holder.o.Now().Add(d).Before(l.Until)
+}
+
+// Release gives the lease back; one whose release is lost lapses by itself.
+func (l Lease) Release(ctx context.Context) {
+	data, err := tlrecord.Encode(tlwire.LeaseReleased{Group: l.Group, Fence: l.Fence})
+	if err != nil {
+		return
+	}
+	if _, err := l.holder.o.Append(ctx, Stream, [][]byte{data}); err != nil {
+		l.holder.o.Add(countLost, 1)
+		return
+	}
+	l.holder.o.Add(countReleased, 1)
+}
+
+// HeldError says that another instance holds a lease, or was granted it first.
+type HeldError struct {
+	Lease tllease.Lease
+}
+
+// Error returns the group, the holder and the time.
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("the lease of %s is held by %s until %s", e.Lease.Group, e.Lease.Instance, e.Lease.Until.Format(time.RFC3339Nano))
+}
