Let an owner's second transfer replace the first

Cause: in an ablation the home sent one attempt to a second engine while the first transfer still ran; the first transfer's end then decoded a stream that was gone (nil dereference in the model's owner). Ruled out: the link and the engines.

--- a/core/tlbaseline/ablation.go
+++ b/core/tlbaseline/ablation.go
@@ -18,6 +18,7 @@
 	{"WithoutSlack", func(o *tlsched.Options) { o.Slack = false }},
 	{"WithoutLateLane", func(o *tlsched.Options) { o.LateLane = false }},
 	{"WithoutAdmission", func(o *tlsched.Options) { o.Admission = false }},
+	{"WithoutSpill", func(o *tlsched.Options) { o.Spill = false }},
 	{"WithoutBet", func(o *tlsched.Options) { o.Bet = false }},
 	{"WithoutPrefix", func(o *tlsched.Options) { o.Prefix = false }},
 	{"WithoutLinks", func(o *tlsched.Options) { o.Links = false }},
@@ -27,6 +28,9 @@
 	{"WithoutLimitStreams", func(o *tlsched.Options) { o.LimitStreams = false }},
 	{"WithoutSuspend", func(o *tlsched.Options) { o.Suspend = false }},
 	{"WithoutShed", func(o *tlsched.Options) { o.Shed = false }},
+	{"WithoutCostRank", func(o *tlsched.Options) { o.CostRank = 0 }},
+	{"WithoutLateReserve", func(o *tlsched.Options) { o.LateReserve = 0 }},
+	{"WithoutOvertaking", func(o *tlsched.Options) { o.LookAhead = 1 }},
 }
 
 // Ablations lists the program's own policy without one mechanism each.
--- a/core/tltrial/attempt.go
+++ b/core/tltrial/attempt.go
@@ -87,6 +87,10 @@
 
 func (a *attempt) startTransfer(s tlwire.Step) {
 	c := a.call
+	if a.stream != nil {
+		c.trial.result.Counters["OwnerMovedTransfer"]++
+		a.leaveDecode()
+	}
 	a.engine = c.trial.decodes[s.Engine]
 	if !a.source.Holds(a.prefill) {
 		a.report(tlwire.Report{Kind: tlwire.ReportKindTransferFailed, Reason: tlmodel.ReasonUnknown})
--- a/core/tltrial/trial_test.go
+++ b/core/tltrial/trial_test.go
@@ -1,6 +1,7 @@
 package tltrial
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -107,3 +108,38 @@
 		assert.Equal(t, New(s).Run(), New(s).Run(), m.Name)
 	}
 }
+
+// TestSecondTransferReplacesTheFirst is case 1: a policy that sent an attempt to
+// a second engine while the first transfer ran made the first one decode nothing.
+func TestSecondTransferReplacesTheFirst(t *testing.T) {
+	none := func(time.Time) []tlwire.Step { return nil }
+	twice := tlbaseline.Policy{
+		Submit: func(_ time.Time, s tlwire.Submission) []tlwire.Step {
+			return []tlwire.Step{{Request: s.Request, Attempt: s.Request, Kind: tlwire.StepKindStartPrefill, Engine: "a-p0"}}
+		},
+		Report: func(_ time.Time, r tlwire.Report) []tlwire.Step {
+			if r.Kind != tlwire.ReportKindPrefillDone {
+				return nil
+			}
+			s := tlwire.Step{Request: r.Request, Attempt: r.Attempt, Kind: tlwire.StepKindStartTransfer}
+			a, b := s, s
+			a.Engine, b.Engine = "a-d0", "b-d0"
+			return []tlwire.Step{a, b}
+		},
+		Load:        func(time.Time, tlwire.LoadReport) []tlwire.Step { return nil },
+		CacheEvents: func(time.Time, string, tlwire.CacheEvents) {},
+		Tick:        none,
+		Next:        func() time.Time { return time.Time{} },
+		Summary:     func(time.Time) tlwire.PoolSummary { return tlwire.PoolSummary{} },
+		Count:       func(func(string, uint64)) {},
+	}
+	x := smallExperiment()
+	m := tlbaseline.Maker{Scope: tlbaseline.ScopeAll, Make: func(tlwire.Pool, tlwire.Service, []tlwire.Organisation, *rand.Rand, tlbaseline.Truth) tlbaseline.Policy {
+		return twice
+	}}
+	n := New(Setting{Experiment: x, Capacity: 1, Load: 1, Condition: tlwire.ConditionKindClean, Policy: m, Seed: 1})
+	r := n.Run()
+	assert.Equal(t, r.Offered(), r.Outcomes[Good])
+	assert.GreaterOrEqual(t, r.Counters["OwnerMovedTransfer"], uint64(r.Offered()))
+	assert.Equal(t, n.model.Pieces, n.decodes["a-d0"].Free())
+}
