--- a/io/tlengine/stream_bench_test.go
+++ b/io/tlengine/stream_bench_test.go
@@ -22,6 +22,8 @@
 	openers = 64
 	// streamsPerEngine is how many requests the memory of an engine holds.
 	streamsPerEngine = 20
+	// timerEvery is the time that the timer beside the streams is set to.
+	timerEvery = 5 * time.Millisecond
 	// settle is how long the streams run before they are measured.
 	settle = 500 * time.Millisecond
 )
@@ -63,6 +65,8 @@
 	time.Sleep(settle)
 	var m0, m1 runtime.MemStats
 	runtime.ReadMemStats(&m0)
+	timer := make(chan *hdrhistogram.Histogram)
+	go func() { timer <- timerDelays(x) }()
 	t0, c0, began := total(reads), processorTime(b), time.Now()
 	for b.Loop() {
 		time.Sleep(time.Second)
@@ -70,6 +74,7 @@
 	took, got, used := time.Since(began), float64(total(reads)-t0), processorTime(b)-c0
 	runtime.ReadMemStats(&m1)
 	stop()
+	late := <-timer
 	for _, e := range h.Engines {
 		e.Kill()
 	}
@@ -78,6 +83,7 @@
 	b.ReportMetric(float64(used)/got, "cpu-ns/token")
 	b.ReportMetric(float64(m1.Mallocs-m0.Mallocs)/got, "allocs/token")
 	b.ReportMetric(perStream, "B/stream")
+	b.ReportMetric(float64(late.ValueAtQuantile(99))/1e3, "timer-p99-µs")
 	d := hdrhistogram.New(1, int64(time.Minute), 3)
 	for _, r := range reads {
 		d.Merge(r.delays)
@@ -86,6 +92,18 @@
 	b.ReportMetric(float64(d.ValueAtQuantile(99))/1e3, "p99-µs")
 }
 
+// timerDelays measures how late the machine wakes a goroutine that only waits
+// for a timer, which is the part of the delays that no reader can do without.
+func timerDelays(x context.Context) *hdrhistogram.Histogram {
+	d := hdrhistogram.New(1, int64(time.Minute), 3)
+	for x.Err() == nil {
+		due := time.Now().Add(timerEvery)
+		time.Sleep(timerEvery)
+		_ = d.RecordValue(int64(time.Since(due)))
+	}
+	return d
+}
+
 // reading measures how late the tokens of a stream come after the earliest one,
 // had all been produced at equal times apart.
 type reading struct {
