Let a reader that was paused ask before it delivers

Cause: a paused owner that wakes finds tokens in its socket's buffer and delivered them before the line that says another instance took the stream. Change: after a gap of 1 s between tokens, Stream.Next asks the engine's list; a stream of another owner ends with Taken, one that is gone with Cancelled, and nothing of the buffer is handed out. Ruled out: a resume to find out, which takes the stream back from the later reader. Shown by: go test -race ./io/tlengine ./io/tlorphan (TestPausedReaderChecksThatItsStreamIsItsOwn).

--- a/io/tlengine/client_test.go
+++ b/io/tlengine/client_test.go
@@ -230,6 +230,45 @@
 	require.Equal(t, tlwire.TokenEvent{Attempt: "a", Index: 400, Finish: "stop"}, e)
 }
 
+func TestPausedReaderChecksThatItsStreamIsItsOwn(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		then func(*bench) error
+		err  string
+	}{
+		{"still its own", func(*bench) error { return nil }, ""},
+		{"taken over", func(b *bench) error { _, err := b.resume(t.Context(), "a", 0); return err }, "Taken"},
+		{"swept", func(b *bench) error { return b.client.Confirm(t.Context(), b.Servers()["d"], "a") }, "Cancelled"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, func(_ *tlstandin.Behaviour, o *tlengine.Options) { o.VerifyAfter = 50 * time.Millisecond })
+			s := b.open(t, "a", "answer=400")
+			defer s.Close()
+			time.Sleep(100 * time.Millisecond)
+			require.NoError(t, c.then(b))
+			e, err := s.Next()
+			require.NoError(t, err)
+			require.Equal(t, c.err, e.Error)
+			require.Equal(t, c.err != "", e.Text == "", "tokens at hand are not delivered")
+			require.EqualValues(t, 1, b.counted(tlengine.CountVerified))
+		})
+	}
+}
+
+func TestSilentEngineDelaysNoCancelElsewhere(t *testing.T) {
+	b := newBench(t, plain)
+	s := b.open(t, "a", "answer=1000000")
+	defer s.Close()
+	b.Engines["p"].Faults().Set(tlwire.Faults{HalfOpen: true})
+	for i := range 200 {
+		b.client.Cancel(b.Servers()["p"], fmt.Sprint("x", i))
+	}
+	x, stop := context.WithTimeout(t.Context(), time.Second)
+	defer stop()
+	require.NoError(t, b.client.Confirm(x, b.Servers()["d"], "a"))
+	require.Equal(t, 200, b.client.Cancelling())
+}
+
 func TestEngineDiesInMidStream(t *testing.T) {
 	b := newBench(t, plain)
 	s := b.open(t, "a", "answer=4000")
--- a/io/tlengine/counter.go
+++ b/io/tlengine/counter.go
@@ -20,6 +20,10 @@
 	CountImportStalled = "ImportStalled"
 	// CountStreamStalled counts streams that brought no token for too long.
 	CountStreamStalled = "StreamStalled"
+	// CountVerified counts questions of readers that may have been paused.
+	CountVerified = "Verified"
+	// CountTaken counts readers that found their stream taken or cancelled after such a gap.
+	CountTaken = "Taken"
 	// CountCancelSent counts tries of cancels.
 	CountCancelSent = "CancelSent"
 	// CountCancelConfirmed counts cancels that an engine confirmed.
@@ -35,6 +39,7 @@
 // Counters lists the names of all counters.
 var Counters = []string{
 	CountRefused, CountUnreachable, CountLost, CountMalformed, CountCrossed, CountRepeated,
-	CountGap, CountImportStalled, CountStreamStalled, CountCancelSent, CountCancelConfirmed,
+	CountGap, CountImportStalled, CountStreamStalled, CountVerified, CountTaken,
+	CountCancelSent, CountCancelConfirmed,
 	CountCancelRepeated, CountCancelTaken, CountCancelGivenUp,
 }
--- a/io/tlengine/event_test.go
+++ b/io/tlengine/event_test.go
@@ -72,7 +72,7 @@
 	o := NewOptions()
 	c := &Client{options: o, watchdog: newWatchdog(time.Second)}
 	x, stop := context.WithCancelCause(context.Background())
-	s := &Stream{client: c, context: x, stop: stop, detach: func() bool { return true }, attempt: "a", body: io.NopCloser(r)}
+	s := &Stream{client: c, context: x, stop: stop, detach: func() bool { return true }, attempt: "a", body: io.NopCloser(r), last: time.Now()}
 	s.reader = newLineReader(r)
 	return s
 }
--- a/io/tlengine/options.go
+++ b/io/tlengine/options.go
@@ -12,6 +12,9 @@
 	ImportStall time.Duration
 	// TokenStall is how long a reader may wait for one token.
 	TokenStall time.Duration
+	// VerifyAfter is the gap between two tokens after which a reader, which may have
+	// been paused, asks the engine whether the stream is still its own.
+	VerifyAfter time.Duration
 	// CancelWorkers is how many cancels run at once.
 	CancelWorkers int
 	// CancelsPerEngine is how many of them run at one engine.
@@ -35,6 +38,7 @@
 		CallTimeout:      time.Second,
 		ImportStall:      250 * time.Millisecond,
 		TokenStall:       2 * time.Second,
+		VerifyAfter:      time.Second,
 		CancelWorkers:    16,
 		CancelsPerEngine: 4,
 		CancelBase:       20 * time.Millisecond,
--- a/io/tlengine/stream.go
+++ b/io/tlengine/stream.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"trefoillanding/core/tlwire"
 )
@@ -20,6 +21,10 @@
 	lineBytes = 1 << 10
 	// longestLine is the longest event that is read, in bytes.
 	longestLine = 64 << 10
+	// takenError is the engines' word for a stream that a later reader resumed.
+	takenError = "Taken"
+	// cancelledError is their word for one that was cancelled.
+	cancelledError = "Cancelled"
 )
 
 var (
@@ -36,8 +41,11 @@
 	detach  func() bool
 	body    io.ReadCloser
 	reader  *bufio.Reader
+	engine  netip.AddrPort
+	owner   owner
 	attempt string
 	next    int
+	last    time.Time
 	ended   bool
 	closed  bool
 	// complete says that the last token has come.
@@ -48,32 +56,41 @@
 	idle  int
 }
 
+// owner is who reads a stream, as the engine knows it.
+type owner struct {
+	name        string
+	incarnation uint64
+}
+
 // Decode starts a stream, which must be named after its attempt.
 func (c *Client) Decode(x context.Context, a netip.AddrPort, r tlwire.DecodeRequest) (*Stream, error) {
-	return c.open(x, a, "/engine/streams", r.Attempt, r.FirstIndex, r)
+	s := &Stream{engine: a, owner: owner{r.Owner, r.Incarnation}, attempt: r.Attempt, next: r.FirstIndex}
+	return s, c.open(x, s, "/engine/streams", r)
 }
 
 // Resume reads a stream, which is named after its attempt, on from a token; it
 // cuts any earlier reader off.
 func (c *Client) Resume(x context.Context, a netip.AddrPort, r tlwire.ResumeRequest) (*Stream, error) {
-	return c.open(x, a, "/engine/resumes", r.Stream, r.FirstIndex, r)
+	s := &Stream{engine: a, owner: owner{r.Owner, r.Incarnation}, attempt: r.Stream, next: r.FirstIndex}
+	return s, c.open(x, s, "/engine/resumes", r)
 }
 
-func (c *Client) open(x context.Context, a netip.AddrPort, path, attempt string, first int, r any) (*Stream, error) {
-	x, stop, detach := detachable(x)
-	s := &Stream{client: c, context: x, stop: stop, detach: detach, attempt: attempt, next: first}
+func (c *Client) open(x context.Context, s *Stream, path string, r any) error {
+	s.client = c
+	s.context, s.stop, s.detach = detachable(x)
 	s.turns.Store(1)
 	c.watchdog.add(s)
-	w, err := c.send(x, http.MethodPost, a, path, r)
+	w, err := c.send(s.context, http.MethodPost, s.engine, path, r)
 	if err != nil {
-		detach()
+		s.detach()
 		s.release()
-		return nil, err
+		return err
 	}
 	s.turns.Store(2)
 	s.body = w.Body
 	s.reader = newLineReader(w.Body)
-	return s, nil
+	s.last = time.Now()
+	return nil
 }
 
 func newLineReader(r io.Reader) *bufio.Reader {
@@ -84,7 +101,9 @@
 
 // Next waits for the next token. It drops and counts what belongs to another
 // attempt or came before; a token left out is an error. An event whose Error is
-// set, or whose Finish is, is the last one; after it comes io.EOF.
+// set, or whose Finish is, is the last one; after it comes io.EOF. After a long
+// gap it asks the engine whether the stream is still ours before it hands a
+// token out; when it is not, the event's Error is Taken or Cancelled.
 func (s *Stream) Next() (tlwire.TokenEvent, error) {
 	for !s.ended {
 		line, err := s.line()
@@ -99,9 +118,17 @@
 		if err != nil {
 			return tlwire.TokenEvent{}, err
 		}
-		if wanted {
-			return s.token(v), nil
+		if !wanted {
+			continue
+		}
+		lost, err := s.verify()
+		if err != nil {
+			return tlwire.TokenEvent{}, s.end(err)
+		}
+		if lost != "" {
+			return s.lost(v.index, lost), nil
 		}
+		return s.token(v), nil
 	}
 	return tlwire.TokenEvent{}, io.EOF
 }
@@ -171,6 +198,40 @@
 	}
 }
 
+// verify asks after a long gap, in which the process may have been paused,
+// whether the stream is still ours; it returns how it was lost, if it was.
+func (s *Stream) verify() (string, error) {
+	now := time.Now()
+	gap := now.Sub(s.last)
+	s.last = now
+	if s.client.options.VerifyAfter <= 0 || gap < s.client.options.VerifyAfter {
+		return "", nil
+	}
+	s.client.options.Count(CountVerified, 1)
+	l, err := s.client.List(s.context, s.engine)
+	s.last = time.Now()
+	if err != nil {
+		return "", err
+	}
+	for _, i := range l.Streams {
+		if i.Stream != s.attempt {
+			continue
+		}
+		if s.owner != (owner{i.Owner, i.Incarnation}) {
+			return takenError, nil
+		}
+		return "", nil
+	}
+	return cancelledError, nil
+}
+
+// lost ends a stream that is not ours any more.
+func (s *Stream) lost(index int, how string) tlwire.TokenEvent {
+	s.client.options.Count(CountTaken, 1)
+	s.ended = true
+	return tlwire.TokenEvent{Attempt: s.attempt, Index: index, Error: how}
+}
+
 // line returns the next line, which is good until the next call.
 func (s *Stream) line() ([]byte, error) {
 	s.turns.Add(1)
