--- a/io/tlengine/client_test.go
+++ b/io/tlengine/client_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http/httptrace"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,134 +23,6 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreCurrent())
 }
 
-// bench is a client before one prefill and one decode engine.
-type bench struct {
-	*tlstandin.Deployment
-	client  *tlengine.Client
-	decoder string
-	mutex   sync.Mutex
-	counts  map[string]int64
-}
-
-func newBench(t testing.TB, change func(*tlstandin.Behaviour, *tlengine.Options)) *bench {
-	return newBenchOf(t, 1, change)
-}
-
-// newBenchOf has several decode engines, d, d1, d2 and so on.
-func newBenchOf(t testing.TB, decoders int, change func(*tlstandin.Behaviour, *tlengine.Options)) *bench {
-	s, o := tlstandin.NewBehaviour(), tlengine.NewOptions()
-	s.TokenEvery = 500 * time.Microsecond
-	b := &bench{counts: map[string]int64{}}
-	o.Count = b.count
-	change(&s, &o)
-	engines := []tlwire.Engine{
-		{Name: "p", Address: tlstandin.AnyPort, Role: tlwire.RolePrefill},
-		{Name: "d", Address: tlstandin.AnyPort, Role: tlwire.RoleDecode},
-	}
-	for i := 1; i < decoders; i++ {
-		engines = append(engines, tlwire.Engine{Name: fmt.Sprint("d", i), Address: tlstandin.AnyPort, Role: tlwire.RoleDecode})
-	}
-	d, err := tlstandin.NewDeployment(tlwire.Config{
-		Services: []tlwire.Service{{Name: "kiosk-llm", Models: []tlwire.Model{{Name: "menu", Version: "1"}}}},
-		Pools:    []tlwire.Pool{{Name: "izmir", Service: "kiosk-llm", Engines: engines}},
-	}, tlstandin.AnyPort, nil, s)
-	require.NoError(t, err)
-	b.Deployment, b.client, b.decoder = d, tlengine.New(o), "d"
-	t.Cleanup(func() {
-		x, stop := context.WithTimeout(t.Context(), 0)
-		defer stop()
-		b.client.Close(x)
-		d.Close()
-	})
-	return b
-}
-
-func (b *bench) count(name string, n int64) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.counts[name] += n
-}
-
-func (b *bench) counted(name string) int64 {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.counts[name]
-}
-
-func (b *bench) prefill(x context.Context, attempt, prompt string) (tlwire.PrefillResult, error) {
-	return b.client.Prefill(x, b.Servers()["p"], tlwire.PrefillRequest{
-		Attempt: attempt, Request: "r", Owner: "izmir-1", Incarnation: 1, Model: "menu", Prompt: prompt,
-	})
-}
-
-func (b *bench) load(x context.Context, attempt string, p tlwire.PrefillResult) error {
-	return b.client.Import(x, b.Servers()[b.decoder], tlwire.ImportRequest{
-		Attempt: attempt, Request: "r", Owner: "izmir-1", Incarnation: 1,
-		Source: b.Servers()["p"], Handle: p.Handle, Tokens: p.Tokens, Pieces: 1,
-	}, nil)
-}
-
-func (b *bench) decode(x context.Context, attempt string, first int) (*tlengine.Stream, error) {
-	return b.client.Decode(x, b.Servers()[b.decoder], tlwire.DecodeRequest{
-		Attempt: attempt, Stream: attempt, Request: "r", Owner: "izmir-1", Incarnation: 1,
-		Model: "menu", FirstIndex: first, MaxTokens: 1 << 20,
-	})
-}
-
-func (b *bench) resume(x context.Context, attempt string, first int) (*tlengine.Stream, error) {
-	return b.client.Resume(x, b.Servers()["d"], tlwire.ResumeRequest{
-		Stream: attempt, Owner: "izmir-2", Incarnation: 1, FirstIndex: first,
-	})
-}
-
-// at is the bench with another decode engine.
-func (b *bench) at(decoder string) *bench {
-	return &bench{Deployment: b.Deployment, client: b.client, decoder: decoder}
-}
-
-// try brings an attempt to the start of its stream.
-func (b *bench) try(x context.Context, attempt, prompt string) (*tlengine.Stream, error) {
-	p, err := b.prefill(x, attempt, prompt)
-	if err != nil {
-		return nil, err
-	}
-	err = b.load(x, attempt, p)
-	if err != nil {
-		return nil, err
-	}
-	return b.decode(x, attempt, 0)
-}
-
-func (b *bench) open(t testing.TB, attempt, prompt string) *tlengine.Stream {
-	s, err := b.try(t.Context(), attempt, prompt)
-	require.NoError(t, err)
-	return s
-}
-
-func (b *bench) free(t testing.TB) {
-	require.Eventually(t, func() bool { return b.PiecesHeld() == 0 }, time.Second, time.Millisecond)
-}
-
-// read returns the text up to the end or an error.
-func read(s *tlengine.Stream) (string, error) {
-	var b strings.Builder
-	for {
-		e, err := s.Next()
-		if errors.Is(err, io.EOF) {
-			return b.String(), nil
-		}
-		if err != nil {
-			return b.String(), err
-		}
-		if e.Error != "" {
-			return b.String(), errors.New(e.Error)
-		}
-		b.WriteString(e.Text)
-	}
-}
-
-func plain(*tlstandin.Behaviour, *tlengine.Options) {}
-
 func TestStreamDropsWhatIsNotItsOwn(t *testing.T) {
 	for _, c := range []struct {
 		name    string
