Offer the experiment as a command for the program

Cause: the issue wants trefoillanding experiment FILE; cmd/trefoillanding is the lead's, so tlexperiment.Command returns the whole command to be added there.

--- a/io/tlexperiment/command.go
+++ b/io/tlexperiment/command.go
@@ -16,9 +16,21 @@
 	"trefoillanding/core/tlwire"
 )
 
-// Flags returns the options of a command that runs experiment files; each one
-// narrows the matrix that a file declares.
-func Flags() []cli.Flag {
+// Command returns the command that runs experiment files and writes to w.
+func Command(w io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "experiment",
+		Usage:     "run the decision code against fakes of engines under virtual time",
+		ArgsUsage: "FILE...",
+		Flags:     flags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runFiles(ctx, c, w)
+		},
+	}
+}
+
+// flags returns the options, each of which narrows the matrix that a file declares.
+func flags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "out", Usage: "write CSV and SVG into `FOLDER`"},
 		&cli.IntFlag{Name: "seeds", Usage: "run only so many seeds"},
@@ -32,8 +44,8 @@
 	}
 }
 
-// RunFiles runs the files that a command's arguments name.
-func RunFiles(ctx context.Context, c *cli.Command, w io.Writer) error {
+// runFiles runs the files that a command's arguments name.
+func runFiles(ctx context.Context, c *cli.Command, w io.Writer) error {
 	if c.Args().Len() == 0 {
 		return errors.New("experiment: name at least one file")
 	}
