Roll versions from entry instances, without refusing requests meanwhile

The reconciler runs at each home under leases from the log. Adapters are not paced by their model's size.

--- a/instance.go
+++ b/instance.go
@@ -24,6 +24,7 @@
 	"trefoillanding/io/tlpeer"
 	"trefoillanding/io/tlplain"
 	"trefoillanding/io/tlplatform"
+	"trefoillanding/io/tlreconcile"
 	"trefoillanding/io/tlrelay"
 )
 
@@ -44,6 +45,7 @@
 	relay    *tlrelay.Relay
 	homes    *tlhome.Homes
 	sweeper  *tlorphan.Sweeper
+	fleet    *tlreconcile.Reconciler
 	claims   *tlledger.Home
 	ledger   *tlledger.Ledger
 	plains   *tlplain.Caller
@@ -117,6 +119,7 @@
 	i.ledger = tlledger.NewLedger(i.ledgerOptions())
 	i.plains = tlplain.New(i.plainOptions())
 	i.sweeper = i.newSweeper()
+	i.fleet = i.newReconciler()
 	i.relay = tlrelay.New(i.relayDeps())
 	i.entry = tlentry.New(i.entryDeps())
 	i.handleMessages()
@@ -130,6 +133,7 @@
 	i.configurer.Start()
 	i.running.Go(func() { i.keepHomes(i.ctx) })
 	i.running.Go(func() { i.sweeper.Run(i.ctx) })
+	i.running.Go(func() { i.fleet.Run(i.ctx) })
 }
 
 // use puts a configuration in force at this instance.
--- a/io/tlconfigure/read.go
+++ b/io/tlconfigure/read.go
@@ -65,6 +65,9 @@
 		c.keepSnapshot()
 		return !lagsBehind || c.lag() == ""
 	}
+	if _, known := c.state(); !known {
+		c.beginWithPeers()
+	}
 	p := c.lag()
 	return p != "" && c.follow(ctx, p, 0)
 }
--- a/io/tlengine/error.go
+++ b/io/tlengine/error.go
@@ -61,6 +61,7 @@
 	reasonUnknown    = "Unknown"
 	reasonFull       = "Full"
 	reasonOtherOwner = "OtherOwner"
+	reasonOldFencing = "OldFencingNumber"
 )
 
 // Error is a call to an engine that failed, and whether its work may have run.
@@ -105,6 +106,11 @@
 	return isRefused(err, reasonFull)
 }
 
+// IsOldFencingNumber says whether an engine refused an order of a former lease.
+func IsOldFencingNumber(err error) bool {
+	return isRefused(err, reasonOldFencing)
+}
+
 func isOtherOwner(err error) bool {
 	return isRefused(err, reasonOtherOwner)
 }
--- a/io/tlentry/completion.go
+++ b/io/tlentry/completion.go
@@ -68,7 +68,6 @@
 		Service:      t.Service,
 		Model:        t.Model.Name,
 		Adapter:      t.Adapter,
-		Version:      t.Model.Version,
 		Prompt:       q.Prompt,
 		MaxTokens:    limit,
 		Arrived:      arrived,
--- a/io/tlreconcile/pool.go
+++ b/io/tlreconcile/pool.go
@@ -119,7 +119,8 @@
 
 // give sends one order; it is false when no more may be sent.
 func (p *pool) give(ctx context.Context, s tlfleet.Step) bool {
-	if s.Order.Kind == tlwire.OrderKindLoadModel && !p.mayLoad(ctx, s.Order) {
+	isLoad := s.Order.Kind == tlwire.OrderKindLoadModel && s.Order.Adapter == ""
+	if isLoad && !p.mayLoad(ctx, s.Order) {
 		return true
 	}
 	if !p.lease.Holds(p.o.Times.Timeout) {
@@ -145,7 +146,8 @@
 	return true
 }
 
-// mayLoad asks the weight store and keeps to this pool's share of its rate.
+// mayLoad asks the weight store and keeps to this pool's share of its rate;
+// adapters are small and go without.
 func (p *pool) mayLoad(ctx context.Context, o tlwire.Order) bool {
 	if p.o.Now().Before(p.notTill) {
 		p.o.Add(countPaced, 1)
--- a/io/tlreconcile/reconciler.go
+++ b/io/tlreconcile/reconciler.go
@@ -11,40 +11,30 @@
 
 // Reconciler drives the pools whose home this instance is.
 type Reconciler struct {
-	o      Options
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   chan struct{}
-	pools  map[string]*pool
+	o     Options
+	done  chan struct{}
+	pools map[string]*pool
 }
 
-// New returns a reconciler; Start sets it to work.
+// New returns a reconciler; Run sets it to work.
 func New(o Options) *Reconciler {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Reconciler{o: o, ctx: ctx, cancel: cancel, done: make(chan struct{}), pools: map[string]*pool{}}
+	return &Reconciler{o: o, done: make(chan struct{}), pools: map[string]*pool{}}
 }
 
-// Start looks at each pool until Close.
-func (r *Reconciler) Start() {
-	go func() {
-		defer close(r.done)
-		t := time.NewTicker(r.o.Times.Every)
-		defer t.Stop()
-		for {
-			select {
-			case <-r.ctx.Done():
-				r.releaseAll()
-				return
-			case <-t.C:
-				r.Round(r.ctx)
-			}
+// Run looks at each pool until ctx ends, and gives back its leases then.
+func (r *Reconciler) Run(ctx context.Context) {
+	defer close(r.done)
+	t := time.NewTicker(r.o.Times.Every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.releaseAll()
+			return
+		case <-t.C:
+			r.Round(ctx)
 		}
-	}()
-}
-
-// Close ends the reconciler; Done tells when it has given back its leases.
-func (r *Reconciler) Close() {
-	r.cancel()
+	}
 }
 
 // Done is closed when the reconciler has ended.
@@ -53,7 +43,7 @@
 }
 
 // Round looks once at each pool and gives the orders that it needs; it must not
-// be called while the reconciler is started.
+// be called while Run does.
 func (r *Reconciler) Round(ctx context.Context) {
 	work := r.o.Work()
 	r.leaveOthers(ctx, work)
--- a/io/tlreconcile/reconciler_test.go
+++ b/io/tlreconcile/reconciler_test.go
@@ -222,7 +222,7 @@
 	}
 }
 
-func TestCloseGivesLeasesBack(t *testing.T) {
+func TestEndingGivesLeasesBack(t *testing.T) {
 	w := newWorld(true, tlwire.RoleBoth)
 	o := w.options()
 	released := make(chan struct{})
@@ -230,13 +230,14 @@
 		return Lease{Number: 1, Holds: func(time.Duration) bool { return true }, Release: func(context.Context) { close(released) }}, nil
 	}
 	r := New(o)
-	r.Start()
+	ctx, stop := context.WithCancel(t.Context())
+	go r.Run(ctx)
 	require.Eventually(t, func() bool {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		return w.counts[countLeaseTaken] > 0
 	}, 5*time.Second, time.Millisecond)
-	r.Close()
+	stop()
 	<-r.Done()
 	<-released
 }
