--- a/core/tlconfig/fold_test.go
+++ b/core/tlconfig/fold_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -260,6 +261,26 @@
 	return sorted(c)
 }
 
+func BenchmarkMemoryAtTargetSize(b *testing.B) {
+	data := proposal(b, State{}, large(), "0")
+	inUse := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		before := inUse()
+		f := NewFold()
+		f.Begin(1)
+		f.Take(tlwire.LogRecord{Offset: 1, Data: data})
+		c := New(f.State().Declared)
+		b.ReportMetric(float64(inUse()-before)/(1<<20), "MiB")
+		runtime.KeepAlive(f)
+		runtime.KeepAlive(c)
+	}
+}
+
 func BenchmarkTakeOfOneChangeAtTargetSize(b *testing.B) {
 	f := NewFold()
 	f.Begin(1)
--- a/io/tlconfigure/bench_test.go
+++ b/io/tlconfigure/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strings"
 	"syscall"
@@ -23,6 +24,14 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func sum(all []*instance, counter string) int64 {
 	var n int64
 	for _, i := range all {
@@ -146,6 +155,12 @@
 			}
 			seconds := float64(b.N) * period.Seconds()
 			f.report(b, seconds, "second")
+			b.ReportMetric(float64(heap())/1024/float64(n), "heap-KB/instance")
+			connections := 0
+			for _, i := range all {
+				connections += i.mesh.Connections()
+			}
+			b.ReportMetric(float64(connections)/float64(n), "connections/instance")
 			b.ReportMetric(float64(sum(all, "MeshFramesReceived")-frames)/float64(n)/seconds, "frames/instance/second")
 		})
 	}
