Refuse to apply on a log that lost its records

Its offsets begin again, so that an apply was told of a conflict that never was. What is in force stays; LogShorterThanBefore counts. Also tested: an instance cut off from log and peers keeps its generation and catches up.

--- a/io/tlconfigure/configurer_test.go
+++ b/io/tlconfigure/configurer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,3 +173,55 @@
 	follower.configurer.Newer("nobody", 99)
 	require.Eventually(t, func() bool { return follower.count(countLagging) > 0 && follower.count(countLogRead) > 1 }, 5*time.Second, 5*time.Millisecond)
 }
+
+func TestNothingIsAppliedOnALogThatLostItsRecords(t *testing.T) {
+	l := newFakeLog()
+	one := newCluster(t, l.log(), 1, 1, beat, testTimes())[0]
+	for n := 1; n <= 2; n++ {
+		_, err := one.configurer.Apply(soon(t), declare(fmt.Sprint(n), n))
+		require.NoError(t, err)
+	}
+	l.set(func() { l.records = nil })
+	_, err := one.configurer.Apply(soon(t), declare("3", 3))
+	assert.Equal(t, tlverdict.LogUnavailable, tlverdict.Of(err).Reason)
+	assert.Contains(t, err.Error(), "shorter")
+	assert.Empty(t, l.records)
+	g, c := one.configurer.Current()
+	assert.EqualValues(t, 2, g)
+	assert.NotNil(t, c)
+}
+
+// An instance that reaches neither the log nor a peer keeps what it has, and
+// catches up by itself afterwards.
+func TestAnInstanceThatWasCutOffNeverGoesBack(t *testing.T) {
+	l := newFakeLog()
+	cutOff := newFakeLog()
+	cutOff.down = true
+	ways := map[bool]Log{false: l.log(), true: cutOff.log()}
+	isCutOff := atomic.Bool{}
+	both := Log{
+		Append: func(ctx context.Context, r []byte) (uint64, error) { return ways[isCutOff.Load()].Append(ctx, r) },
+		Read: func(ctx context.Context, from uint64, limit int, _ time.Duration) (tlwire.ReadResult, error) {
+			return ways[isCutOff.Load()].Read(ctx, from, limit, 20*time.Millisecond)
+		},
+		Oldest:      l.log().Oldest,
+		NotAppended: l.log().NotAppended,
+	}
+	lonely := newCluster(t, both, 1, 1, beat, testTimes())[0]
+	other := newCluster(t, l.log(), 1, 1, beat, testTimes())[0]
+	_, err := lonely.configurer.Apply(soon(t), declare("1", 1))
+	require.NoError(t, err)
+	isCutOff.Store(true)
+	require.Eventually(t, func() bool { return lonely.count(countLogFailed) > 0 }, 5*time.Second, time.Millisecond, "the last reading has ended")
+	g, err := other.configurer.Apply(soon(t), declare("2", 2))
+	require.NoError(t, err)
+	assert.EqualValues(t, 2, g)
+	require.Eventually(t, func() bool { return lonely.configurer.Age() > 100*time.Millisecond }, 5*time.Second, 5*time.Millisecond)
+	now, _ := lonely.configurer.Current()
+	assert.EqualValues(t, 1, now)
+	isCutOff.Store(false)
+	require.Eventually(t, func() bool {
+		now, _ := lonely.configurer.Current()
+		return now == 2
+	}, 5*time.Second, 5*time.Millisecond)
+}
--- a/io/tlconfigure/counters.go
+++ b/io/tlconfigure/counters.go
@@ -7,6 +7,7 @@
 	countLogRead      = "LogRead"
 	countLogFailed    = "LogReadFailed"
 	countRetention    = "RecordsUnreadByRetention"
+	countShorter      = "LogShorterThanBefore"
 	countFollowed     = "FollowedPeer"
 	countFollowFailed = "FollowFailed"
 	countAdopted      = "StateTakenFromPeer"
@@ -22,7 +23,7 @@
 
 // CounterNames lists the counters of the configuration.
 var CounterNames = append([]string{
-	countLogRead, countLogFailed, countRetention, countFollowed, countFollowFailed,
+	countLogRead, countLogFailed, countRetention, countShorter, countFollowed, countFollowFailed,
 	countAdopted, countRefusedState, countPassed, countStatePassed, countLagging,
 	countProposed, countAppendFailed, countSnapshot, countInForce,
 }, tlconfig.Rulings()...)
--- a/io/tlconfigure/read.go
+++ b/io/tlconfigure/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,6 +19,10 @@
 	maxBackoff = 2 * time.Second
 )
 
+// errShorter means that the log lost records, so that its offsets begin again;
+// what is in force stays in force, and nothing can be applied.
+var errShorter = errors.New("the log is shorter than it was")
+
 // readLoop reads the log or follows a peer that does.
 func (c *Configurer) readLoop() {
 	c.beginWithPeers()
@@ -137,6 +142,10 @@
 	defer cancel()
 	c.o.Add(countLogRead, 1)
 	r, err := c.o.Log.Read(ctx, max(at, 1), readLimit, wait)
+	if err == nil && r.Next < at {
+		c.o.Add(countShorter, 1)
+		return errShorter
+	}
 	if err == nil {
 		if at == 0 {
 			c.begin(1)
