Leave a transfer to an engine that is gone to its owner's report

Change: a transfer to a gone engine waits for its owner's report; the owner sees its connection fail. Also lists WithoutSpill among the ablations.

--- a/core/tlbaseline/ablation.go
+++ b/core/tlbaseline/ablation.go
@@ -18,6 +18,7 @@
 	{"WithoutSlack", func(o *tlsched.Options) { o.Slack = false }},
 	{"WithoutLateLane", func(o *tlsched.Options) { o.LateLane = false }},
 	{"WithoutAdmission", func(o *tlsched.Options) { o.Admission = false }},
+	{"WithoutSpill", func(o *tlsched.Options) { o.Spill = false }},
 	{"WithoutBet", func(o *tlsched.Options) { o.Bet = false }},
 	{"WithoutPrefix", func(o *tlsched.Options) { o.Prefix = false }},
 	{"WithoutLinks", func(o *tlsched.Options) { o.Links = false }},
--- a/core/tlsched/lifecycle.go
+++ b/core/tlsched/lifecycle.go
@@ -117,19 +117,15 @@
 	}
 }
 
-// failOver takes all work away from an engine that is gone.
+// failOver takes work away from an engine that is gone; a transfer to it is left
+// to its owner's report, since a second one at once could not be told from it.
 func (s *Scheduler) failOver(now time.Time, e *engine) {
 	s.unreserve(e)
 	for _, r := range s.sorted() {
 		lost := r.prefill == e || (r.source == e && r.stage != StageDecoding)
-		switch {
-		case lost || (r.decode == e && r.stage == StageDecoding):
+		if lost || (r.decode == e && r.stage == StageDecoding) {
 			r.deliver(r.tokens)
 			s.retry(now, r, RetriedEngineGone)
-		case r.decode == e && now.Before(r.heldUntil):
-			s.rehold(now, r)
-		case r.decode == e:
-			s.retry(now, r, RetriedTransferFailed)
 		}
 	}
 }
--- a/core/tlsched/report.go
+++ b/core/tlsched/report.go
@@ -133,11 +133,6 @@
 		s.retry(now, r, RetriedTransferFailed)
 		return
 	}
-	s.rehold(now, r)
-}
-
-// rehold takes a living prefill result back from its destination.
-func (s *Scheduler) rehold(now time.Time, r *request) {
 	s.counts[MovedTransfer]++
 	s.leaveDecode(now, r)
 	r.stage = StageHeld
--- a/core/tlsched/scheduler_test.go
+++ b/core/tlsched/scheduler_test.go
@@ -91,3 +91,14 @@
 	assert.Equal(t, []tlwire.StepKind{tlwire.StepKindAbandon}, kinds(s.Engine(start, "p1", EngineGone)))
 	assert.Equal(t, "r/2", s.Engine(start, "p1", EngineLive)[0].Attempt)
 }
+
+// Case 1: a second transfer was started beside the one that its owner had not yet reported as failed.
+func TestTransferToGoneEngineIsLeftToItsOwner(t *testing.T) {
+	s := newScheduler()
+	s.Submit(start, submission("r"))
+	first := s.Report(start, report(tlwire.ReportKindPrefillDone, "r/1"))[0].Engine
+	assert.Empty(t, s.Engine(start, first, EngineGone))
+	l := s.Report(start, report(tlwire.ReportKindTransferFailed, "r/1"))
+	require.Equal(t, []tlwire.StepKind{tlwire.StepKindStartTransfer}, kinds(l))
+	assert.NotEqual(t, first, l[0].Engine)
+}
