--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -44,11 +44,11 @@
 	return latest, rank
 }
 
-// firstToken predicts the time from the start of a request to its first token on idle engines.
+// firstToken predicts the time from the start of a request to its first token on
+// idle engines; it doesn't count on a prefix cache, which may be on a busy one.
 func (s *Scheduler) firstToken(r *request) time.Duration {
-	n := r.PromptTokens - int(s.cached(r))
 	step := seconds(s.known.step.At(float64(s.streamLimit())))
-	return s.prefillTime(n) + s.transferTime(s.bytes(r)) + step + s.options.SlackMargin
+	return s.prefillTime(r.PromptTokens) + s.transferTime(s.bytes(r)) + step + s.options.SlackMargin
 }
 
 // admit says whether a request may wait, and refuses it otherwise.
--- a/core/tlsched/affinity.go
+++ b/core/tlsched/affinity.go
@@ -10,12 +10,3 @@
 	}
 	return s.prefixes.Match(r.Blocks)
 }
-
-// cached returns the most tokens of a prompt that an engine probably holds.
-func (s *Scheduler) cached(r *request) float64 {
-	b := 0.0
-	for _, n := range s.match(r) {
-		b = max(b, n)
-	}
-	return b * blockTokens
-}
--- a/core/tlsched/bet.go
+++ b/core/tlsched/bet.go
@@ -10,9 +10,9 @@
 	leastPatience = 0.2
 	mostPatience  = 0.8
 	// evenRisk is the chance of waste that is taken when goodput and waste weigh the same.
-	evenRisk  = 0.04
-	leastRisk = 0.005
-	mostRisk  = 0.2
+	evenRisk  = 0.005
+	leastRisk = 0.001
+	mostRisk  = 0.05
 )
 
 // mayBet says whether memory for the request will probably be free on some
