--- a/core/tlbaseline/ablation.go
+++ b/core/tlbaseline/ablation.go
@@ -28,6 +28,9 @@
 	{"WithoutLimitStreams", func(o *tlsched.Options) { o.LimitStreams = false }},
 	{"WithoutSuspend", func(o *tlsched.Options) { o.Suspend = false }},
 	{"WithoutShed", func(o *tlsched.Options) { o.Shed = false }},
+	{"WithoutCostRank", func(o *tlsched.Options) { o.CostRank = 0 }},
+	{"WithoutLateReserve", func(o *tlsched.Options) { o.LateReserve = 0 }},
+	{"WithoutOvertaking", func(o *tlsched.Options) { o.LookAhead = 1 }},
 }
 
 // Ablations lists the program's own policy without one mechanism each.
