Take the tests' ports from an address of their own

Cause: freePorts gives its ports back before instances listen there, and the engines' stand-ins and any outgoing connection of the machine could get one in between (TestStreamsAreWhole: bind: address already in use). Change: the ports belong to a loopback address derived from the process id.

--- a/site_test.go
+++ b/site_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -142,11 +143,15 @@
 	return c.Declared
 }
 
+// freePorts returns free ports of a loopback address that only this process
+// uses, so that none is given to a connection or a stand-in before it is used.
 func freePorts(t testing.TB, n int) []netip.AddrPort {
 	t.Helper()
 	var ports []netip.AddrPort
+	pid := os.Getpid()
+	own := netip.AddrFrom4([4]byte{127, byte(1 + pid>>16), byte(pid >> 8), byte(pid)})
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
 		require.NoError(t, err)
 		defer l.Close()
 		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
