--- a/core/tlconfig/fold_test.go
+++ b/core/tlconfig/fold_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -105,6 +106,31 @@
 	assert.Equal(t, f.State().Digest, early.State().Digest)
 }
 
+func TestASnapshotCoversNoMoreThanItsOwnGeneration(t *testing.T) {
+	l := &logged{oldest: 1}
+	f := NewFold()
+	f.Begin(1)
+	assert.False(t, f.SnapshotDue(time.Unix(10, 0), 2, time.Hour), "nothing is in force")
+	l.append(proposal(t, f.State(), organisations("a"), "n1"))
+	l.follow(f)
+	assert.True(t, f.SnapshotDue(time.Unix(10, 0), 2, time.Hour), "there is none yet")
+	early, err := Snapshot(f.State())
+	require.NoError(t, err)
+	for n := range 2 {
+		l.append(proposal(t, f.State(), organisations("a", fmt.Sprint("b", n)), fmt.Sprint("m", n)))
+		l.follow(f)
+	}
+	l.append(early)
+	l.follow(f)
+	assert.True(t, f.SnapshotDue(time.Unix(10, 0), 2, time.Hour), "two changes came between its state and its place")
+	late, err := Snapshot(f.State())
+	require.NoError(t, err)
+	l.append(late)
+	l.follow(f)
+	assert.False(t, f.SnapshotDue(time.Unix(10, 0), 2, time.Hour))
+	assert.True(t, f.SnapshotDue(time.Unix(4000, 0), 2, time.Hour))
+}
+
 func TestRecordsOfLaterVersions(t *testing.T) {
 	f := NewFold()
 	f.Begin(1)
@@ -235,6 +261,26 @@
 	return sorted(c)
 }
 
+func BenchmarkMemoryAtTargetSize(b *testing.B) {
+	data := proposal(b, State{}, large(), "0")
+	inUse := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		before := inUse()
+		f := NewFold()
+		f.Begin(1)
+		f.Take(tlwire.LogRecord{Offset: 1, Data: data})
+		c := New(f.State().Declared)
+		b.ReportMetric(float64(inUse()-before)/(1<<20), "MiB")
+		runtime.KeepAlive(f)
+		runtime.KeepAlive(c)
+	}
+}
+
 func BenchmarkTakeOfOneChangeAtTargetSize(b *testing.B) {
 	f := NewFold()
 	f.Begin(1)
--- a/instance.go
+++ b/instance.go
@@ -45,6 +45,7 @@
 	relay    *tlrelay.Relay
 	homes    *tlhome.Homes
 	sweeper  *tlorphan.Sweeper
+	fleet    *tlreconcile.Reconciler
 	claims   *tlledger.Home
 	ledger   *tlledger.Ledger
 	plains   *tlplain.Caller
@@ -52,7 +53,6 @@
 	server   *tlentry.Server
 
 	configurer *tlconfigure.Configurer
-	reconciler *tlreconcile.Reconciler
 
 	config    atomic.Pointer[inForce]
 	endpoints atomic.Pointer[map[string]bool]
@@ -119,9 +119,9 @@
 	i.ledger = tlledger.NewLedger(i.ledgerOptions())
 	i.plains = tlplain.New(i.plainOptions())
 	i.sweeper = i.newSweeper()
+	i.fleet = i.newReconciler()
 	i.relay = tlrelay.New(i.relayDeps())
 	i.entry = tlentry.New(i.entryDeps())
-	i.reconciler = tlreconcile.New(i.reconcileOptions())
 	i.handleMessages()
 	i.handleClaims()
 }
@@ -131,9 +131,9 @@
 	i.gossip.Start()
 	i.running.Go(func() { i.watchList(i.ctx) })
 	i.configurer.Start()
-	i.reconciler.Start()
 	i.running.Go(func() { i.keepHomes(i.ctx) })
 	i.running.Go(func() { i.sweeper.Run(i.ctx) })
+	i.running.Go(func() { i.fleet.Run(i.ctx) })
 }
 
 // use puts a configuration in force at this instance.
@@ -182,7 +182,6 @@
 func (i *Instance) closeParts() {
 	ctx, stop := context.WithTimeout(context.Background(), cancelsTimeout)
 	defer stop()
-	i.reconciler.Close()
 	i.configurer.Close()
 	i.ledger.Close(ctx)
 	i.claims.Close()
--- a/io/tlholder/lease.go
+++ b/io/tlholder/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"trefoillanding/core/tllease"
@@ -9,38 +10,42 @@
 	"trefoillanding/core/tlwire"
 )
 
-// margin is left at a lease's end for orders that are on their way.
-const margin = 2 * time.Second
-
-// Lease is a lease that this instance took.
+// Lease is a lease that this instance holds.
 type Lease struct {
-	// Number is the fencing number.
-	Number uint64
+	// Group is what it is for.
+	Group string
+	// Fence is its fencing number.
+	Fence uint64
+	// Until is when this instance stops acting under it, by its own clock.
+	Until time.Time
 
 	holder *Holder
-	group  string
-	until  time.Time
 }
 
 // Holds says whether the lease lasts for at least d from now on.
 func (l Lease) Holds(d time.Duration) bool {
-	return l.holder.o.Now().Add(d).Before(l.until)
+	return l.holder.o.Now().Add(d).Before(l.Until)
 }
 
-// Release gives the lease back; if that fails it lapses by itself.
+// Release gives the lease back; one whose release is lost lapses by itself.
 func (l Lease) Release(ctx context.Context) {
-	b, err := tlrecord.Encode(tlwire.LeaseReleased{Group: l.group, Fence: l.Number})
+	data, err := tlrecord.Encode(tlwire.LeaseReleased{Group: l.Group, Fence: l.Fence})
 	if err != nil {
 		return
 	}
-	_, _ = l.holder.o.Log.Append(ctx, b)
+	if _, err := l.holder.o.Append(ctx, Stream, [][]byte{data}); err != nil {
+		l.holder.o.Add(countLost, 1)
+		return
+	}
+	l.holder.o.Add(countReleased, 1)
 }
 
-func (h *Holder) lease(t tllease.Lease, asked time.Time) Lease {
-	return Lease{
-		Number: t.Fence,
-		holder: h,
-		group:  t.Group,
-		until:  tllease.ActUntil(asked, h.o.Duration, margin),
-	}
+// HeldError says that another instance holds a lease, or was granted it first.
+type HeldError struct {
+	Lease tllease.Lease
+}
+
+// Error returns the group, the holder and the time.
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("the lease of %s is held by %s until %s", e.Lease.Group, e.Lease.Instance, e.Lease.Until.Format(time.RFC3339Nano))
 }
