--- a/cmd/trefoillanding/main.go
+++ b/cmd/trefoillanding/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"trefoillanding/io/tlexperiment"
 )
 
 func main() {
@@ -36,7 +38,7 @@
 			statusCommand(),
 			demoCommand(),
 			loadCommand(),
-			experimentCommand(),
+			tlexperiment.Command(os.Stdout),
 			standinCommand(),
 		},
 		OnUsageError:    usageFailed,
