Keep the instance list of the standin command true

Cause: the list of a site of separate processes named an instance as Live for ever after it was killed. Change: standin probes every instance; one that answers anything at all is there, so that one behind TLS is not dropped.

--- a/cmd/trefoillanding/standin.go
+++ b/cmd/trefoillanding/standin.go
@@ -51,7 +51,7 @@
 	fmt.Printf("platform %s, %d engines and endpoints, %d entry instances listed\n", d.Address(), len(d.Servers()), len(entries))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	<-ctx.Done()
+	<-d.Probe(ctx, tlstandin.NewProbeTimes()).Done()
 	return nil
 }
 
--- a/io/tlstandin/prober.go
+++ b/io/tlstandin/prober.go
@@ -110,7 +110,8 @@
 	return s, listed && now.Sub(p.heard[name]) < p.times.GoneAfter
 }
 
-// ask returns an instance's health, or nil when it gave none.
+// ask returns an instance's health, or nil when it gave no answer at all; one
+// that answers something else, as over TLS, is there and does not drain.
 func (p *Prober) ask(x context.Context, i tlwire.Instance) *tlwire.Health {
 	r, err := http.NewRequestWithContext(x, http.MethodGet, "http://"+i.Address.String()+"/healthz", nil)
 	if err != nil {
@@ -123,7 +124,7 @@
 	defer w.Body.Close()
 	var h tlwire.Health
 	if json.NewDecoder(w.Body).Decode(&h) != nil {
-		return nil
+		return &tlwire.Health{}
 	}
 	return &h
 }
