--- a/core/tlsweep/sweep_test.go
+++ b/core/tlsweep/sweep_test.go
@@ -1,16 +1,28 @@
 package tlsweep_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlsweep"
 	"trefoillanding/core/tlwire"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// The same order of events every run, unless a seed is given.
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
 var limits = tlsweep.NewLimits(time.Second)
 
 // moment is one poll of an engine: what is known then and what is expected.
@@ -152,3 +164,39 @@
 	s.See(now, "d", []tlwire.StreamInfo{{Attempt: "x", Owner: "b", Stage: decoding}}, live)
 	require.Empty(t, s.Answer(now, q[0], []bool{false}))
 }
+
+// TestSweepIsBounded polls one stream again and again while its owner's fate and
+// connection change at random.
+func TestSweepIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now := tlsweep.New(limits), time.Unix(1_000, 0)
+		var bad, unreachable time.Time
+		for range rapid.IntRange(1, 40).Draw(t, "polls") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			reader := rapid.Bool().Draw(t, "reader")
+			fate := rapid.SampledFrom([]tlmember.Fate{tlmember.Alive, tlmember.Suspected, tlmember.Gone}).Draw(t, "fate")
+			bad = mark(bad, now, fate == tlmember.Gone)
+			unreachable = mark(unreachable, now, fate != tlmember.Alive)
+			list := []tlwire.StreamInfo{{Attempt: "x", Owner: "a", Stage: decoding, HasReader: reader}}
+			cancels := s.See(now, "d", list, func(tlsweep.Owner) tlmember.Fate { return fate })
+			if fate == tlmember.Alive {
+				require.Empty(t, cancels, "a stream of a live owner that nobody asked about")
+				continue
+			}
+			late := !bad.IsZero() && now.Sub(bad) >= limits.Grace
+			late = late || now.Sub(unreachable) >= limits.Paused
+			late = late || !reader && now.Sub(unreachable) >= limits.Silent
+			require.Equal(t, late, len(cancels) == 1)
+		}
+	})
+}
+
+func mark(began, now time.Time, holds bool) time.Time {
+	if !holds {
+		return time.Time{}
+	}
+	if began.IsZero() {
+		return now
+	}
+	return began
+}
