Predict the wait of late requests from free memory too

Cause: TestDrainCutsNoRequest failed on a busy machine: up to 10 of 60 streams refused WaitTooLong with the pools idle. The wait of late requests is their work divided by the share that the late got lately, at least 0.01; before any late one was served that predicts a hundred times too much. Ruled out: the drain (Draining and Internal stood at 0), the queue's length. Test case 1 fails without the change.

--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -131,7 +131,7 @@
 
 // lateWait predicts the wait of a new request in the late lane.
 func (s *Scheduler) lateWait(now time.Time) time.Duration {
-	rate := max(s.options.LateShare, s.known.spare.PerSecond(now))
+	rate := max(s.options.LateShare, s.known.spare.PerSecond(now), s.freeShare())
 	return seconds(s.queue.Total(true).Longest() / max(rate, 1e-6))
 }
 
--- a/core/tlsched/scheduler_test.go
+++ b/core/tlsched/scheduler_test.go
@@ -102,3 +102,16 @@
 	require.Equal(t, []tlwire.StepKind{tlwire.StepKindStartTransfer}, kinds(l))
 	assert.NotEqual(t, first, l[0].Engine)
 }
+
+// Case 1: while nothing late had been served yet, the wait of late requests was
+// predicted a hundredfold, and a burst on an idle pool was refused.
+func TestLateBurstOnAnIdlePoolIsNotRefused(t *testing.T) {
+	s := newScheduler()
+	var steps []tlwire.Step
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
+		q := submission(name)
+		q.Arrived, q.Due = start, start
+		steps = append(steps, s.Submit(start.Add(time.Second), q)...)
+	}
+	assert.NotContains(t, kinds(steps), tlwire.StepKindRefuse)
+}
