--- a/core/tlconfig/fold.go
+++ b/core/tlconfig/fold.go
@@ -2,15 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"time"
 
 	"trefoillanding/core/tlcodec"
+	"trefoillanding/core/tlrecord"
 	"trefoillanding/core/tlwire"
 )
 
-// recordVersion is the version of the records that this code writes and reads.
-const recordVersion = 1
-
 // Fold is what the records of the log's configuration stream add up to; every
 // reader of the same records gets the same.
 //
@@ -95,22 +94,23 @@
 }
 
 func (f *Fold) judge(r tlwire.LogRecord) Ruling {
-	e, err := tlcodec.Decode[tlwire.Record](r.Data)
-	if err != nil {
+	e, err := tlrecord.Open(r.Data)
+	isLater := errors.Is(err, tlrecord.ErrLaterVersion)
+	if err != nil && !isLater {
 		return Ignored
 	}
 	switch e.Kind {
 	case tlwire.RecordKindConfigProposal:
-		return f.proposal(e)
+		return f.proposal(e, isLater)
 	case tlwire.RecordKindConfigSnapshot:
-		return f.snapshot(r, e)
+		return f.snapshot(r, e, isLater)
 	default:
 		return Ignored
 	}
 }
 
-func (f *Fold) proposal(e tlwire.Record) Ruling {
-	p, err := tlcodec.Decode[tlwire.ConfigProposal](e.Body)
+func (f *Fold) proposal(e tlwire.Record, isLater bool) Ruling {
+	p, err := tlrecord.Decode[tlwire.ConfigProposal](e)
 	if err != nil {
 		return Malformed
 	}
@@ -120,7 +120,7 @@
 	if p.Base != f.state.Generation {
 		return Outdated
 	}
-	if e.Version > recordVersion {
+	if isLater {
 		f.known = false
 		f.first = f.last + 1
 		return TooNew
@@ -142,11 +142,11 @@
 	return Accepted
 }
 
-func (f *Fold) snapshot(r tlwire.LogRecord, e tlwire.Record) Ruling {
-	if e.Version > recordVersion {
+func (f *Fold) snapshot(r tlwire.LogRecord, e tlwire.Record, isLater bool) Ruling {
+	if isLater {
 		return TooNew
 	}
-	b, err := tlcodec.Decode[tlwire.ConfigSnapshot](e.Body)
+	b, err := tlrecord.Decode[tlwire.ConfigSnapshot](e)
 	if err != nil {
 		return Malformed
 	}
--- a/core/tlconfig/proposal.go
+++ b/core/tlconfig/proposal.go
@@ -2,6 +2,7 @@
 
 import (
 	"trefoillanding/core/tlcodec"
+	"trefoillanding/core/tlrecord"
 	"trefoillanding/core/tlwire"
 )
 
@@ -12,7 +13,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return record(tlwire.RecordKindConfigProposal, tlwire.ConfigProposal{
+	return tlrecord.Encode(tlwire.ConfigProposal{
 		Base:    base,
 		Content: content,
 		Author:  author,
@@ -26,26 +27,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return record(tlwire.RecordKindConfigSnapshot, tlwire.ConfigSnapshot{
+	return tlrecord.Encode(tlwire.ConfigSnapshot{
 		Generation: s.Generation,
 		Content:    content,
 	})
 }
 
-func record[T any](k tlwire.RecordKind, v T) ([]byte, error) {
-	body, err := tlcodec.Encode(v)
-	if err != nil {
-		return nil, err
-	}
-	return tlcodec.Encode(tlwire.Record{Kind: k, Version: recordVersion, Body: body})
-}
-
 // NonceOf returns the nonce of a record that is a proposal.
 func NonceOf(data []byte) (string, bool) {
-	e, err := tlcodec.Decode[tlwire.Record](data)
-	if err != nil || e.Kind != tlwire.RecordKindConfigProposal {
+	e, err := tlrecord.Open(data)
+	if err != nil {
 		return "", false
 	}
-	p, err := tlcodec.Decode[tlwire.ConfigProposal](e.Body)
+	p, err := tlrecord.Decode[tlwire.ConfigProposal](e)
 	return p.Nonce, err == nil
 }
