--- a/agreement.go
+++ b/agreement.go
@@ -33,27 +33,17 @@
 )
 
 func (i *Instance) configureOptions() tlconfigure.Options {
-	p := i.platform
 	return tlconfigure.Options{
 		Name:       i.settings.Name,
 		DataCentre: i.settings.DataCentre,
-		Log: tlconfigure.Log{
-			Append: func(ctx context.Context, record []byte) (uint64, error) {
-				return p.Append(ctx, tlconfigure.Stream, [][]byte{record})
-			},
-			Read: func(ctx context.Context, from uint64, limit int, wait time.Duration) (tlwire.ReadResult, error) {
-				return p.Read(ctx, tlconfigure.Stream, from, limit, wait)
-			},
-			Oldest:      oldestOf,
-			NotAppended: isNotAppended,
-		},
-		Mesh:    i.mesh,
-		Gossip:  i.gossip,
-		Times:   tlconfigure.DefaultTimes(),
-		Changed: i.use,
-		Now:     time.Now,
-		Logger:  i.log,
-		Add:     i.metrics.Group("Configuration", tlconfigure.CounterNames...).Add,
+		Log:        tlconfigure.LogOf(i.platform),
+		Mesh:       i.mesh,
+		Gossip:     i.gossip,
+		Times:      tlconfigure.DefaultTimes(),
+		Changed:    i.use,
+		Now:        time.Now,
+		Logger:     i.log,
+		Add:        i.metrics.Group("Configuration", tlconfigure.CounterNames...).Add,
 	}
 }
 
@@ -65,11 +55,6 @@
 	return 0, false
 }
 
-func isNotAppended(err error) bool {
-	var n *tlplatform.NotAppendedError
-	return errors.As(err, &n)
-}
-
 func (i *Instance) claimOptions() tlledger.HomeOptions {
 	p := i.settings.Platform
 	return tlledger.HomeOptions{
