--- a/core/tlqueue/queue_test.go
+++ b/core/tlqueue/queue_test.go
@@ -126,3 +126,18 @@
 		})
 	})
 }
+
+// BenchmarkQueue starts and replaces one item while 10,000 of 400 organisations wait.
+func BenchmarkQueue(b *testing.B) {
+	q := New[int](nil, 0.01)
+	for n := range 10000 {
+		q.Push(epoch, item("o"+strconv.Itoa(n%400), time.Duration(n)))
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		i := q.Pop(false)
+		q.Charge(i.Organisation, false, i.Cost)
+		q.Push(epoch, i)
+	}
+}
