--- a/cmd/trefoillanding/main.go
+++ b/cmd/trefoillanding/main.go
@@ -36,6 +36,7 @@
 			statusCommand(),
 			demoCommand(),
 			loadCommand(),
+			paymentsCommand(),
 			standinCommand(),
 		},
 		OnUsageError:    usageFailed,
--- a/io/tlledger/home.go
+++ b/io/tlledger/home.go
@@ -13,7 +13,11 @@
 	"trefoillanding/core/tlwire"
 )
 
-const sweepEvery = time.Minute
+const (
+	sweepEvery = time.Minute
+	// burst is how much of the append budget may be spent at once.
+	burst = 100 * time.Millisecond
+)
 
 // HomeOptions sets up a Home.
 type HomeOptions struct {
@@ -57,7 +61,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h := &Home{
 		options: o,
-		limiter: rate.NewLimiter(rate.Limit(o.AppendsPerSecond), 1),
+		limiter: rate.NewLimiter(rate.Limit(o.AppendsPerSecond), max(1, int(o.AppendsPerSecond*burst.Seconds()))),
 		stop:    stop,
 		done:    make(chan struct{}),
 		streams: map[int]*used{},
