--- a/cmd/trefoillanding/main.go
+++ b/cmd/trefoillanding/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"trefoillanding/io/tlexperiment"
 )
 
 func main() {
@@ -37,6 +39,7 @@
 			demoCommand(),
 			loadCommand(),
 			paymentsCommand(),
+			tlexperiment.Command(os.Stdout),
 			standinCommand(),
 		},
 		OnUsageError:    usageFailed,
