--- a/cmd/trefoillanding/main.go
+++ b/cmd/trefoillanding/main.go
@@ -38,6 +38,7 @@
 			statusCommand(),
 			demoCommand(),
 			loadCommand(),
+			paymentsCommand(),
 			tlexperiment.Command(os.Stdout),
 			standinCommand(),
 		},
