Refuse claims at once while the log is out

Three failed appends in a row now count as an outage, told apart from a slow append that succeeds; until a probe gets through, claims are refused before anything is appended, so that nothing is left to be released.

--- a/io/tlledger/appender.go
+++ b/io/tlledger/appender.go
@@ -26,6 +26,7 @@
 	delay   time.Duration
 	queue   chan *pending
 	carried []*pending
+	health  health
 	stop    context.CancelFunc
 	done    chan struct{}
 }
@@ -168,7 +169,9 @@
 	for i, p := range batch {
 		records[i] = p.record
 	}
+	begun := time.Now()
 	first, err := a.log.Append(ctx, a.stream, records)
+	a.noteHealth(err, time.Since(begun))
 	var no *tlplatform.NotAppendedError
 	if errors.As(err, &no) {
 		a.log.Count(CountNotAppended, 1)
@@ -190,6 +193,20 @@
 	return true
 }
 
+func (a *Appender) noteHealth(err error, took time.Duration) {
+	if a.health.note(err == nil) {
+		a.log.Count(CountOutages, 1)
+	}
+	if err == nil && took >= slowAfter {
+		a.log.Count(CountSlowAppends, 1)
+	}
+}
+
+// MayTry says whether an append is worth a try now, or the log is out.
+func (a *Appender) MayTry() bool {
+	return a.health.mayTry(time.Now())
+}
+
 func (a *Appender) carry(batch []*pending) {
 	for _, p := range batch {
 		p.requeue()
--- a/io/tlledger/claim.go
+++ b/io/tlledger/claim.go
@@ -95,6 +95,9 @@
 
 // try appends the claim and waits until it is folded; false means that it ended with the answer.
 func (s *Stream) try(ctx context.Context, c tlwire.Claim, resolve time.Duration) (tlwire.ClaimAnswer, bool) {
+	if !s.appender.MayTry() {
+		return refusal(tlverdict.New(tlverdict.LogUnavailable, "the log is out").After(retryAfter)), false
+	}
 	data, err := tlrecord.Encode(c)
 	if err != nil {
 		return refusal(tlverdict.New(tlverdict.BadBody, "%v", err)), false
--- a/io/tlledger/counter.go
+++ b/io/tlledger/counter.go
@@ -7,6 +7,8 @@
 	CountNotAppended      = "LogAppendRefused"
 	CountMayBeAppended    = "LogAppendUnanswered"
 	CountResolved         = "LogAppendFoundByReading"
+	CountOutages          = "LogOutages"
+	CountSlowAppends      = "LogSlowAppends"
 	CountReadFailed       = "LogReadFailed"
 	CountRetentionPassed  = "LogRetentionPassed"
 	CountSkipped          = "LogRecordsSkipped"
@@ -23,6 +25,7 @@
 // CounterNames lists the counters of the ledger.
 var CounterNames = []string{
 	CountAppends, CountRecords, CountNotAppended, CountMayBeAppended, CountResolved,
+	CountOutages, CountSlowAppends,
 	CountReadFailed, CountRetentionPassed, CountSkipped, CountClaimsHeld,
 	CountClaimsReplayed, CountClaimsWaited, CountClaimsUnresolved,
 	CountNotesRetried, CountNotesDropped, CountHomeFailed, CountKeysKept,
--- a/io/tlledger/ledger.go
+++ b/io/tlledger/ledger.go
@@ -177,7 +177,7 @@
 				return
 			}
 		}
-		if !sleep(ctx, backoff(try)) {
+		if !sleep(ctx, noteBackoff(try)) {
 			l.options.Count(CountNotesDropped, 1)
 			return
 		}
--- a/io/tlledger/log.go
+++ b/io/tlledger/log.go
@@ -26,6 +26,16 @@
 	return min(first<<n, most)
 }
 
+// noteBackoff returns the delay before the end of a claim is sent again; the
+// sooner it is in the log, the sooner its key is free or answered.
+func noteBackoff(n int) time.Duration {
+	const first, most = 50 * time.Millisecond, 8 * time.Second
+	if n > 8 {
+		return most
+	}
+	return min(first<<n, most)
+}
+
 // sleep waits for d and says whether ctx lasted.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/io/tlledger/stream.go
+++ b/io/tlledger/stream.go
@@ -10,9 +10,10 @@
 	"trefoillanding/core/tlclaim"
 	"trefoillanding/core/tlrecord"
 	"trefoillanding/core/tlwire"
-	"trefoillanding/io/tlplatform"
 )
 
+var errOut = errors.New("the log is out")
+
 // Stream folds one stream of claims and appends to it.
 type Stream struct {
 	name     string
@@ -171,20 +172,17 @@
 	return *o.Answer, nil
 }
 
-// note appends the end of a claim, again and again until it is certain or ctx ends.
+// note appends the end of a claim; its sender tries again after an error.
 func (s *Stream) note(ctx context.Context, n tlwire.ClaimNote) error {
 	data, err := encodeNote(n)
 	if err != nil {
 		return err
 	}
-	for try := 1; ; try++ {
-		_, err = s.appender.Append(ctx, data)
-		var maybe *tlplatform.MayBeAppendedError
-		if err == nil || !errors.As(err, &maybe) || !sleep(ctx, backoff(try)) {
-			return err
-		}
-		s.log.Count(CountNotesRetried, 1)
+	if !s.appender.MayTry() {
+		return errOut
 	}
+	_, err = s.appender.Append(ctx, data)
+	return err
 }
 
 func encodeNote(n tlwire.ClaimNote) ([]byte, error) {
