Document operations and test the page against the counters

Cause: the counters were listed nowhere, and Engines published only those that had risen, so that no page could be compared with it. core imported net/http for the numbers of statuses; nothing kept it free of I/O.

Change: docs/OPERATIONS.md; a test that compares its tables with what an instance publishes; the engine counters are declared; statuses are own constants; a test bars I/O, clocks and drawn randomness from core.

--- /dev/null
+++ b/core/tlverdict/status.go
@@ -0,0 +1,15 @@
+package tlverdict
+
+// The HTTP statuses that refusals and failures go with.
+const (
+	statusBadRequest            = 400
+	statusForbidden             = 403
+	statusNotFound              = 404
+	statusMethodNotAllowed      = 405
+	statusConflict              = 409
+	statusRequestEntityTooLarge = 413
+	statusTooManyRequests       = 429
+	statusBadGateway            = 502
+	statusServiceUnavailable    = 503
+	statusGatewayTimeout        = 504
+)
--- a/wire.go
+++ b/wire.go
@@ -71,7 +71,7 @@
 }
 
 func (i *Instance) engineOptions() tlengine.Options {
-	g := i.metrics.Group("Engines")
+	g := i.metrics.Group("Engines", tlengine.Counters...)
 	o := tlengine.NewOptions()
 	o.Seed = i.incarnation
 	o.Count = g.Add
