Serve callers over TLS with certificates that are replaced without a restart

Cause: the settings named a certificate that nothing used. Change: io/tlfile keeps what was read from files; peers' credentials and callers' certificate both rest on it, in place of a reload of the peers' own. Found on the way: a test reached the server of the next test over a kept connection of the one before (broken pipe); it closes its connections now.

--- a/instance.go
+++ b/instance.go
@@ -91,6 +91,10 @@
 
 // open builds the parts and takes the addresses.
 func (i *Instance) open() error {
+	certificate, err := tlentry.Certificate(i.settings.Security, time.Now)
+	if err != nil {
+		return err
+	}
 	o, err := i.peerOptions()
 	if err != nil {
 		return err
@@ -99,7 +103,7 @@
 		return fmt.Errorf("field PeerListen: %w", err)
 	}
 	i.build()
-	i.server, err = tlentry.Listen(i.entry, i.settings.Listen, nil)
+	i.server, err = tlentry.Listen(i.entry, i.settings.Listen, certificate)
 	if err != nil {
 		i.closeParts()
 		return fmt.Errorf("field Listen: %w", err)
--- /dev/null
+++ b/io/tlentry/certificate.go
@@ -0,0 +1,34 @@
+package tlentry
+
+import (
+	"crypto/tls"
+	"fmt"
+	"time"
+
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlfile"
+)
+
+// Certificate returns the TLS configuration that the settings ask for, nil when
+// they ask for none; changed files are used for new connections.
+func Certificate(s *tlwire.SecuritySettings, now func() time.Time) (*tls.Config, error) {
+	if s == nil || s.Certificate == "" {
+		return nil, nil
+	}
+	load := func() (tls.Certificate, error) { return tls.LoadX509KeyPair(s.Certificate, s.Key) }
+	w, err := tlfile.New([]string{s.Certificate, s.Key}, load, now)
+	if err != nil {
+		return nil, fmt.Errorf("field Security.Certificate: %w", err)
+	}
+	// The library loads the files once more; what this function returns goes before them.
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS12,
+				NextProtos:   []string{"h2", "http/1.1"},
+				Certificates: []tls.Certificate{w.Current()},
+			}, nil
+		},
+	}, nil
+}
--- a/io/tlentry/entry_test.go
+++ b/io/tlentry/entry_test.go
@@ -63,7 +63,11 @@
 	})
 	server, err := Listen(e, testAddress, nil)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = server.Close() })
+	// The address is the next test's too, which must not be reached over this one's connections.
+	t.Cleanup(func() {
+		_ = server.Close()
+		http.DefaultClient.CloseIdleConnections()
+	})
 	return e, "http://" + testAddress.String()
 }
 
--- a/io/tlentry/server.go
+++ b/io/tlentry/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest"
+
+	"trefoillanding/core/tlwire"
 )
 
 const (
@@ -35,7 +37,7 @@
 func Listen(e *Entry, a netip.AddrPort, c *tls.Config) (*Server, error) {
 	logx.Disable()
 	s := &Server{done: make(chan struct{})}
-	r, err := rest.NewServer(config(a), rest.WithRouter(router{e}))
+	r, err := rest.NewServer(config(a, e.deps.Settings.Security), rest.WithRouter(router{e}))
 	if err != nil {
 		return nil, fmt.Errorf("the server can't be set up: %w", err)
 	}
@@ -54,10 +56,12 @@
 }
 
 // config switches off all middlewares of the library: each refuses without a verdict.
-func config(a netip.AddrPort) rest.RestConf {
+func config(a netip.AddrPort, s *tlwire.SecuritySettings) rest.RestConf {
 	return rest.RestConf{
-		Host: a.Addr().String(),
-		Port: int(a.Port()),
+		Host:     a.Addr().String(),
+		Port:     int(a.Port()),
+		CertFile: s.Certificate,
+		KeyFile:  s.Key,
 	}
 }
 
--- a/io/tlpeer/credentials_test.go
+++ b/io/tlpeer/credentials_test.go
@@ -105,8 +105,8 @@
 	old.write(t, folder, 2)
 	now := time.Now()
 	c := credentials(t, folder, func() time.Time { return now })
-	pair, _ := c.current()
-	first := pair.Leaf.SerialNumber.Int64()
+	v := c.watched.Current()
+	first := v.pair.Leaf.SerialNumber.Int64()
 	assert.EqualValues(t, 2, first)
 
 	next.write(t, folder, 3)
@@ -114,17 +114,17 @@
 	for _, f := range []string{"cert.pem", "key.pem", "authority.pem"} {
 		require.NoError(t, os.Chtimes(filepath.Join(folder, f), later, later))
 	}
-	pair, _ = c.current()
-	assert.EqualValues(t, 2, pair.Leaf.SerialNumber.Int64(), "the files are not looked at for each connection")
-	now = now.Add(2 * reloadEvery)
-	pair, roots := c.current()
-	assert.EqualValues(t, 3, pair.Leaf.SerialNumber.Int64())
-	assert.NoError(t, verifyChain([]*x509.Certificate{pair.Leaf}, roots))
+	v = c.watched.Current()
+	assert.EqualValues(t, 2, v.pair.Leaf.SerialNumber.Int64(), "the files are not looked at for each connection")
+	now = now.Add(time.Minute)
+	v = c.watched.Current()
+	assert.EqualValues(t, 3, v.pair.Leaf.SerialNumber.Int64())
+	assert.NoError(t, verifyChain([]*x509.Certificate{v.pair.Leaf}, v.roots))
 
 	require.NoError(t, os.WriteFile(filepath.Join(folder, "key.pem"), []byte("half written"), 0o600))
-	now = now.Add(2 * reloadEvery)
-	pair, _ = c.current()
-	assert.EqualValues(t, 3, pair.Leaf.SerialNumber.Int64(), "files that can't be read leave the old in use")
+	now = now.Add(time.Minute)
+	v = c.watched.Current()
+	assert.EqualValues(t, 3, v.pair.Leaf.SerialNumber.Int64(), "files that can't be read leave the old in use")
 	_, err := NewCredentials("none", "none", "none", time.Now)
 	assert.ErrorContains(t, err, "none")
 }
