Forget engines that the configuration has dropped

Change: an engine that no request uses any more is forgotten at the next Configure, and its number in the prefix index is used again.

--- a/core/tlprefix/index.go
+++ b/core/tlprefix/index.go
@@ -11,6 +11,7 @@
 	blocks  map[uint64][]holder
 	engines []source
 	run     []float64
+	unused  []int
 }
 
 // holder is one engine's copy of a block.
@@ -48,6 +49,11 @@
 
 // Add makes room for one more engine and returns its number.
 func (i *Index) Add() int {
+	if n := len(i.unused) - 1; n >= 0 {
+		e := i.unused[n]
+		i.unused = i.unused[:n]
+		return e
+	}
 	i.engines = append(i.engines, source{trust: 1})
 	i.run = append(i.run, 0)
 	return len(i.engines) - 1
@@ -105,6 +111,12 @@
 	i.engines[engine] = source{trust: 1}
 }
 
+// Remove forgets an engine, whose number may be given to another one.
+func (i *Index) Remove(engine int) {
+	i.Forget(engine)
+	i.unused = append(i.unused, engine)
+}
+
 // Match returns, for each engine, how many leading blocks it probably holds;
 // the slice is good until the next call.
 func (i *Index) Match(blocks []uint64) []float64 {
--- a/core/tlsched/configure.go
+++ b/core/tlsched/configure.go
@@ -1,6 +1,7 @@
 package tlsched
 
 import (
+	"slices"
 	"time"
 
 	"trefoillanding/core/tlwire"
@@ -25,10 +26,29 @@
 			s.unreserve(e)
 		}
 	}
+	s.forgetRemoved()
+	s.capacity = s.measure()
+	s.turnAway(now)
 	s.place(now)
 	return s.take()
 }
 
+// forgetRemoved drops the engines that the configuration no longer names and that nothing uses.
+func (s *Scheduler) forgetRemoved() {
+	used := make(map[*engine]bool)
+	for _, r := range s.requests {
+		used[r.prefill], used[r.source], used[r.decode] = true, true, true
+	}
+	s.order = slices.DeleteFunc(s.order, func(e *engine) bool {
+		if !e.removed || used[e] {
+			return false
+		}
+		s.prefixes.Remove(e.number)
+		delete(s.engines, e.name)
+		return true
+	})
+}
+
 func (s *Scheduler) configure(p tlwire.Pool, v tlwire.Service) {
 	if p.PieceTokens == 0 {
 		p.PieceTokens = defaultPieceTokens
--- a/core/tlsched/machine_test.go
+++ b/core/tlsched/machine_test.go
@@ -24,6 +24,8 @@
 	steps map[string]tlwire.Step
 	ended map[string]int
 	state map[string]EngineState
+
+	draining map[string]bool
 }
 
 func newMachine(t *rapid.T) *machine {
@@ -43,6 +45,8 @@
 		steps: map[string]tlwire.Step{},
 		ended: map[string]int{},
 		state: map[string]EngineState{},
+
+		draining: map[string]bool{},
 	}
 }
 
@@ -56,6 +60,7 @@
 			delete(m.steps, t.Request)
 		default:
 			require.Equal(m.t, EngineLive, m.state[t.Engine], "work for an engine that takes none")
+			require.False(m.t, m.draining[t.Engine], "work for an engine that drains")
 			m.steps[t.Request] = t
 		}
 	}
@@ -159,9 +164,11 @@
 
 func (m *machine) load(t *rapid.T) {
 	e := m.s.order[rapid.IntRange(0, len(m.s.order)-1).Draw(t, "engine")]
+	m.draining[e.name] = rapid.IntRange(0, 4).Draw(t, "draining") == 0
 	m.take(m.s.Load(m.now, tlwire.LoadReport{
 		Name: e.name, Role: e.role, PiecesTotal: 5,
 		PiecesFree: rapid.IntRange(0, 5).Draw(t, "free"),
+		Draining:   m.draining[e.name],
 	}))
 }
 
@@ -174,6 +181,7 @@
 func (m *machine) drain() {
 	for _, e := range m.s.order {
 		m.state[e.name] = EngineLive
+		m.draining[e.name] = false
 		m.take(m.s.Engine(m.now, e.name, EngineLive))
 		m.take(m.s.Load(m.now, tlwire.LoadReport{Name: e.name, Role: e.role, PiecesTotal: 20, PiecesFree: 20}))
 	}
--- a/core/tlsched/scheduler_test.go
+++ b/core/tlsched/scheduler_test.go
@@ -102,3 +102,17 @@
 	require.Equal(t, []tlwire.StepKind{tlwire.StepKindStartTransfer}, kinds(l))
 	assert.NotEqual(t, first, l[0].Engine)
 }
+
+// Case 2: engines that the configuration had dropped were kept for ever.
+func TestRemovedEngineIsForgottenOnceUnused(t *testing.T) {
+	s := newScheduler()
+	s.Submit(start, submission("r"))
+	used := s.Report(start, report(tlwire.ReportKindPrefillDone, "r/1"))[0].Engine
+	p := tlwire.Pool{Name: "p", Engines: []tlwire.Engine{{Name: "p2", Role: tlwire.RolePrefill}, {Name: "d3", Role: tlwire.RoleDecode}}}
+	assert.Empty(t, s.Configure(start, p, tlwire.Service{Name: "s"}, nil))
+	assert.Contains(t, s.engines, used)
+	assert.Equal(t, "p2", s.Submit(start, submission("q"))[0].Engine)
+	s.Report(start, report(tlwire.ReportKindFinished, "r/1"))
+	s.Configure(start, p, tlwire.Service{Name: "s"}, nil)
+	assert.Len(t, s.order, 2)
+}
