--- a/core/tlsched/scheduler_test.go
+++ b/core/tlsched/scheduler_test.go
@@ -103,7 +103,21 @@
 	assert.NotEqual(t, first, l[0].Engine)
 }
 
-// Case 1: while nothing late had been served yet, the wait of late requests was
+// Case 2: engines that the configuration had dropped were kept for ever.
+func TestRemovedEngineIsForgottenOnceUnused(t *testing.T) {
+	s := newScheduler()
+	s.Submit(start, submission("r"))
+	used := s.Report(start, report(tlwire.ReportKindPrefillDone, "r/1"))[0].Engine
+	p := tlwire.Pool{Name: "p", Engines: []tlwire.Engine{{Name: "p2", Role: tlwire.RolePrefill}, {Name: "d3", Role: tlwire.RoleDecode}}}
+	assert.Empty(t, s.Configure(start, p, tlwire.Service{Name: "s"}, nil))
+	assert.Contains(t, s.engines, used)
+	assert.Equal(t, "p2", s.Submit(start, submission("q"))[0].Engine)
+	s.Report(start, report(tlwire.ReportKindFinished, "r/1"))
+	s.Configure(start, p, tlwire.Service{Name: "s"}, nil)
+	assert.Len(t, s.order, 2)
+}
+
+// Case 3: while nothing late had been served yet, the wait of late requests was
 // predicted a hundredfold, and a burst on an idle pool was refused.
 func TestLateBurstOnAnIdlePoolIsNotRefused(t *testing.T) {
 	s := newScheduler()
