--- a/counters_test.go
+++ b/counters_test.go
@@ -12,7 +12,7 @@
 )
 
 var (
-	groupTitle = regexp.MustCompile("^### (\\w+)$")
+	groupTitle = regexp.MustCompile(`^### (\w+)$`)
 	counterRow = regexp.MustCompile("^\\| `(\\w+)` \\|")
 )
 
