--- a/cmd/trefoillanding/main.go
+++ b/cmd/trefoillanding/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"trefoillanding/io/tlexperiment"
 )
@@ -16,6 +17,7 @@
 
 // run carries out one command line and returns the exit code.
 func run(args []string) int {
+	logx.Disable()
 	err := command().Run(context.Background(), args)
 	if err == nil {
 		return exitDone
