Read the instance list only when it has changed

Cause: each instance reads the whole instance list every second, whose size grows with the fleet and its endpoints: 128 bytes an entry.

Change: the client sends the list's entity tag back (If-None-Match), and the stand-in answers 304 while nothing has changed. The tag holds the stand-in's start, so that the list of a restarted platform is never taken for the one before.

Ruled out: a longer time between readings alone (a minute would still be 23 KB/s).

BenchmarkFleet measures what each of 3 to 50 whole instances spends.

--- /dev/null
+++ b/fleet_bench_test.go
@@ -0,0 +1,351 @@
+package trefoillanding
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.yaml.in/yaml/v3"
+
+	"trefoillanding/core/tlcodec"
+	"trefoillanding/core/tlsettings"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlstandin"
+)
+
+// tally counts what one kind of stand-in was asked over the network.
+type tally struct {
+	bytes atomic.Int64
+	mu    sync.Mutex
+	calls map[string]int64
+	body  map[string]int64
+}
+
+// tallyConn counts the bytes of both directions.
+type tallyConn struct {
+	net.Conn
+	t *tally
+}
+
+func (c tallyConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.t.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c tallyConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.t.bytes.Add(int64(n))
+	return n, err
+}
+
+type tallyListener struct {
+	net.Listener
+	t *tally
+}
+
+func (l tallyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return tallyConn{c, l.t}, err
+}
+
+// serve listens for a handler whose calls and bytes the tally counts.
+func (t *tally) serve(b *testing.B, h http.Handler) netip.AddrPort {
+	b.Helper()
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		counted := &tallyWriter{ResponseWriter: w}
+		h.ServeHTTP(counted, r)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		name := r.Method + " " + kindOf(r.URL.Path)
+		t.calls[name]++
+		t.body[name] += counted.n
+	}))
+	s.Listener = tallyListener{s.Listener, t}
+	s.Start()
+	b.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.Listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// kindOf is a path without the number of a claim stream.
+func kindOf(path string) string {
+	if strings.HasPrefix(path, "/log/claims-") {
+		return "/log/claims"
+	}
+	return path
+}
+
+type tallyWriter struct {
+	http.ResponseWriter
+	n int64
+}
+
+func (w *tallyWriter) Write(b []byte) (int, error) {
+	w.n += int64(len(b))
+	return w.ResponseWriter.Write(b)
+}
+
+func newTally() *tally {
+	return &tally{calls: map[string]int64{}, body: map[string]int64{}}
+}
+
+// print writes the calls of an instance and second, and the size of an answer.
+func (t *tally) print(b *testing.B, units float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, n := range t.calls {
+		b.Logf("%s: %.3f calls/instance/s, %d bytes of answer", name, float64(n)/units, t.body[name]/n)
+	}
+}
+
+func (t *tally) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.calls)
+	clear(t.body)
+	t.bytes.Store(0)
+}
+
+// fleet is whole instances with a pool of engines for each.
+type fleet struct {
+	instances         []*Instance
+	config            tlwire.Config
+	platform, engines *tally
+	heapBefore        uint64
+}
+
+// The engines of a pool: the fewest that a configuration may declare, and as many
+// as a home has at the target size.
+const (
+	fewestEngines = 2
+	enginesOfPool = 14
+)
+
+func newFleet(b *testing.B, size, engines int) *fleet {
+	b.Helper()
+	f := &fleet{platform: newTally(), engines: newTally()}
+	ports := freePorts(b, 2*size)
+	p := tlstandin.NewPlatform(tlstandin.NewPlatformLimits())
+	var list []tlwire.Instance
+	var settings []tlwire.Settings
+	at := f.platform.serve(b, p)
+	for n := range size {
+		s := fleetSettings(n, at, ports[2*n], ports[2*n+1])
+		settings = append(settings, s)
+		list = append(list, tlwire.Instance{
+			Name: s.Name, Kind: tlwire.InstanceKindEntry, DataCentre: s.DataCentre, Address: s.Listen,
+			PeerAddress: s.PeerListen, State: tlwire.InstanceStateLive,
+		})
+	}
+	f.config = tlwire.Config{Services: []tlwire.Service{{
+		Name: "llm", Kind: tlwire.ServiceKindCompletions, Models: []tlwire.Model{{Name: "m", Version: "v1"}},
+	}}}
+	for n := range size {
+		v := f.newPool(b, n, engines)
+		f.config.Pools = append(f.config.Pools, v)
+		for _, e := range v.Engines {
+			list = append(list, tlwire.Instance{
+				Name: e.Name, Kind: tlwire.InstanceKindEndpoint, DataCentre: v.DataCentre,
+				Address: e.Address, State: tlwire.InstanceStateLive,
+			})
+		}
+	}
+	p.SetInstances(list)
+	f.heapBefore = heapInUse()
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	for _, s := range settings {
+		i, err := New(s, l)
+		require.NoError(b, err)
+		b.Cleanup(i.Close)
+		f.instances = append(f.instances, i)
+	}
+	return f
+}
+
+func fleetSettings(n int, platform, listen, peer netip.AddrPort) tlwire.Settings {
+	s := tlsettings.Default()
+	s.Name, s.DataCentre = fmt.Sprintf("instance-%03d", n), fmt.Sprint("centre-", n%4)
+	s.Platform.Address, s.Listen, s.PeerListen = platform, listen, peer
+	s.Security.EventKeys = []string{"a key that only tests use"}
+	return s
+}
+
+func (f *fleet) newPool(b *testing.B, n, engines int) tlwire.Pool {
+	p := tlwire.Pool{Name: fmt.Sprint("pool-", n), Service: "llm", DataCentre: fmt.Sprint("centre-", n%4), PieceTokens: 2000}
+	for e := range engines {
+		c := tlwire.Engine{Name: fmt.Sprintf("engine-%03d-%02d", n, e), Role: tlwire.RoleDecode}
+		if e%3 == 0 {
+			c.Role = tlwire.RolePrefill
+		}
+		v := tlstandin.NewEngine(c, f.config.Services[0].Models, tlstandin.NewBehaviour())
+		b.Cleanup(v.Close)
+		c.Address = f.engines.serve(b, v)
+		p.Engines = append(p.Engines, c)
+	}
+	return p
+}
+
+// apply declares the configuration with another length of queue.
+func (f *fleet) apply(b *testing.B, n int) {
+	b.Helper()
+	f.config.Services[0].Bounds = &tlwire.Bounds{QueueWait: time.Second, QueueLength: 100 + n, MaxTokens: 1000, PromptTokens: 1000}
+	data, err := yaml.Marshal(f.config)
+	require.NoError(b, err)
+	x, stop := context.WithTimeout(context.Background(), 8*time.Second)
+	defer stop()
+	i := f.instances[n%len(f.instances)]
+	c := tlwire.ApplyCall{Files: []tlwire.ApplyFile{{Name: "a.yaml", Data: data}}, Nonce: fmt.Sprint(n)}
+	g, err := i.configurer.Apply(x, c)
+	require.NoError(b, err)
+	require.Empty(b, i.configurer.WaitInForce(x, g))
+}
+
+func (f *fleet) peers(counter string) float64 {
+	var n int64
+	for _, i := range f.instances {
+		n += i.metrics.Group("Peers").Value(counter)
+	}
+	return float64(n)
+}
+
+// measure reports what an instance spends while run goes on.
+func (f *fleet) measure(b *testing.B, run func()) {
+	time.Sleep(6 * time.Second)
+	f.platform.reset()
+	f.engines.reset()
+	received, sent, frames := f.peers("BytesReceived"), f.peers("BytesSent"), f.peers("FramesReceived")
+	start, cpu := time.Now(), processorTime()
+	run()
+	units := time.Since(start).Seconds() * float64(len(f.instances))
+	b.ReportMetric((processorTime()-cpu).Seconds()*1e3/units, "cpu-ms/s")
+	b.ReportMetric((f.peers("BytesReceived")-received)/units, "peer-in-B/s")
+	b.ReportMetric((f.peers("BytesSent")-sent)/units, "peer-out-B/s")
+	b.ReportMetric((f.peers("FramesReceived")-frames)/units, "peer-frames/s")
+	b.ReportMetric(float64(f.platform.bytes.Load())/units, "platform-B/s")
+	b.ReportMetric(float64(f.engines.bytes.Load())/units, "engine-B/s")
+	b.ReportMetric(float64(int64(heapInUse()-f.heapBefore))/1024/float64(len(f.instances)), "heap-KB")
+	f.platform.print(b, units)
+	f.engines.print(b, units)
+}
+
+// BenchmarkFleet measures what one of several whole instances spends, with few
+// and many engines, idle and with a change of the configuration every second.
+// The stand-ins run in the same process.
+func BenchmarkFleet(b *testing.B) {
+	const seconds = 8
+	for _, engines := range []int{fewestEngines, enginesOfPool} {
+		for _, size := range []int{3, 7, 20, 50} {
+			b.Run(fmt.Sprintf("engines=%d/instances=%d", engines, size), func(b *testing.B) {
+				f := newFleet(b, size, engines)
+				f.apply(b, 0)
+				b.Run("idle", func(b *testing.B) { f.measure(b, func() { time.Sleep(seconds * time.Second) }) })
+				b.Run("changes", func(b *testing.B) {
+					f.measure(b, func() {
+						t := time.NewTicker(time.Second)
+						defer t.Stop()
+						for n := range seconds {
+							f.apply(b, n+1)
+							<-t.C
+						}
+					})
+				})
+			})
+		}
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkInstanceList measures one reading of the platform's instance list.
+func BenchmarkInstanceList(b *testing.B) {
+	for _, size := range []int{100, 760, 10_760} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			t := newTally()
+			p := tlstandin.NewPlatform(tlstandin.NewPlatformLimits())
+			var list []tlwire.Instance
+			for n := range size {
+				list = append(list, tlwire.Instance{
+					Name: fmt.Sprintf("instance-%05d", n), Kind: tlwire.InstanceKindEndpoint, DataCentre: "centre-1",
+					Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7100", n/250, n%250)), State: tlwire.InstanceStateLive,
+				})
+			}
+			p.SetInstances(list)
+			ports := freePorts(b, 2)
+			s := fleetSettings(0, t.serve(b, p), ports[0], ports[1])
+			s.Platform.ListEvery = time.Minute
+			l := logrus.New()
+			l.SetOutput(io.Discard)
+			i, err := New(s, l)
+			require.NoError(b, err)
+			b.Cleanup(i.Close)
+			time.Sleep(time.Second)
+			t.reset()
+			cpu := processorTime()
+			for b.Loop() {
+				i.readList(context.Background())
+			}
+			b.ReportMetric((processorTime()-cpu).Seconds()*1e3/float64(b.N), "cpu-ms/op")
+			b.ReportMetric(float64(t.bytes.Load())/float64(b.N), "B/op-network")
+		})
+	}
+}
+
+// BenchmarkMessageBytes reports the sizes of the messages of one request.
+func BenchmarkMessageBytes(b *testing.B) {
+	const blocks = 40
+	id := "0197f1c2-5d1e-7b6a-9c3d-0123456789ab"
+	submission := tlwire.Submission{
+		Pool: "kiosk-llm-izmir", Request: id, Owner: "izmir-1", Incarnation: 1 << 60, Organisation: "organisation-0001",
+		Model: "kiosk", PromptTokens: 10_000, MaxTokens: 1000, Arrived: time.Now(), Due: time.Now(),
+	}
+	long := submission
+	for n := range blocks {
+		long.Blocks = append(long.Blocks, 1<<63+uint64(n))
+	}
+	size := func(v any) float64 {
+		body, err := tlcodec.Encode(v)
+		require.NoError(b, err)
+		frame, err := tlcodec.Encode(tlwire.Envelope{Kind: "Submission", Body: body})
+		require.NoError(b, err)
+		return float64(len(frame))
+	}
+	for b.Loop() {
+		b.ReportMetric(size(submission), "submission-B")
+		b.ReportMetric((size(long)-size(submission))/blocks, "block-B")
+		b.ReportMetric(size(tlwire.Step{
+			Request: id, Attempt: id + "-1", Kind: tlwire.StepKindStartPrefill, Engine: "izmir-prefill-1", Pieces: 6, Priority: 1,
+		}), "step-B")
+		b.ReportMetric(size(tlwire.Report{
+			Pool: "kiosk-llm-izmir", Request: id, Attempt: id + "-1", Kind: tlwire.ReportKindPrefillDone, Tokens: 10_000, Bytes: 1 << 30,
+		}), "report-B")
+	}
+}
--- a/io/tlplatform/client.go
+++ b/io/tlplatform/client.go
@@ -34,6 +34,7 @@
 	timeout   time.Duration
 	service   httpc.Service
 	transport *http.Transport
+	known     knownList
 }
 
 // New returns a client of the platform at an address, with a bound for each
@@ -110,11 +111,6 @@
 	return r, nil
 }
 
-// Instances returns the platform's lagging view of its instances.
-func (c *Client) Instances(ctx context.Context) (tlwire.InstanceList, error) {
-	return get[tlwire.InstanceList](ctx, c, "/instances")
-}
-
 // WeightInfo tells what loading a version of a model costs at the weight store.
 func (c *Client) WeightInfo(ctx context.Context, model, version string) (tlwire.WeightInfo, error) {
 	return get[tlwire.WeightInfo](ctx, c, "/weights/"+url.PathEscape(model)+"/"+url.PathEscape(version))
@@ -142,17 +138,23 @@
 	if body != nil {
 		r.Header.Set("Content-Type", "application/json")
 	}
+	status, _, err := c.exchange(r, into)
+	return status, err
+}
+
+// exchange sends a request and decodes the body of its answer, if it has one.
+func (c *Client) exchange(r *http.Request, into any) (int, http.Header, error) {
 	a, err := c.service.DoRequest(r)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	defer func() { _ = a.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
 	if err != nil {
-		return a.StatusCode, err
+		return a.StatusCode, a.Header, err
 	}
 	if a.StatusCode == http.StatusOK || a.StatusCode == http.StatusGone {
-		return a.StatusCode, json.Unmarshal(data, into)
+		return a.StatusCode, a.Header, json.Unmarshal(data, into)
 	}
-	return a.StatusCode, nil
+	return a.StatusCode, a.Header, nil
 }
--- a/io/tlstandin/instances.go
+++ b/io/tlstandin/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -82,7 +83,7 @@
 	}
 }
 
-func (p *Platform) instances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
 	t := time.Now().Add(-p.faults.Get().ListLag)
 	p.mutex.Lock()
 	i := len(p.lists) - 1
@@ -91,6 +92,12 @@
 	}
 	l := p.lists[i].list
 	p.mutex.Unlock()
+	tag := fmt.Sprintf(`"%d-%d"`, p.started, l.Version)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	answer(w, l)
 }
 
--- a/io/tlstandin/platform.go
+++ b/io/tlstandin/platform.go
@@ -46,6 +46,8 @@
 	appends *rate.Limiter
 	weights *rate.Limiter
 	handler http.Handler
+	// started makes the entity tags of a restarted platform differ.
+	started int64
 
 	mutex   sync.Mutex
 	streams map[string]*logStream
@@ -59,6 +61,7 @@
 		limits:  l,
 		faults:  NewFaults(),
 		appends: rate.NewLimiter(rate.Limit(l.AppendsPerSecond), int(l.AppendsPerSecond)+1),
+		started: time.Now().UnixNano(),
 		weights: rate.NewLimiter(rate.Limit(l.WeightReadsPerSecond), int(l.WeightReadsPerSecond)+1),
 		streams: map[string]*logStream{},
 		lists:   []datedList{{list: tlwire.InstanceList{Instances: []tlwire.Instance{}}}},
--- a/membership.go
+++ b/membership.go
@@ -38,12 +38,14 @@
 }
 
 func (i *Instance) readList(ctx context.Context) {
-	l, err := i.platform.Instances(ctx)
+	l, isNew, err := i.platform.Instances(ctx)
 	if err != nil {
 		i.platformCounters.Count(listFailed)
 		return
 	}
-	i.endpoints.Store(stayingOf(l, i.endpoints.Load()))
+	if isNew {
+		i.endpoints.Store(stayingOf(l, i.endpoints.Load()))
+	}
 	i.gossip.SetInstances(l)
 }
 
