Let a request that has begun go on in another pool

Cause: with all engines of a data centre dead, streams that had begun waited for ever in its pool: the scheduler turned away only fresh requests, and the owner took a refusal after a start for the end. Steps did not say which pool they came from, so that a late one of a former pool would have been carried out at the present one. Ruled out: capacity elsewhere (two pools idle). Change: a pool without engines turns everything away; the owner goes on in the next pool, and looks again for as long as the service lets requests wait; steps carry their pool, and one from another pool is declined.

--- a/core/tlsched/lifecycle.go
+++ b/core/tlsched/lifecycle.go
@@ -130,13 +130,14 @@
 	}
 }
 
-// turnAway refuses what has not run when the pool has lost its last engine of a kind.
+// turnAway refuses what waits when the pool has lost its last engine of a kind;
+// the owner of a request that has begun goes on with it elsewhere.
 func (s *Scheduler) turnAway(now time.Time) {
 	if s.capacity.prefills > 0 && s.capacity.decodes > 0 {
 		return
 	}
 	for _, r := range s.sorted() {
-		if r.stage == StageWaiting && r.isFresh() {
+		if r.stage == StageWaiting {
 			s.refuse(now, r, RefusedNoEndpoint, tlverdict.NoEndpoint, time.Second)
 			s.end(now, r)
 		}
--- a/core/tlwire/peer.go
+++ b/core/tlwire/peer.go
@@ -264,6 +264,9 @@
 	// Pieces is the decode memory reserved.
 	Pieces int `json:"Pieces,omitempty" yaml:"Pieces,omitempty" cbor:"Pieces,omitempty"`
 
+	// Pool is the pool whose home decided it.
+	Pool string `json:"Pool,omitempty" yaml:"Pool,omitempty" cbor:"Pool,omitempty"`
+
 	// Priority goes to the engine.
 	Priority int `json:"Priority,omitempty" yaml:"Priority,omitempty" cbor:"Priority,omitempty"`
 
--- a/instance_test.go
+++ b/instance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -114,3 +115,18 @@
 		})
 	}
 }
+
+// Case 1: a request that had begun stayed with its pool when the last engine
+// there died, and its caller got RetriesSpent though other pools were idle.
+func TestStreamsOfADeadDataCentreGoOnInAnother(t *testing.T) {
+	s := newSite(t, nil)
+	requireWhole(bounded(t, 90*time.Second), t, s.caller(t), 60, 400, func() {
+		time.Sleep(300 * time.Millisecond)
+		for name, e := range s.deployment.Engines {
+			if strings.HasPrefix(name, "izmir-") {
+				e.Kill()
+			}
+		}
+	})
+	s.requireNoMemoryHeld(t, 5*time.Second)
+}
--- a/io/tlentry/completion.go
+++ b/io/tlentry/completion.go
@@ -72,6 +72,7 @@
 		MaxTokens:    limit,
 		Arrived:      arrived,
 		Due:          arrived.Add(t.Service.Targets.FirstToken),
+		Patience:     t.Service.Bounds.QueueWait,
 		Body:         xxhash.Sum64(body),
 	}, nil
 }
--- a/io/tlentry/entry_test.go
+++ b/io/tlentry/entry_test.go
@@ -47,6 +47,7 @@
 		Config:   func() (uint64, *tlconfig.Config) { return 7, c },
 		Relay: tlrelay.New(tlrelay.Deps{
 			Pools:   func(tlrelay.Request) []tlwire.Pool { return nil },
+			Now:     time.Now,
 			Signer:  signer,
 			Metrics: m,
 		}),
--- a/io/tlhome/pool.go
+++ b/io/tlhome/pool.go
@@ -97,6 +97,7 @@
 		if r == nil {
 			continue
 		}
+		s.Pool = p.config.Name
 		r.last = &s
 		if s.Kind == tlwire.StepKindRefuse {
 			delete(p.requests, s.Request)
--- a/io/tlrelay/counter.go
+++ b/io/tlrelay/counter.go
@@ -6,6 +6,7 @@
 	answered        = "Answered"
 	resumed         = "Resumed"
 	callerGone      = "CallerGone"
+	paused          = "PausedWithoutPool"
 	spilled         = "Spilled"
 	askedAgain      = "AskedAgain"
 	prefillFailed   = "PrefillFailed"
@@ -23,7 +24,7 @@
 )
 
 var counterNames = []string{
-	requests, answered, resumed, callerGone, spilled, askedAgain, prefillFailed,
+	requests, answered, resumed, callerGone, spilled, paused, askedAgain, prefillFailed,
 	transferFailed, transferStalled, decodeFailed, abandoned, staleStep, streamTaken,
 	homeChanged, reconnected,
 	tokens, wastedPrefill, prefillTokens,
--- a/io/tlrelay/run.go
+++ b/io/tlrelay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"strings"
 	"sync"
@@ -15,6 +16,9 @@
 
 const inboxSteps = 16
 
+// mostPause is the longest wait before the pools are tried again.
+const mostPause = time.Second
+
 // run is one request that is open here; only its own goroutine touches what mu does not guard.
 type run struct {
 	relay   *Relay
@@ -58,29 +62,62 @@
 	}
 }
 
-// serve tries the pools in order until one takes the request.
+// serve tries the pools until one takes the request. One that has begun is not
+// given up before the service's longest wait: engines may come back.
 func (r *run) serve(ctx context.Context) error {
-	var refusal error = tlverdict.New(tlverdict.NoEndpoint, "no pool serves %s", r.request.Service.Name)
+	start := r.relay.deps.Now()
+	for {
+		err := r.everyPool(ctx)
+		var v *refusal
+		if !errors.As(err, &v) {
+			return err
+		}
+		if !r.started || r.relay.deps.Now().Sub(start) > r.request.Patience {
+			return r.verdict(v.verdict)
+		}
+		if err := r.pause(ctx, v.verdict.RetryAfter); err != nil {
+			return err
+		}
+	}
+}
+
+// everyPool tries each pool once, best first.
+func (r *run) everyPool(ctx context.Context) error {
+	var err error = &refusal{tlverdict.New(tlverdict.NoEndpoint, "no pool serves %s", r.request.Service.Name)}
 	pools := r.relay.deps.Pools(r.request)
 	for i, p := range pools {
 		if i > 0 {
 			r.relay.counters.Count(spilled)
 		}
 		r.pool, r.spills = p, i+1 < len(pools)
-		err := r.inPool(ctx)
-		if err == nil || !tlverdict.NotRun(err) || ctx.Err() != nil {
+		err = r.inPool(ctx)
+		var v *refusal
+		if !errors.As(err, &v) {
 			return err
 		}
-		refusal = err
 	}
-	return refusal
+	return err
+}
+
+// pause waits before the pools are tried again.
+func (r *run) pause(ctx context.Context, d time.Duration) error {
+	r.relay.counters.Count(paused)
+	select {
+	case <-time.After(min(d, mostPause)):
+		return nil
+	case <-ctx.Done():
+		return r.gone(ctx)
+	case <-r.taken:
+		return r.takenOver()
+	}
 }
 
 // inPool lets the pool's home guide the request to its end.
 func (r *run) inPool(ctx context.Context) error {
 	r.restart()
 	if err := r.submit(ctx); err != nil {
-		return r.verdict(err)
+		r.report(tlwire.ReportKindCancelled)
+		return r.refusal(ctx, err)
 	}
 	for {
 		s, err := r.next(ctx)
@@ -94,6 +131,14 @@
 	}
 }
 
+// refusal lets the request go to another pool, unless its caller is gone.
+func (r *run) refusal(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return r.gone(ctx)
+	}
+	return &refusal{tlverdict.Of(err)}
+}
+
 // restart makes the next submission a new one for the pool's present home.
 func (r *run) restart() {
 	r.cancelAttempt()
@@ -203,8 +248,7 @@
 }
 
 // verdict turns a refusal into one that is true of this request.
-func (r *run) verdict(err error) error {
-	e := tlverdict.Of(err)
+func (r *run) verdict(e *tlverdict.Error) error {
 	if !r.started || e.Verdict != tlwire.VerdictNotRun {
 		return e
 	}
--- a/io/tlrelay/step.go
+++ b/io/tlrelay/step.go
@@ -22,6 +22,10 @@
 
 // take carries out one step and says whether the answer is complete.
 func (r *run) take(ctx context.Context, s tlwire.Step) (bool, error) {
+	if s.Pool != r.pool.Name {
+		r.decline(s)
+		return false, nil
+	}
 	handle, ok := stepHandlers[s.Kind]
 	if !ok {
 		r.relay.counters.Count(staleStep)
@@ -30,6 +34,17 @@
 	return handle(r, ctx, s)
 }
 
+// decline tells a pool that the request went elsewhere in the meantime.
+func (r *run) decline(s tlwire.Step) {
+	r.relay.counters.Count(staleStep)
+	r.relay.deps.Homes.Report(tlwire.Report{
+		Pool:    s.Pool,
+		Request: s.Request,
+		Attempt: s.Attempt,
+		Kind:    tlwire.ReportKindCancelled,
+	})
+}
+
 func (r *run) startPrefill(ctx context.Context, s tlwire.Step) (bool, error) {
 	if s.Attempt == r.attempt {
 		r.relay.deps.Homes.Report(r.last)
@@ -151,9 +166,9 @@
 	return nil
 }
 
-func (r *run) refused(_ context.Context, s tlwire.Step) (bool, error) {
+func (r *run) refused(ctx context.Context, s tlwire.Step) (bool, error) {
 	e := tlverdict.New(tlverdict.Reason(s.Reason), "pool %s refused the request", r.pool.Name)
-	return false, r.verdict(e.After(max(s.RetryAfter, time.Millisecond)))
+	return false, r.refusal(ctx, e.After(max(s.RetryAfter, time.Millisecond)))
 }
 
 // dropAttempt frees an attempt that the home gave up; the next step starts another.
