--- a/instance_test.go
+++ b/instance_test.go
@@ -96,8 +96,9 @@
 		{"in prefill", 10 * time.Millisecond},
 		{"in transfer", 60 * time.Millisecond},
 		{"in decode", 300 * time.Millisecond},
+		{"in the queue", 400 * time.Millisecond},
 	}
-	s := newSite(t, nil)
+	s := newSite(t, func(b *tlstandin.Behaviour) { b.PiecesTotal = 2 })
 	c := s.caller(t)
 	for _, v := range cases {
 		t.Run(v.name, func(t *testing.T) {
--- a/io/tlentry/entry_test.go
+++ b/io/tlentry/entry_test.go
@@ -24,8 +24,7 @@
 // testAddress is where the test's server listens; it must be known beforehand.
 var testAddress = netip.MustParseAddrPort("127.0.0.1:18190")
 
-func testEntry(t *testing.T) (*Entry, string) {
-	t.Helper()
+func newTestEntry() *Entry {
 	s := tlsettings.Default()
 	s.Limits.BodyBytes, s.Limits.HeaderBytes = 2000, 1000
 	s.Limits.HeaderTimeout = 200 * time.Millisecond
@@ -42,7 +41,7 @@
 	}})
 	m := tlmetric.New()
 	signer := tleventid.New([]string{"key"})
-	e := New(Deps{
+	return New(Deps{
 		Settings: s,
 		Config:   func() (uint64, *tlconfig.Config) { return 7, c },
 		Relay: tlrelay.New(tlrelay.Deps{
@@ -62,6 +61,11 @@
 		Now:      time.Now,
 		Metrics:  m,
 	})
+}
+
+func testEntry(t *testing.T) (*Entry, string) {
+	t.Helper()
+	e := newTestEntry()
 	server, err := Listen(e, testAddress, nil)
 	require.NoError(t, err)
 	// The address is the next test's too, which must not be reached over this one's connections.
