--- a/fleet_bench_test.go
+++ b/fleet_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -299,6 +300,7 @@
 				})
 			}
 			p.SetInstances(list)
+			before := heapInUse()
 			ports := freePorts(b, 2)
 			s := fleetSettings(0, t.serve(b, p), ports[0], ports[1])
 			s.Platform.ListEvery = time.Minute
@@ -314,6 +316,7 @@
 				i.readList(context.Background())
 			}
 			b.ReportMetric((processorTime()-cpu).Seconds()*1e3/float64(b.N), "cpu-ms/op")
+			b.ReportMetric(float64(int64(heapInUse()-before))/1024, "heap-KB")
 			b.ReportMetric(float64(t.bytes.Load())/float64(b.N), "B/op-network")
 		})
 	}
@@ -341,6 +344,12 @@
 	for b.Loop() {
 		b.ReportMetric(size(submission), "submission-B")
 		b.ReportMetric((size(long)-size(submission))/blocks, "block-B")
+		held, err := json.Marshal(tlwire.StreamInfo{
+			Age: 5 * time.Second, Attempt: id + "-1", HasReader: true, Incarnation: 1 << 60, Owner: "izmir-1",
+			Pieces: 6, Request: id, Stage: tlwire.StageDecoding, Stream: id, Tokens: 300,
+		})
+		require.NoError(b, err)
+		b.ReportMetric(float64(len(held)), "listed-stream-B")
 		b.ReportMetric(size(tlwire.Step{
 			Request: id, Attempt: id + "-1", Kind: tlwire.StepKindStartPrefill, Engine: "izmir-prefill-1", Pieces: 6, Priority: 1,
 		}), "step-B")
