--- a/core/tlbaseline/ablation.go
+++ b/core/tlbaseline/ablation.go
@@ -30,6 +30,7 @@
 	{"WithoutShed", func(o *tlsched.Options) { o.Shed = false }},
 	{"WithoutCostRank", func(o *tlsched.Options) { o.CostRank = 0 }},
 	{"WithoutLateReserve", func(o *tlsched.Options) { o.LateReserve = 0 }},
+	{"WithoutShareReserve", func(o *tlsched.Options) { o.ShareReserve = 0 }},
 	{"WithoutOvertaking", func(o *tlsched.Options) { o.LookAhead = 1 }},
 }
 
--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -80,12 +80,35 @@
 		return false
 	}
 	w := s.prefillWait(now) + seconds(s.queue.Total(false).Longest())
+	if s.leavesTooLittle(r) {
+		return true
+	}
 	if s.decodeFor(now, r) == nil {
 		w = max(w, s.memoryWait(now, r))
 	}
 	return now.Add(w).After(r.item.Latest)
 }
 
+// leavesTooLittle says whether the request of an organisation above its share
+// would take memory that is kept for those within theirs.
+func (s *Scheduler) leavesTooLittle(r *request) bool {
+	if s.options.ShareReserve == 0 || !r.isFresh() || !s.shares.exceeds(r.Organisation, s.need(r), s.capacity.pieces) {
+		return false
+	}
+	left := s.freePieces() - s.need(r)
+	return float64(left) < s.options.ShareReserve*float64(s.capacity.pieces)
+}
+
+func (s *Scheduler) freePieces() int {
+	n := 0
+	for _, e := range s.order {
+		if e.decodesToo() && e.isServing() {
+			n += max(e.memory.Free(), 0)
+		}
+	}
+	return n
+}
+
 // spill refuses a request so that its owner asks another pool.
 func (s *Scheduler) spill(r *request) {
 	s.counts[RefusedPoolBusy]++
@@ -137,13 +160,7 @@
 
 // freeShare returns the part of decode memory beyond what late requests leave free.
 func (s *Scheduler) freeShare() float64 {
-	f := 0
-	for _, e := range s.order {
-		if e.decodesToo() && e.isServing() {
-			f += max(e.memory.Free(), 0)
-		}
-	}
-	return float64(f)/float64(max(s.capacity.pieces, 1)) - s.options.LateReserve
+	return float64(s.freePieces())/float64(max(s.capacity.pieces, 1)) - s.options.LateReserve
 }
 
 // makeRoom refuses the newest late request of the organisation with most
--- a/core/tlsched/configure.go
+++ b/core/tlsched/configure.go
@@ -19,6 +19,7 @@
 func (s *Scheduler) Configure(now time.Time, p tlwire.Pool, v tlwire.Service, o []tlwire.Organisation) []tlwire.Step {
 	s.last = now
 	s.queue.SetWeights(weightsOf(o))
+	s.shares.setWeights(weightsOf(o))
 	s.configure(p, v)
 	for _, e := range s.order {
 		if e.removed {
--- a/core/tlsched/lifecycle.go
+++ b/core/tlsched/lifecycle.go
@@ -65,6 +65,8 @@
 		return
 	}
 	n := e.memory.Release(r.attempt)
+	s.shares.release(r.Organisation, r.counted)
+	r.counted = 0
 	s.unlink(r)
 	e.streams--
 	if r.stage == StageTransferring || r.stage == StageDecoding {
--- a/core/tlsched/options.go
+++ b/core/tlsched/options.go
@@ -53,6 +53,8 @@
 	LateShare float64
 	// LateReserve is the part of decode memory that late requests leave free.
 	LateReserve float64
+	// ShareReserve is the part of decode memory that organisations above their share leave free.
+	ShareReserve float64
 	// LookAhead is how many blocked requests others may overtake.
 	LookAhead int
 	// Attempts is the most attempts at one request.
@@ -93,6 +95,7 @@
 		AssumedAnswer:  300,
 		AnswerQuantile: 0.7,
 		CostRank:       1,
+		ShareReserve:   0.05,
 		LateShare:      0.01,
 		LateReserve:    0.3,
 		LookAhead:      4,
--- a/core/tlsched/placement.go
+++ b/core/tlsched/placement.go
@@ -134,6 +134,9 @@
 	if p == nil {
 		return noPrefill
 	}
+	if s.leavesTooLittle(r) {
+		return noMemory
+	}
 	d := s.decodeFor(now, r)
 	if d == nil && !s.mayBet(now, r, p.ready(now).Add(work)) {
 		s.claim(now, r)
@@ -189,7 +192,8 @@
 		return
 	}
 	r.decode = d
-	r.pieces = n
+	r.pieces, r.counted = n, n
+	s.shares.hold(r.Organisation, n)
 	r.linked = s.bytes(r)
 	d.link.Hold(r.linked)
 	d.streams++
--- a/core/tlsched/request.go
+++ b/core/tlsched/request.go
@@ -25,7 +25,9 @@
 	bytes     int64
 	heldUntil time.Time
 
-	decode  *engine
+	decode *engine
+	// counted is what the organisation's share was charged.
+	counted int
 	pieces  int
 	linked  int64
 	sent    time.Time
--- a/core/tlsched/scheduler.go
+++ b/core/tlsched/scheduler.go
@@ -24,6 +24,7 @@
 	capacity capacity
 	requests map[string]*request
 	queue    *tlqueue.Queue[*request]
+	shares   *shares
 	unfunded []*request
 	blocked  []*tlqueue.Item[*request]
 	prefixes *tlprefix.Index
@@ -49,6 +50,7 @@
 		random:   r,
 		engines:  make(map[string]*engine),
 		requests: make(map[string]*request),
+		shares:   newShares(weightsOf(g)),
 		queue:    tlqueue.New[*request](weightsOf(g), o.LateShare),
 		prefixes: tlprefix.New(0),
 		known:    newKnowledge(o.AssumedAnswer),
