--- a/cmd/trefoillanding/main.go
+++ b/cmd/trefoillanding/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"trefoillanding/io/tlexperiment"
 )
 
 func main() {
@@ -36,6 +38,8 @@
 			statusCommand(),
 			demoCommand(),
 			loadCommand(),
+			paymentsCommand(),
+			tlexperiment.Command(os.Stdout),
 			standinCommand(),
 		},
 		OnUsageError:    usageFailed,
--- a/io/tlledger/claim.go
+++ b/io/tlledger/claim.go
@@ -88,13 +88,16 @@
 	}
 	if _, timed := tlclaim.KeyTime(c.Key); !timed {
 		return refusal(tlverdict.New(tlverdict.KeyTooOld,
-			"the log no longer reaches back to its start, so a key must be a UUIDv7"))
+			"keys without a time may have left the log, so a key must be a UUIDv7"))
 	}
 	return refusal(tlverdict.New(tlverdict.KeyTooOld, "the key is older than what the log still keeps"))
 }
 
 // try appends the claim and waits until it is folded; false means that it ended with the answer.
 func (s *Stream) try(ctx context.Context, c tlwire.Claim, resolve time.Duration) (tlwire.ClaimAnswer, bool) {
+	if !s.appender.MayTry() {
+		return refusal(tlverdict.New(tlverdict.LogUnavailable, "the log is out").After(retryAfter)), false
+	}
 	data, err := tlrecord.Encode(c)
 	if err != nil {
 		return refusal(tlverdict.New(tlverdict.BadBody, "%v", err)), false
--- a/io/tlledger/stream.go
+++ b/io/tlledger/stream.go
@@ -10,9 +10,10 @@
 	"trefoillanding/core/tlclaim"
 	"trefoillanding/core/tlrecord"
 	"trefoillanding/core/tlwire"
-	"trefoillanding/io/tlplatform"
 )
 
+var errOut = errors.New("the log is out")
+
 // Stream folds one stream of claims and appends to it.
 type Stream struct {
 	name     string
@@ -28,7 +29,8 @@
 	changed map[tlclaim.ID]*watch
 	mine    map[uint64]chan struct{}
 	isReady bool
-	marking bool
+	keeper  keeper
+	keeping bool
 }
 
 // NewStream starts to fold a stream.
@@ -80,6 +82,7 @@
 	}
 	s.log.Count(CountSkipped, int64(s.table.Skipped()-skipped))
 	s.table.Drop(v.Oldest)
+	s.keeper.take(v)
 	if s.table.Next() < v.Next {
 		return
 	}
@@ -87,7 +90,7 @@
 		s.isReady = true
 		close(s.ready)
 	}
-	s.markIfBlind()
+	s.keepAlive()
 }
 
 func (s *Stream) gap(oldest uint64) {
@@ -121,27 +124,6 @@
 	}
 }
 
-// markIfBlind appends a mark when nothing in the stream tells the log's time; it needs the mutex.
-func (s *Stream) markIfBlind() {
-	c := s.table.Coverage()
-	if c.IsComplete || !c.Since.IsZero() || s.marking {
-		return
-	}
-	s.marking = true
-	go s.mark()
-}
-
-func (s *Stream) mark() {
-	ctx, cancel := context.WithTimeout(context.Background(), readWait)
-	defer cancel()
-	if data, err := tlrecord.Encode(tlwire.Mark{}); err == nil {
-		_, _ = s.appender.Append(ctx, data)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.marking = false
-}
-
 // expect returns a channel that is closed when a claim with the nonce is folded.
 func (s *Stream) expect(nonce uint64) <-chan struct{} {
 	s.mu.Lock()
@@ -190,20 +172,17 @@
 	return *o.Answer, nil
 }
 
-// note appends the end of a claim, again and again until it is certain or ctx ends.
+// note appends the end of a claim; its sender tries again after an error.
 func (s *Stream) note(ctx context.Context, n tlwire.ClaimNote) error {
 	data, err := encodeNote(n)
 	if err != nil {
 		return err
 	}
-	for try := 1; ; try++ {
-		_, err = s.appender.Append(ctx, data)
-		var maybe *tlplatform.MayBeAppendedError
-		if err == nil || !errors.As(err, &maybe) || !sleep(ctx, backoff(try)) {
-			return err
-		}
-		s.log.Count(CountNotesRetried, 1)
+	if !s.appender.MayTry() {
+		return errOut
 	}
+	_, err = s.appender.Append(ctx, data)
+	return err
 }
 
 func encodeNote(n tlwire.ClaimNote) ([]byte, error) {
