--- a/core/tlsched/admission.go
+++ b/core/tlsched/admission.go
@@ -44,6 +44,18 @@
 	return latest, rank
 }
 
+// due returns when the first token of a good request is out: as its owner says,
+// or later where prefill and transfer alone take longer on idle engines, which
+// the owner can't know.
+func (s *Scheduler) due(r *request) time.Time {
+	idle := s.prefillTime(r.PromptTokens) + s.transferTime(s.bytes(r))
+	t := r.Arrived.Add(idle + min(idle, s.targets.FirstToken))
+	if t.After(r.Due) {
+		return t
+	}
+	return r.Due
+}
+
 // firstToken predicts the time from the start of a request to its first token on
 // idle engines; it doesn't count on a prefix cache, which may be on a busy one.
 func (s *Scheduler) firstToken(r *request) time.Duration {
--- a/core/tlsched/scheduler.go
+++ b/core/tlsched/scheduler.go
@@ -74,6 +74,7 @@
 		r.number = max(r.number, old.number)
 	}
 	r.nextAttempt()
+	r.Due = s.due(r)
 	s.prepare(now, r, r.Due)
 	if s.spills(now, r) {
 		s.spill(r)
