--- a/cmd/trefoillanding/status.go
+++ b/cmd/trefoillanding/status.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"text/tabwriter"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -39,7 +40,8 @@
 }
 
 func printStatus(w io.Writer, s tlwire.Status) error {
-	fmt.Fprintf(w, "instance %s, generation %d, %d open requests, %d claims held\n\n", s.Name, s.Generation, s.Open, s.Claims)
+	fmt.Fprintf(w, "instance %s, generation %d (known to be the latest %s ago), %d open requests, %d keys known\n\n",
+		s.Name, s.Generation, s.Age.Round(time.Millisecond), s.Open, s.Claims)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "INSTANCE\tDATA CENTRE\tSTATE\tGENERATION\tOPEN")
 	for _, i := range s.Instances {
--- a/core/tlwire/operator.go
+++ b/core/tlwire/operator.go
@@ -2,6 +2,8 @@
 
 package tlwire
 
+import "time"
+
 // ApplyAnswer tells how an apply ended.
 type ApplyAnswer struct {
 	// Generation is the one that the files became.
@@ -86,6 +88,9 @@
 
 // Status shows an operator what is going on.
 type Status struct {
+	// Age is how long ago that generation was last known to be the latest.
+	Age time.Duration `json:"Age,omitempty" yaml:"Age,omitempty" cbor:"Age,omitempty"`
+
 	// Claims counts the claims that it holds in memory.
 	Claims int `json:"Claims,omitempty" yaml:"Claims,omitempty" cbor:"Claims,omitempty"`
 
--- a/status.go
+++ b/status.go
@@ -26,6 +26,7 @@
 		Incarnation: i.incarnation,
 		Draining:    i.draining.Load(),
 		Generation:  generation,
+		Age:         i.configurer.Age(),
 		Open:        i.entry.Open(),
 		Claims:      i.claims.Keys(),
 		Instances:   i.instanceStatuses(generation),
