--- a/io/tlpeer/gossip.go
+++ b/io/tlpeer/gossip.go
@@ -111,6 +111,13 @@
 	return g.view.Live()
 }
 
+// All returns every listed instance with what is believed of it.
+func (g *Gossip) All() []tlmember.Known {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view.All(g.mesh.now())
+}
+
 // Home returns the instance that is the home of a pool.
 func (g *Gossip) Home(pool, dataCentre string) string {
 	g.mu.Lock()
--- a/status.go
+++ b/status.go
@@ -43,8 +43,8 @@
 
 func (i *Instance) instanceStatuses(generation uint64) []tlwire.InstanceStatus {
 	statuses := []tlwire.InstanceStatus{}
-	for _, m := range i.gossip.Live() {
-		v := tlwire.InstanceStatus{Name: m.Name, DataCentre: m.DataCentre, State: "Live"}
+	for _, m := range i.gossip.All() {
+		v := tlwire.InstanceStatus{Name: m.Name, DataCentre: m.DataCentre, State: string(m.State)}
 		if m.Name == i.settings.Name {
 			v.Generation, v.Open = generation, i.entry.Open()
 		} else {
