--- a/core/tlconfig/config.go
+++ b/core/tlconfig/config.go
@@ -12,6 +12,7 @@
 	targets  map[string]Target
 	pools    map[string]tlwire.Pool
 	byUse    map[string][]tlwire.Pool
+	ends     map[string]bool
 	names    map[string]tlwire.Organisation
 	tokens   map[string]tlwire.Organisation
 }
@@ -24,6 +25,7 @@
 		targets:  map[string]Target{},
 		pools:    map[string]tlwire.Pool{},
 		byUse:    map[string][]tlwire.Pool{},
+		ends:     map[string]bool{},
 		names:    map[string]tlwire.Organisation{},
 		tokens:   map[string]tlwire.Organisation{},
 	}
@@ -34,6 +36,9 @@
 		p = withPoolDefaults(p)
 		n.pools[p.Name] = p
 		n.byUse[p.Service] = append(n.byUse[p.Service], p)
+		for _, e := range p.Engines {
+			n.ends[e.Name] = true
+		}
 	}
 	for _, o := range c.Organisations {
 		n.addOrganisation(o)
@@ -43,6 +48,9 @@
 
 func (c *Config) addService(s tlwire.Service) {
 	c.services[s.Name] = s
+	for _, e := range s.Endpoints {
+		c.ends[e.Name] = true
+	}
 	for _, m := range s.Models {
 		for _, a := range m.Adapters {
 			c.targets[a] = Target{Service: s, Model: m, Adapter: a}
@@ -70,6 +78,11 @@
 	return s, ok
 }
 
+// HasEndpoint says whether an engine or a plain service's endpoint has that name.
+func (c *Config) HasEndpoint(name string) bool {
+	return c.ends[name]
+}
+
 // Pool returns the pool of that name.
 func (c *Config) Pool(name string) (tlwire.Pool, bool) {
 	p, ok := c.pools[name]
--- a/membership.go
+++ b/membership.go
@@ -44,17 +44,20 @@
 		return
 	}
 	if isNew {
-		i.endpoints.Store(stayingOf(l, i.endpoints.Load()))
+		i.endpoints.Store(stayingOf(l, i.endpoints.Load(), i.declares))
 	}
 	i.gossip.SetInstances(l)
 }
 
-// stayingOf says for each instance that was ever listed whether it is staying.
-func stayingOf(l tlwire.InstanceList, before *map[string]bool) *map[string]bool {
+// stayingOf says whether each listed instance is staying, and remembers those
+// that have left the list for as long as the configuration declares them.
+func stayingOf(l tlwire.InstanceList, before *map[string]bool, declares func(string) bool) *map[string]bool {
 	staying := map[string]bool{}
 	if before != nil {
 		for name := range *before {
-			staying[name] = false
+			if declares(name) {
+				staying[name] = false
+			}
 		}
 	}
 	for _, v := range l.Instances {
@@ -63,6 +66,12 @@
 	return &staying
 }
 
+// declares says whether the configuration in force names an endpoint.
+func (i *Instance) declares(endpoint string) bool {
+	_, c := i.current()
+	return c != nil && c.HasEndpoint(endpoint)
+}
+
 // leaving says whether the list has an endpoint as leaving or no more; one that
 // it never had may be too new for a list that lags.
 func (i *Instance) leaving(endpoint string) bool {
