Let SIGTERM reach the drain only, and accept while any answer names the instance

Cause: found in the operator's walk, 20 of 600 completions sent anew over one drain. go-zero's core/proc handles SIGTERM by itself: it closed the listener after a second and sent the signal again after 5.5 s, which ended the drain as a second SIGTERM does. Behind it, a second fault: an instance that learnt of the drain late names the leaving one up to 0.4 s after it, so that an answer outlives the listener by as much. Ruled out: start of the load (0 of 200 sent anew without a drain), refusals (none counted). Tried and dropped: proc.Setup with long times is a data race in the library. Change: serve takes the signals from the library once the server listens; a drain accepts for KeepFor and SuspectAfter. A test for each; both fail without their change.

--- a/cmd/trefoillanding/serve.go
+++ b/cmd/trefoillanding/serve.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"trefoillanding"
+	"trefoillanding/io/tlentry"
 )
 
 func serveCommand() *cli.Command {
@@ -30,13 +28,12 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	i, err := trefoillanding.New(s, newLog(s.Log))
 	if err != nil {
 		return usagef("%s: %v", c.String("settings"), err)
 	}
 	defer i.Close()
+	signals := tlentry.TakeSignals()
 	<-signals
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
--- /dev/null
+++ b/drain_test.go
@@ -0,0 +1,71 @@
+package trefoillanding
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlentry"
+)
+
+// names says whether the instance at an address offers another to callers.
+func names(t *testing.T, at, other netip.AddrPort) bool {
+	t.Helper()
+	w, err := http.Get("http://" + at.String() + "/v1/entries?Service=kiosk-llm")
+	require.NoError(t, err)
+	defer w.Body.Close()
+	var list tlwire.Entries
+	require.NoError(t, json.NewDecoder(w.Body).Decode(&list))
+	for _, e := range list.Entries {
+		if e.Address == other {
+			return true
+		}
+	}
+	return false
+}
+
+func accepts(at netip.AddrPort) bool {
+	w, err := http.Get("http://" + at.String() + "/healthz")
+	if err != nil {
+		return false
+	}
+	_ = w.Body.Close()
+	return true
+}
+
+func TestALeavingInstanceAcceptsWhileAnyAnswerNamesIt(t *testing.T) {
+	s := newSite(t, nil)
+	leaving, others := s.settings[0].Listen, s.settings[1:]
+	var offered time.Time
+	drained := make(chan error, 1)
+	go func() { drained <- s.instances[0].Drain(bounded(t, 20*time.Second)) }()
+	for accepts(leaving) {
+		for _, v := range others {
+			if asked := time.Now(); names(t, v.Listen, leaving) {
+				offered = asked
+			}
+		}
+	}
+	assert.Greater(t, time.Since(offered), s.settings[0].Drain.KeepFor)
+	require.NoError(t, <-drained)
+}
+
+func TestSIGTERMAloneStopsNothing(t *testing.T) {
+	s := newSite(t, nil)
+	signals := tlentry.TakeSignals()
+	defer signal.Stop(signals)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-signals
+	assert.Never(t, func() bool {
+		return !accepts(s.settings[0].Listen) || len(signals) > 0
+	}, 7*time.Second, 100*time.Millisecond, "the library acted on the signal")
+}
--- a/instance.go
+++ b/instance.go
@@ -148,16 +148,18 @@
 }
 
 // Drain lets callers learn that the instance leaves, answers what it has, and
-// returns when the last request has ended or ctx has.
+// returns when the last request has ended or ctx has. It accepts for as long as
+// callers may keep an answer of an instance that learnt of it last.
 func (i *Instance) Drain(ctx context.Context) error {
 	i.draining.Store(true)
 	i.log.Info("draining")
+	accept := i.settings.Drain.KeepFor + i.settings.Peers.SuspectAfter
 	if i.settings.Drain.Timeout > 0 {
 		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, i.settings.Drain.KeepFor+i.settings.Drain.Timeout)
+		ctx, stop = context.WithTimeout(ctx, accept+i.settings.Drain.Timeout)
 		defer stop()
 	}
-	keep := time.NewTimer(i.settings.Drain.KeepFor)
+	keep := time.NewTimer(accept)
 	defer keep.Stop()
 	select {
 	case <-keep.C:
