--- a/cmd/trefoillanding/main.go
+++ b/cmd/trefoillanding/main.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"github.com/zeromicro/go-zero/core/logx"
@@ -44,6 +46,7 @@
 			tlexperiment.Command(os.Stdout),
 			standinCommand(),
 		},
+		Before:          restoreSignals,
 		OnUsageError:    usageFailed,
 		CommandNotFound: commandNotFound,
 		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
@@ -63,3 +66,10 @@
 func commandNotFound(_ context.Context, _ *cli.Command, name string) {
 	fmt.Fprintf(os.Stderr, "unknown command %q; see trefoillanding --help\n", name)
 }
+
+// restoreSignals lets Ctrl-C end a verb at once: the HTTP library handles
+// signals from its import on and would end the process 5.5 s later.
+func restoreSignals(ctx context.Context, _ *cli.Command) (context.Context, error) {
+	signal.Reset(syscall.SIGTERM, syscall.SIGINT)
+	return ctx, nil
+}
--- a/io/tlrelay/run.go
+++ b/io/tlrelay/run.go
@@ -11,7 +11,8 @@
 	"trefoillanding/core/tlwire"
 )
 
-const inboxSteps = 16
+// inboxSteps is how many steps may wait for a request; a lost one is asked for again.
+const inboxSteps = 4
 
 // run is one request that is open here; only its own goroutine touches what mu does not guard.
 type run struct {
