--- a/io/tlledger/history_test.go
+++ b/io/tlledger/history_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -280,7 +281,7 @@
 // verify returns what is wrong with the history.
 func (w *world) verify() error {
 	if porcupine.CheckOperationsTimeout(onceModel, w.history, 10*time.Second) == porcupine.Illegal {
-		return fmt.Errorf("seed %d: a key ran twice, or was answered with what did not run", w.seed)
+		return fmt.Errorf("seed %d: a key ran twice, or was answered with what did not run:\n%s", w.seed, w.illegal())
 	}
 	told := map[uint64]bool{}
 	for _, o := range w.history {
@@ -296,6 +297,20 @@
 	return nil
 }
 
+// illegal lists the operations of the keys whose history is wrong, with times in nanoseconds.
+func (w *world) illegal() string {
+	var b strings.Builder
+	for _, part := range onceModel.Partition(w.history) {
+		if porcupine.CheckOperationsTimeout(onceModel, part, time.Second) != porcupine.Illegal {
+			continue
+		}
+		for _, o := range part {
+			fmt.Fprintf(&b, "%d to %d: %+v, told %+v\n", o.Call, o.Return, o.Input, o.Output)
+		}
+	}
+	return b.String()
+}
+
 func seeds() uint64 {
 	n, err := strconv.ParseUint(os.Getenv("TL_SEEDS"), 10, 64)
 	if err != nil {
