--- a/cmd/trefoillanding/load.go
+++ b/cmd/trefoillanding/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"os"
 	"time"
 
@@ -53,12 +52,9 @@
 	if p.Requests < 1 || p.Requests > maxLoadRequests || p.Rate <= 0 {
 		return usagef("--requests must be from 1 to %d, --rate above 0", maxLoadRequests)
 	}
-	for _, name := range c.StringSlice("instance") {
-		a, err := netip.ParseAddrPort(name)
-		if err != nil {
-			return usagef("--instance: %v", err)
-		}
-		p.Known = append(p.Known, a)
+	var err error
+	if p.Known, err = addresses(c.StringSlice("instance")); err != nil {
+		return usagef("--instance: %v", err)
 	}
 	s := tlload.Run(ctx, p)
 	s.Print(os.Stdout)
--- a/membership.go
+++ b/membership.go
@@ -150,10 +150,15 @@
 			Local:   p.DataCentre == i.settings.DataCentre,
 		})
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	random := newRandom()
 	ordered := make([]tlwire.Pool, 0, len(pools))
 	for _, n := range tlspill.Order(candidates, random) {
 		ordered = append(ordered, pools[n])
 	}
 	return ordered
 }
+
+// newRandom returns a source for one goroutine.
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- a/wire.go
+++ b/wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -157,7 +156,7 @@
 }
 
 func (i *Instance) entries(service string) tlwire.Entries {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	random := newRandom()
 	return tlwire.Entries{
 		Service: service,
 		Entries: tlselect.Rank(i.candidates(), i.settings.DataCentre, random),
