Count a first event 160 ms after the prefill, not 80

Cause: under load the book starts a request at the last moment at which it takes it to be on time.

The test of the large request keeps its property with earlier times: at 600 ms its large request now counts as late.

--- a/core/tlplace/book_test.go
+++ b/core/tlplace/book_test.go
@@ -151,16 +151,27 @@
 	assert.Equal(t, []string{"begun", "fresh", "late"}, order)
 }
 
+func TestWhatWouldMissItsTimeByTheWayToTheCallerCountsAsLate(t *testing.T) {
+	b := newBook(4, 1)
+	one(t, b, 0, request("full", 9000, 0))
+	require.Empty(t, b.Submit(at(0), request("short", 2000, 0)))
+	require.Empty(t, b.Submit(at(700*time.Millisecond), request("fresh", 2000, 700*time.Millisecond)))
+	b.Served(at(700*time.Millisecond), "full")
+	d := b.Tick(at(700 * time.Millisecond))
+	require.Len(t, d, 2)
+	assert.Equal(t, "fresh", d[0].Request, "66 ms to read and 160 ms to the caller exceed the 200 ms left")
+}
+
 func TestALargeRequestIsNotPassedForEver(t *testing.T) {
 	b := newBook(4, 1)
 	one(t, b, 0, request("a", 4000, 0))
 	one(t, b, 0, request("b", 4000, 0))
 	require.Empty(t, b.Submit(start, request("large", 8000, 0)))
-	b.Served(at(500*time.Millisecond), "a")
-	small := request("small", 2000, 500*time.Millisecond)
+	b.Served(at(450*time.Millisecond), "a")
+	small := request("small", 2000, 450*time.Millisecond)
 	small.GiveUp = at(20 * time.Second)
-	assert.Empty(t, b.Submit(at(500*time.Millisecond), small), "the memory is kept")
-	b.Served(at(600*time.Millisecond), "b")
+	assert.Empty(t, b.Submit(at(450*time.Millisecond), small), "the memory is kept")
+	b.Served(at(500*time.Millisecond), "b")
 	d := b.Tick(at(600 * time.Millisecond))
 	require.NotEmpty(t, d)
 	assert.Equal(t, "large", d[0].Request)
--- a/core/tlplace/options.go
+++ b/core/tlplace/options.go
@@ -21,7 +21,8 @@
 	ReadSetup time.Duration
 	// Ahead is how long before a prefill engine is free the next prompt is sent to it; it covers the way there.
 	Ahead time.Duration
-	// FirstEvent is the time from the end of a prefill to the first event at the caller.
+	// FirstEvent is the time from the end of a prefill to the first event at the caller: the
+	// way of the memory, a step of the decode engine for each token of the event, and its margin.
 	FirstEvent time.Duration
 	// LateMargin is kept, beside a slow prefill, between the latest start of a request and its caller's leaving.
 	LateMargin time.Duration
@@ -54,7 +55,7 @@
 		ReadRate:     55_000,
 		ReadSetup:    30 * time.Millisecond,
 		Ahead:        30 * time.Millisecond,
-		FirstEvent:   80 * time.Millisecond,
+		FirstEvent:   160 * time.Millisecond,
 		LateMargin:   250 * time.Millisecond,
 		DirectAfter:  250 * time.Millisecond,
 		DirectMost:   1,
