--- a/core/tlplace/book_test.go
+++ b/core/tlplace/book_test.go
@@ -172,7 +172,7 @@
 	small.GiveUp = at(20 * time.Second)
 	assert.Empty(t, b.Submit(at(450*time.Millisecond), small), "the memory is kept")
 	b.Served(at(500*time.Millisecond), "b")
-	d := b.Tick(at(600 * time.Millisecond))
+	d := b.Tick(at(500 * time.Millisecond))
 	require.NotEmpty(t, d)
 	assert.Equal(t, "large", d[0].Request)
 }
