Keep requests from engines that lose answers, and count silence as a loss

Cause: a stream that runs once waits as long as its caller does. Losses that did show, as broken connections, kept requests away for 150 ms only.

Now an owner tells the home when nothing has come for 800 ms (1,200 where the engine reads the prompt itself); the request keeps its place and waits on. The home keeps an average of lost answers for each engine; from two losses in a row it gives an engine a request only where no other has room.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -193,6 +193,14 @@
 	b.Ended(now, id)
 }
 
+// Muted notes that nothing has come of a request for long, which keeps its
+// place: its answer may still come.
+func (b *Book) Muted(engine string) {
+	if e := b.engines[engine]; e != nil {
+		e.lose()
+	}
+}
+
 // Full notes that an engine had no room for a request that had a place there,
 // and frees the place; that is no fault of the engine.
 func (b *Book) Full(now time.Time, id, engine string) {
--- a/core/tlplace/choose.go
+++ b/core/tlplace/choose.go
@@ -89,7 +89,8 @@
 // anyDataCentre stands for none that goes first.
 const anyDataCentre = ""
 
-// emptiest returns the engine with the most room, those of a data centre first; nil where there is none.
+// emptiest returns the engine with the most room, those that lost no answers
+// first, then those of a data centre; nil where there is none.
 func emptiest(free []*engine, dataCentre string) *engine {
 	var best *engine
 	for _, e := range free {
@@ -101,6 +102,9 @@
 }
 
 func isEmptier(e, than *engine, dataCentre string) bool {
+	if e.isRisky() != than.isRisky() {
+		return !e.isRisky()
+	}
 	near, thanNear := e.DataCentre == dataCentre, than.DataCentre == dataCentre
 	if near != thanNear {
 		return near
--- a/core/tlplace/engine.go
+++ b/core/tlplace/engine.go
@@ -31,6 +31,8 @@
 	doubtUntil time.Time
 	// failures counts the failures since it last served a request.
 	failures int
+	// loss is the average share of its answers that were lost of late.
+	loss float64
 	// awayUntil is until when it changes its role, unless it is listed in the new one before.
 	awayUntil time.Time
 	// keptFor is the request that its free memory is kept for.
@@ -48,6 +50,15 @@
 	ConnectionBroke
 )
 
+const (
+	// lossWeight is the weight of a new outcome in the share of lost answers.
+	lossWeight = 0.15
+	// riskyLoss is the share of lost answers from which an engine gets a request
+	// only where no other has room: two losses in a row, since one may be chance,
+	// and engines that are filled unevenly are slower.
+	riskyLoss = 0.2
+)
+
 // slownessWeight is the weight of a new measurement of an engine's speed.
 const slownessWeight = 0.2
 
@@ -74,12 +85,24 @@
 		doubt = min(doubt<<min(e.failures-1, 4), o.LongestDoubt)
 	}
 	e.failures++
+	e.lose()
 	e.doubtUntil = later(e.doubtUntil, now.Add(doubt))
 }
 
 // served notes that it served a request.
 func (e *engine) served() {
 	e.failures = 0
+	e.loss -= lossWeight * e.loss
+}
+
+// lose notes that an answer of its was lost.
+func (e *engine) lose() {
+	e.loss += lossWeight * (1 - e.loss)
+}
+
+// isRisky says whether answers of its were lost of late.
+func (e *engine) isRisky() bool {
+	return e.loss > riskyLoss
 }
 
 // learn corrects the slowness by how long a prefill took, with those before it,
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"trefoillanding/io/tlgateway"
 	"trefoillanding/platform/tlstand"
 )
 
@@ -104,6 +105,42 @@
 	assert.Equal(t, 1, runs("id-1", d1, d2))
 }
 
+func TestASilentEngineKeepsItsRequestsAndGetsNoOther(t *testing.T) {
+	w := newWorld(t)
+	w.engine("p", "prefill")
+	silent := w.engine("d1", "decode")
+	answers := make(chan struct{})
+	silent.Before = func(_ http.ResponseWriter, r *http.Request, _ *tlstand.Arrival) bool {
+		select {
+		case <-answers:
+		case <-r.Context().Done():
+		}
+		return false
+	}
+	i := w.start("a")
+	answered := make(chan answer, 5)
+	ask := func(n int) {
+		c := stream(fmt.Sprint("id-", n), tlstand.StreamPath)
+		c.Deadline = patience
+		answered <- w.call(i, c)
+	}
+	go ask(0)
+	go ask(1)
+	w.eventually(func() bool { return i.counters.gateway.Value(tlgateway.Muted) == 2 })
+	other := w.engine("d2", "decode")
+	other.EventEvery = 200 * time.Millisecond
+	w.eventually(func() bool { return len(i.directory.Of(tlstand.ModelService)) == 3 })
+	for n := range 3 {
+		go ask(n + 2)
+	}
+	w.eventually(func() bool { return len(other.Arrivals()) == 3 })
+	assert.Len(t, silent.Arrivals(), 2)
+	close(answers)
+	for range 5 {
+		assert.Equal(t, threeEvents, (<-answered).body)
+	}
+}
+
 func TestACallersLeavingEndsTheWorkAtTheEngine(t *testing.T) {
 	w := newWorld(t)
 	w.engine("p", "prefill")
--- a/io/tlbooking/book.go
+++ b/io/tlbooking/book.go
@@ -128,6 +128,8 @@
 		k.b.Failed(now, request, engine, tlplace.Silent)
 	case Broke:
 		k.b.Failed(now, request, engine, tlplace.ConnectionBroke)
+	case Muted:
+		k.b.Muted(engine)
 	case Full:
 		k.b.Full(now, request, engine)
 	case Ended:
--- a/io/tlbooking/event.go
+++ b/io/tlbooking/event.go
@@ -19,6 +19,8 @@
 	Failed
 	// Broke means that the connection to the decode engine broke.
 	Broke
+	// Muted means that nothing has come from the decode engine for long; the request still waits.
+	Muted
 	// Full means that the decode engine had no room for the request, or that its prompt was lost on the way there.
 	Full
 	// Ended means that the request has ended for another reason.
@@ -26,7 +28,7 @@
 )
 
 var eventNames = []string{
-	"None", "Prefilled", "PrefillFailed", "PrefillBroke", "Begun", "Served", "Failed", "Broke", "Full", "Ended",
+	"None", "Prefilled", "PrefillFailed", "PrefillBroke", "Begun", "Served", "Failed", "Broke", "Muted", "Full", "Ended",
 }
 
 // String returns the event's name.
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -25,12 +25,14 @@
 	BudgetSpent  = "BudgetSpent"
 	Direct       = "PrefilledAtDecode"
 	Resumed      = "Resumed"
+	// Muted counts the streams of which nothing had come for long.
+	Muted = "Muted"
 	// ReleaseFailed counts handles that could not be freed.
 	ReleaseFailed = "ReleaseFailed"
 )
 
 // CounterNames lists the counters of the gateway that are no reasons of refusals.
-var CounterNames = []string{Aborted, AnsweredPass, SentAgain, Hedged, BudgetSpent, Direct, Resumed, ReleaseFailed}
+var CounterNames = []string{Aborted, AnsweredPass, SentAgain, Hedged, BudgetSpent, Direct, Resumed, Muted, ReleaseFailed}
 
 // Reasons lists the reasons for which the gateway refuses or fails a request.
 var Reasons = []tlverdict.Reason{
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -19,6 +19,11 @@
 const (
 	// mostSends bounds the sends of one generation to decode engines.
 	mostSends = 4
+	// muteAfter is how long nothing has to come of an answer until that speaks
+	// against its engine: above the slowest way of a prompt's memory and a first event.
+	muteAfter = 800 * time.Millisecond
+	// muteAfterReading is the same where the engine reads the prompt itself, under load.
+	muteAfterReading = 1200 * time.Millisecond
 	// leastFirstWait is the shortest wait for the header of a stream's answer.
 	leastFirstWait = 900 * time.Millisecond
 )
@@ -100,8 +105,10 @@
 	began := x.g.d.Now()
 	ctx, stop := context.WithCancel(g.ctx)
 	late := time.AfterFunc(g.firstWait(), stop)
+	mute := time.AfterFunc(silence(s), func() { g.noteMute(p) })
 	r, err := x.g.d.Sender.Send(ctx, p.decode, x.request, tlcall.Send{Left: x.leftToSay(), Source: s, ResumeAfter: g.last})
 	late.Stop()
+	mute.Stop()
 	if err != nil {
 		stop()
 		return nil, g.sendFailed(p, began, err)
@@ -114,6 +121,22 @@
 	return r, nil
 }
 
+// silence is the wait for an answer's header that speaks against its engine.
+func silence(s tlcall.Source) time.Duration {
+	if s.IsSet() {
+		return muteAfter
+	}
+	return muteAfterReading
+}
+
+// noteMute tells the home that an engine is silent, so that others' requests
+// are kept from it; this one may have run there, and so waits on.
+func (g *generation) noteMute(p place) {
+	g.x.step("engine silent", logrus.Fields{"Endpoint": p.decode.ID})
+	g.x.g.d.Count(Muted)
+	g.report(tlbooking.Muted, p.decode.ID)
+}
+
 // firstWait bounds the wait for an answer's header: where the request may be
 // resumed, so that another engine can still be tried, else as long as the caller waits.
 func (g *generation) firstWait() time.Duration {
