Keep an instance that leaves listed until it has ended

Cause: at SIGTERM an instance dropped its entry from the store, and the others counted it as gone a second later, though it went on serving for up to eight. The home gave the places of its requests to others; engines were then full of requests that the book did not know, shed what was sent to them, and prompts were read in vain.

Now an instance writes itself down as leaving, with its incarnation; others drop the entry once it is gone.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -215,12 +215,19 @@
 func (i *Instance) Drain(ctx context.Context) {
 	i.leaving.Store(true)
 	i.log.WithField("Open", i.open()).Info("draining")
-	if i.built.Load() {
+	isBuilt := i.built.Load()
+	if isBuilt {
 		i.gossip.Tell()
 	}
 	ctx, stop := context.WithTimeout(ctx, i.settings.Gateway.Grace-endMargin)
 	defer stop()
-	i.running.Go(func() { i.unregister(ctx) })
+	i.running.Go(func() {
+		if isBuilt {
+			i.writeLeaving(ctx)
+			return
+		}
+		i.dropEntry(ctx, i.settings.Name)
+	})
 	wait(ctx, i.settings.Gateway.AcceptFor)
 	err := i.servers.callers.Shutdown(ctx)
 	i.log.WithFields(logrus.Fields{"Open": i.open(), "Complete": err == nil}).Info("drained")
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -27,8 +27,9 @@
 	purposeDrop = "drop entries"
 )
 
-// entry is what the instance writes of itself.
-func (i *Instance) entry() ([]byte, error) {
+// entry is what the instance writes of itself; incarnation is 0 in the entry
+// from whose place it follows.
+func (i *Instance) entry(state tlwire.InstanceState, incarnation uint64) ([]byte, error) {
 	s := i.settings
 	return tlcodec.Encode(tlwire.Instance{
 		Name:        s.Name,
@@ -36,7 +37,8 @@
 		DataCentre:  s.DataCentre,
 		Address:     s.Listen,
 		PeerAddress: s.PeerListen,
-		State:       tlwire.InstanceStateLive,
+		Incarnation: incarnation,
+		State:       state,
 		Capacity:    s.Gateway.Capacity,
 	})
 }
@@ -44,7 +46,7 @@
 // register writes the instance down until the store has taken it, and returns
 // its incarnation, which rises with each start.
 func (i *Instance) register(ctx context.Context) (uint64, error) {
-	e, err := i.entry()
+	e, err := i.entry(tlwire.InstanceStateLive, 0)
 	if err != nil {
 		return 0, err
 	}
@@ -76,10 +78,16 @@
 	return i.store.AppendKey(ctx, platform.TopicInstances, name, e)
 }
 
-// unregister takes the instance out of the list, once: gossip tells the others too.
-func (i *Instance) unregister(ctx context.Context) {
-	if _, err := i.appendEntry(ctx, i.settings.Name, nil); err != nil {
-		i.log.WithField("Cause", err.Error()).Warn("instance not taken out of the list")
+// writeLeaving writes down, once, that the instance leaves: gossip tells the
+// others too. It stays listed, since what is not counts as gone, and with it
+// the places of requests that it still serves; others drop the entry once it has ended.
+func (i *Instance) writeLeaving(ctx context.Context) {
+	e, err := i.entry(tlwire.InstanceStateLeaving, i.self.Incarnation)
+	if err == nil {
+		_, err = i.appendEntry(ctx, i.settings.Name, e)
+	}
+	if err != nil {
+		i.log.WithField("Cause", err.Error()).Warn("instance's leaving not written down")
 	}
 }
 
@@ -114,7 +122,9 @@
 			i.log.WithFields(logrus.Fields{"Key": r.Key, "Offset": r.Offset}).Warn("instance's entry left out")
 			continue
 		}
-		e.Incarnation = incarnationOf(r.Offset)
+		if e.Incarnation == 0 {
+			e.Incarnation = incarnationOf(r.Offset)
+		}
 		i.instances.byName[r.Key] = e
 	}
 	l := tlwire.InstanceList{Instances: make([]tlwire.Instance, 0, len(i.instances.byName))}
