Tell the home of an engine's own failure that is passed on

Cause: an engine that answers streams with a failure of its own was doubted by the instance that passed the failure on, but the home, which places them, took the request's end for a caller's leaving. So an engine that failed 40% of what it got went on getting its share.

--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// An engine that answered with failures once got as many requests as any other.
+func TestAnEnginesOwnFailureIsPassedOnAndKeepsTheNextRequestFromIt(t *testing.T) {
+	w := newWorld(t)
+	_, d1, d2 := w.engines()
+	fails := once(func(w http.ResponseWriter, _ *http.Request, _ *tlstand.Arrival) bool {
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}, d1, d2)
+	d1.Before, d2.Before = fails, fails
+	i := w.start("a")
+	assert.Equal(t, http.StatusInternalServerError, w.call(i, stream("id-1", tlstand.StreamPath)).status)
+	assert.Equal(t, threeEvents, w.call(i, stream("id-2", tlstand.StreamPath)).body)
+	assert.Len(t, d1.Arrivals(), 1)
+	assert.Len(t, d2.Arrivals(), 1)
+}
+
 func TestACallersLeavingEndsTheWorkAtTheEngine(t *testing.T) {
 	w := newWorld(t)
 	w.engine("p", "prefill")
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -266,6 +266,7 @@
 		a.close()
 		return false, g.lost(p, errOwnFailure)
 	}
+	g.fail(p.decode.ID)
 	g.x.pass(a)
 	return true, nil
 }
