Place near the owner while answers stall between data centres

Cause: while a data centre's links lose 3% of their packets, answers from its engines, and from others to its owners, pause for 200 ms and more at each loss, and streams are late. The home placed by room and by the prefill engine's data centre only.

Now an owner tells the home when events paused for over 200 ms, once a stream; the home keeps the shares of stalled answers between and within data centres, and while the first is high, and twice the second, decode engines of the owner's data centre go first. The home's book line has Risky and Stalling.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -27,6 +27,7 @@
 	order    []*engine
 	bookings map[string]*Booking
 	waiting  []Request
+	ways     ways
 	life     time.Duration
 	// tokenTime is the time of a place for each token that was expected.
 	tokenTime time.Duration
@@ -178,6 +179,9 @@
 	}
 	if e := b.engines[k.Decode]; e != nil {
 		e.served()
+		if !k.hasStalled && k.dataCentre != "" {
+			b.ways.of(e.DataCentre, k.dataCentre).pass()
+		}
 	}
 	if k.output > 0 {
 		b.tokenTime += time.Duration(lifeWeight * float64(now.Sub(k.sent)/time.Duration(k.output)-b.tokenTime))
@@ -193,6 +197,18 @@
 	b.Ended(now, id)
 }
 
+// Stalled notes that a request's answer paused for long on its way.
+func (b *Book) Stalled(now time.Time, id string) {
+	k := b.bookings[id]
+	if k == nil || k.hasStalled || k.dataCentre == "" {
+		return
+	}
+	k.hasStalled = true
+	if e := b.engines[k.Decode]; e != nil {
+		b.ways.of(e.DataCentre, k.dataCentre).stall(now)
+	}
+}
+
 // Muted notes that nothing has come of a request for long, which keeps its
 // place: its answer may still come.
 func (b *Book) Muted(engine string) {
@@ -293,11 +309,15 @@
 	Foreign int
 	// Waiting counts the requests without a place.
 	Waiting int
+	// Risky counts the decode engines that lost answers of late.
+	Risky int
+	// IsStalling says that answers pause between data centres.
+	IsStalling bool
 }
 
 // Sums returns how full the book is.
 func (b *Book) Sums(now time.Time) Sums {
-	s := Sums{Waiting: len(b.waiting)}
+	s := Sums{Waiting: len(b.waiting), IsStalling: b.ways.isStalling(now)}
 	for _, e := range b.order {
 		if !e.isUsable(now) {
 			continue
@@ -308,6 +328,9 @@
 			s.Reading += e.reading
 		case tlendpoint.Decode:
 			s.Decoders++
+			if e.isRisky() {
+				s.Risky++
+			}
 			s.Running += e.running
 			s.Booked += e.booked
 			s.Foreign += e.foreign
--- a/core/tlplace/booking.go
+++ b/core/tlplace/booking.go
@@ -15,6 +15,11 @@
 	// IsDirect says that the decode engine reads the prompt.
 	IsDirect bool
 
+	// dataCentre is the owner's; empty where the place was booked at another home.
+	dataCentre string
+	// hasStalled says that its answer paused on its way.
+	hasStalled bool
+
 	prompt int
 	output int
 	sent   time.Time
--- a/core/tlplace/choose.go
+++ b/core/tlplace/choose.go
@@ -35,6 +35,7 @@
 			free = append(free, e)
 		}
 	}
+	free = b.near(now, r, free)
 	if len(free) == 0 {
 		return choice{}, false
 	}
@@ -51,6 +52,24 @@
 	return choice{}, false
 }
 
+// near returns the engines of the owner's data centre while answers stall
+// between data centres, or all where there are none.
+func (b *Book) near(now time.Time, r Request, free []*engine) []*engine {
+	if !b.ways.isStalling(now) {
+		return free
+	}
+	var list []*engine
+	for _, e := range free {
+		if e.DataCentre == r.DataCentre {
+			list = append(list, e)
+		}
+	}
+	if len(list) == 0 {
+		return free
+	}
+	return list
+}
+
 // reader returns the prefill engine that is free first, if it is about to be.
 func (b *Book) reader(now time.Time, r Request, free []*engine) *engine {
 	var best *engine
--- a/core/tlplace/doc.go
+++ b/core/tlplace/doc.go
@@ -8,6 +8,10 @@
 // requests that pass a large one for ever: a request whose turn it is has the
 // memory of one engine kept for it once it has waited for long.
 //
+// It also answers engines and ways in trouble: an engine that loses answers gets
+// a request only where no other has room, and while answers stall between data
+// centres the owner's own goes first.
+//
 // A Book is driven by its home: Submit, Withdraw, Prefilled, Ended and Tick
 // return decisions to deliver. It is not safe for concurrent use.
 package tlplace
--- /dev/null
+++ b/core/tlplace/engine_test.go
@@ -0,0 +1,45 @@
+package tlplace
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestAnEngineThatLosesAnswersGetsARequestOnlyWhereNoOtherHasRoom(t *testing.T) {
+	cases := []struct {
+		name string
+		lose func(b *Book)
+	}{
+		{"nothing came for long, twice", func(b *Book) { b.Muted("d0"); b.Muted("d0") }},
+		{"the connection broke twice, and the pause is over", func(b *Book) {
+			b.Failed(start, "none", "d0", ConnectionBroke)
+			b.Failed(start, "none", "d0", ConnectionBroke)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBook(4, 2)
+			c.lose(b)
+			assert.Equal(t, "d1", one(t, b, 5*time.Second, request("1", 4000, 5*time.Second)).Decode)
+			assert.Equal(t, "d1", one(t, b, 5*time.Second, request("2", 4000, 5*time.Second)).Decode)
+			assert.Equal(t, "d0", one(t, b, 5*time.Second, request("3", 4000, 5*time.Second)).Decode)
+		})
+	}
+}
+
+func TestAnEngineThatServesAgainIsAsGoodAsOthers(t *testing.T) {
+	b := newBook(4, 2)
+	b.Muted("d0")
+	b.Muted("d0")
+	for n := range 8 {
+		id := fmt.Sprint(n)
+		r := request(id, 4000, 0)
+		r.Avoid = []string{"d1"}
+		one(t, b, 0, r)
+		b.Served(start, id)
+	}
+	assert.Equal(t, "d0", one(t, b, 0, request("last", 4000, 0)).Decode)
+}
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -95,10 +95,13 @@
 		Owner:   r.Owner,
 		Decode:  c.decode.ID,
 		Tokens:  r.tokens(b.o),
-		prompt:  r.Prompt,
-		output:  r.Output,
-		sent:    now,
-		until:   now.Add(b.o.BookedFor),
+
+		dataCentre: r.DataCentre,
+
+		prompt: r.Prompt,
+		output: r.Output,
+		sent:   now,
+		until:  now.Add(b.o.BookedFor),
 	}
 	d := Decision{Request: r.ID, Owner: r.Owner, Decode: c.decode.ID, Tokens: k.Tokens, Waited: now.Sub(r.arrived)}
 	c.decode.booked += k.Tokens
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -141,6 +141,15 @@
 	}
 }
 
+func TestAPauseWithinAStreamIsToldOnce(t *testing.T) {
+	w := newWorld(t)
+	_, d1, d2 := w.engines()
+	d1.EventEvery, d2.EventEvery = 300*time.Millisecond, 300*time.Millisecond
+	i := w.start("a")
+	assert.Equal(t, threeEvents, w.call(i, stream("id-1", tlstand.StreamPath)).body)
+	assert.EqualValues(t, 1, i.counters.gateway.Value(tlgateway.Stalled))
+}
+
 // An engine that answered with failures once got as many requests as any other.
 func TestAnEnginesOwnFailureIsPassedOnAndKeepsTheNextRequestFromIt(t *testing.T) {
 	w := newWorld(t)
--- a/io/tlbooking/book.go
+++ b/io/tlbooking/book.go
@@ -130,6 +130,8 @@
 		k.b.Failed(now, request, engine, tlplace.ConnectionBroke)
 	case Muted:
 		k.b.Muted(engine)
+	case Stalled:
+		k.b.Stalled(now, request)
 	case Full:
 		k.b.Full(now, request, engine)
 	case Ended:
--- a/io/tlbooking/desk.go
+++ b/io/tlbooking/desk.go
@@ -212,6 +212,8 @@
 			"Foreign":  s.Foreign,
 			"Memory":   s.Memory,
 			"Waiting":  s.Waiting,
+			"Risky":    s.Risky,
+			"Stalling": s.IsStalling,
 		}).Info("book")
 	}
 }
--- a/io/tlbooking/event.go
+++ b/io/tlbooking/event.go
@@ -21,6 +21,8 @@
 	Broke
 	// Muted means that nothing has come from the decode engine for long; the request still waits.
 	Muted
+	// Stalled means that the answer paused for long on its way.
+	Stalled
 	// Full means that the decode engine had no room for the request, or that its prompt was lost on the way there.
 	Full
 	// Ended means that the request has ended for another reason.
@@ -28,7 +30,7 @@
 )
 
 var eventNames = []string{
-	"None", "Prefilled", "PrefillFailed", "PrefillBroke", "Begun", "Served", "Failed", "Broke", "Muted", "Full", "Ended",
+	"None", "Prefilled", "PrefillFailed", "PrefillBroke", "Begun", "Served", "Failed", "Broke", "Muted", "Stalled", "Full", "Ended",
 }
 
 // String returns the event's name.
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -27,12 +27,14 @@
 	Resumed      = "Resumed"
 	// Muted counts the streams of which nothing had come for long.
 	Muted = "Muted"
+	// Stalled counts the streams whose events paused on their way.
+	Stalled = "Stalled"
 	// ReleaseFailed counts handles that could not be freed.
 	ReleaseFailed = "ReleaseFailed"
 )
 
 // CounterNames lists the counters of the gateway that are no reasons of refusals.
-var CounterNames = []string{Aborted, AnsweredPass, SentAgain, Hedged, BudgetSpent, Direct, Resumed, Muted, ReleaseFailed}
+var CounterNames = []string{Aborted, AnsweredPass, SentAgain, Hedged, BudgetSpent, Direct, Resumed, Muted, Stalled, ReleaseFailed}
 
 // Reasons lists the reasons for which the gateway refuses or fails a request.
 var Reasons = []tlverdict.Reason{
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -42,6 +42,8 @@
 	hasPlace bool
 	// begun says that the caller has been sent the header.
 	begun bool
+	// hasStalled says that its events paused on their way.
+	hasStalled bool
 	// last is the id of the last event that the caller was sent.
 	last string
 	// source is where the prompt was read, and until when it is kept, after an engine had no room for it.
--- a/io/tlgateway/pump.go
+++ b/io/tlgateway/pump.go
@@ -19,6 +19,9 @@
 const (
 	// readBytes is the size of one read of a stream.
 	readBytes = 4 << 10
+	// stallAfter is the pause between events that speaks against the way: a lost
+	// packet is sent again after 200 ms at the earliest.
+	stallAfter = 200 * time.Millisecond
 	// resumeAfterGap is the silence after which a stream that may be resumed goes on elsewhere.
 	resumeAfterGap = 1500 * time.Millisecond
 )
@@ -83,15 +86,20 @@
 	defer watch.Stop()
 	b := make([]byte, readBytes)
 	first := true
+	last := g.x.g.d.Now()
 	for {
 		n, err := r.Body.Read(b)
 		whole := s.Add(b[:n])
 		if len(whole) > 0 {
 			g.resetGap(watch)
+			now := g.x.g.d.Now()
 			if first {
 				first = false
 				g.firstEvent(p)
+			} else if now.Sub(last) > stallAfter {
+				g.stalled(p, now.Sub(last))
 			}
+			last = now
 			if err := g.write(c, whole, s.Last()); err != nil {
 				return err
 			}
@@ -118,6 +126,19 @@
 	return c.Flush()
 }
 
+// stalled notes, once, that events paused on their way.
+func (g *generation) stalled(p place, pause time.Duration) {
+	if g.hasStalled {
+		return
+	}
+	g.hasStalled = true
+	g.x.g.d.Count(Stalled)
+	g.x.step("stream stalled", logrus.Fields{"Endpoint": p.decode.ID, "PauseMs": pause.Milliseconds(), "After": g.last})
+	if g.hasPlace {
+		g.report(tlbooking.Stalled, p.decode.ID)
+	}
+}
+
 // firstEvent notes that the engine has begun.
 func (g *generation) firstEvent(p place) {
 	x := g.x
