--- a/core/tlcall/call.go
+++ b/core/tlcall/call.go
@@ -14,18 +14,10 @@
 	Output int
 	// Guess is the caller's guess of the tokens generated; 0 where it has none.
 	Guess int
-	// Parts are the parts of the prompt in their order, shared ones first.
-	Parts []Part
 	// ResumeAfter is the last event that the caller has of an earlier attempt.
 	ResumeAfter string
 }
 
-// Part is a piece of a prompt that other requests may share.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Expected returns the tokens that the answer is expected to have.
 func (c Call) Expected() int {
 	if c.Guess > 0 {
--- a/core/tlroute/route.go
+++ b/core/tlroute/route.go
@@ -26,8 +26,6 @@
 	Targets []Target
 	// Resumable says that a stream may go on at another endpoint.
 	Resumable bool
-	// Generates says that the requests carry prompts for engines.
-	Generates bool
 }
 
 // Target is a service with its share of a route.
--- a/core/tlroute/service.go
+++ b/core/tlroute/service.go
@@ -6,8 +6,6 @@
 type Service struct {
 	// Name is unique within a configuration.
 	Name string
-	// Connections is the most that an endpoint accepts from all instances together; 0 sets no bound.
-	Connections int
 	// Engine describes the endpoints where they are model engines.
 	Engine *Engine
 }
@@ -18,8 +16,6 @@
 	Slots int
 	// Memory is the room for tokens.
 	Memory int
-	// Stride is the most tokens of an event.
-	Stride int
 	// HandleLife is how long the result of a prefill is kept.
 	HandleLife time.Duration
 	// RoleChange is how long an engine is away while it changes its role.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"trefoillanding/io/tlorder"
 	"trefoillanding/io/tloutbox"
 	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlrandom"
 	"trefoillanding/io/tlsend"
 	"trefoillanding/platform"
 )
@@ -85,7 +86,7 @@
 	i.counters = newCounters(i.metrics)
 	i.ctx, i.stop = context.WithCancel(context.Background())
 	i.store = platform.NewStore(s.Platform.Address, func() { i.counters.store.Count(storeCalls) })
-	i.directory = tldirectory.New(newRandom(), i.noteDoubt)
+	i.directory = tldirectory.New(tlrandom.New(), i.noteDoubt)
 	i.sender = tlsend.New(tlsend.Wire{
 		EncodeSend:   platform.EncodeSend,
 		DecodeAnswer: platform.DecodeAnswer,
@@ -205,11 +206,6 @@
 	}
 }
 
-// newRandom returns a source for one goroutine.
-func newRandom() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-}
-
 // Drain leaves the lookups, takes requests for as long as callers may keep an
 // answer, and returns when the last request has ended or ctx has.
 func (i *Instance) Drain(ctx context.Context) {
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -12,6 +12,7 @@
 	"trefoillanding/io/tlgateway"
 	"trefoillanding/io/tloutbox"
 	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlrandom"
 	"trefoillanding/io/tltrace"
 	"trefoillanding/platform"
 )
@@ -81,7 +82,7 @@
 			i.outbox.Post(peer, tloutbox.Message{Kind: kind, Send: send})
 		},
 		Now:    time.Now,
-		Random: newRandom,
+		Random: tlrandom.New,
 		Log:    i.log,
 		Count:  i.counters.places.Count,
 	}
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -97,12 +97,12 @@
 	g.decodes++
 	x.sends++
 	x.step("sent", logrus.Fields{
-		"Endpoint":  p.decode.ID,
-		"IsSplit":   s.IsSet(),
-		"After":     g.last,
-		"LeftMs":    x.left().Milliseconds(),
-		"SinceMs":   x.g.d.Now().Sub(x.arrived).Milliseconds(),
-		"FirstWait": g.firstWait().Milliseconds(),
+		"Endpoint":    p.decode.ID,
+		"IsSplit":     s.IsSet(),
+		"After":       g.last,
+		"LeftMs":      x.left().Milliseconds(),
+		"SinceMs":     x.g.d.Now().Sub(x.arrived).Milliseconds(),
+		"FirstWaitMs": g.firstWait().Milliseconds(),
 	})
 	began := x.g.d.Now()
 	ctx, stop := context.WithCancel(g.ctx)
--- /dev/null
+++ b/io/tlrandom/doc.go
@@ -0,0 +1,2 @@
+// Package tlrandom seeds the sources of randomness that the core is passed.
+package tlrandom
--- /dev/null
+++ b/io/tlrandom/random.go
@@ -0,0 +1,8 @@
+package tlrandom
+
+import "math/rand/v2"
+
+// New returns a source with a seed of the runtime's; it is not safe for concurrent use.
+func New() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- a/membership.go
+++ b/membership.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"trefoillanding/core/tlselect"
 	"trefoillanding/core/tlspill"
 	"trefoillanding/core/tlwire"
 	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlrandom"
 	"trefoillanding/io/tlrelay"
 )
 
@@ -150,15 +150,10 @@
 			Local:   p.DataCentre == i.settings.DataCentre,
 		})
 	}
-	random := newRandom()
+	random := tlrandom.New()
 	ordered := make([]tlwire.Pool, 0, len(pools))
 	for _, n := range tlspill.Order(candidates, random) {
 		ordered = append(ordered, pools[n])
 	}
 	return ordered
 }
-
-// newRandom returns a source for one goroutine.
-func newRandom() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-}
--- a/wire.go
+++ b/wire.go
@@ -14,6 +14,7 @@
 	"trefoillanding/io/tlentry"
 	"trefoillanding/io/tlhome"
 	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlrandom"
 	"trefoillanding/io/tlrelay"
 )
 
@@ -156,7 +157,7 @@
 }
 
 func (i *Instance) entries(service string) tlwire.Entries {
-	random := newRandom()
+	random := tlrandom.New()
 	return tlwire.Entries{
 		Service: service,
 		Entries: tlselect.Rank(i.candidates(), i.settings.DataCentre, random),
