Look at a full book without weighing each request against each engine

At each report and request its book sorted all that waited, and looked for each through all engines; it also went through all bookings for ones that had ended without a word.

Now a look begins with the most room that any engine has; where no request fits into it and none is due to be refused, it ends, and later a request that does not fit is passed over at once. The earliest end of a booking is kept.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -34,7 +34,10 @@
 	// readWork and decodeWork are the seconds of an engine that a request takes.
 	readWork, decodeWork float64
 	lastRequest          time.Time
-	random               *rand.Rand
+	// endsFrom is the earliest time at which a booking ends without a word; the
+	// booking that it was of may be gone.
+	endsFrom time.Time
+	random   *rand.Rand
 }
 
 // New returns an empty book.
@@ -259,6 +262,7 @@
 	k.Prefill = ""
 	k.IsDirect = false
 	b.bookings[k.Request] = &k
+	b.noteEnd(&k)
 	if e := b.engines[k.Decode]; e != nil {
 		e.booked += k.Tokens
 		e.running++
--- a/core/tlplace/engine.go
+++ b/core/tlplace/engine.go
@@ -118,8 +118,12 @@
 
 // fits says whether a request of so many tokens has room in an engine's memory.
 func (e *engine) fits(tokens int, o Options) bool {
-	room := int(o.MemoryShare*float64(o.Memory)) - e.held()
-	return tokens <= room && e.running < o.Slots
+	return tokens <= e.room(o) && e.running < o.Slots
+}
+
+// room returns the tokens that may still be booked.
+func (e *engine) room(o Options) int {
+	return int(o.MemoryShare*float64(o.Memory)) - e.held()
 }
 
 // leftPlace is the memory of a place that ended.
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -15,28 +15,73 @@
 	if len(b.waiting) == 0 {
 		return nil
 	}
+	room := b.mostRoom(now)
+	if !b.mayDecide(now, room) {
+		return nil
+	}
 	b.sort(now)
 	b.keepRoom(now)
 	var decisions []Decision
 	keep := b.waiting[:0]
 	for _, r := range b.waiting {
-		d, decided := b.decide(now, r)
+		d, decided := b.decide(now, r, room)
 		if !decided {
 			keep = append(keep, r)
 			continue
 		}
 		decisions = append(decisions, d)
+		room = b.mostRoom(now)
 	}
 	b.waiting = keep
 	return decisions
 }
 
+// mostRoom returns the most tokens for which any decode engine has room.
+func (b *Book) mostRoom(now time.Time) int {
+	most := 0
+	for _, e := range b.order {
+		if e.Role == tlendpoint.Decode && e.isUsable(now) && e.running < b.o.Slots {
+			most = max(most, e.room(b.o))
+		}
+	}
+	return most
+}
+
+// mayDecide says whether any request that waits may be placed or has to be
+// refused by now: most looks at a full book find neither, and a large fleet's
+// home looks at each report.
+func (b *Book) mayDecide(now time.Time, room int) bool {
+	if !b.hasDecoder() {
+		return true
+	}
+	for _, r := range b.waiting {
+		if r.tokens(b.o) <= room || now.After(b.startBy(r)) {
+			return true
+		}
+	}
+	return false
+}
+
+// expire ends bookings that have stood without a word for long.
 func (b *Book) expire(now time.Time) {
+	if !now.After(b.endsFrom) {
+		return
+	}
+	b.endsFrom = time.Time{}
 	for id, k := range b.bookings {
 		if now.After(k.until) {
 			b.leavePrefill(now, k)
 			b.release(now, id)
+			continue
 		}
+		b.noteEnd(k)
+	}
+}
+
+// noteEnd keeps the earliest time at which a booking ends without a word.
+func (b *Book) noteEnd(k *Booking) {
+	if b.endsFrom.IsZero() || k.until.Before(b.endsFrom) {
+		b.endsFrom = k.until
 	}
 }
 
@@ -75,13 +120,17 @@
 	}
 }
 
-func (b *Book) decide(now time.Time, r Request) (Decision, bool) {
+// decide places or refuses a request; room is the most that any engine has.
+func (b *Book) decide(now time.Time, r Request, room int) (Decision, bool) {
 	if d, hopeless := b.refuseHopeless(now, r); hopeless {
 		return d, true
 	}
 	if now.After(b.startBy(r)) {
 		return b.refusal(now, r, WaitTooLong, b.wait(r.tokens(b.o))), true
 	}
+	if r.tokens(b.o) > room {
+		return Decision{}, false
+	}
 	c, ok := b.choose(now, r)
 	if !ok {
 		return Decision{}, false
@@ -120,6 +169,7 @@
 		k.readBy = c.prefill.freeAt
 	}
 	b.bookings[r.ID] = k
+	b.noteEnd(k)
 	return d
 }
 
