--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -107,10 +107,10 @@
 	began := x.g.d.Now()
 	ctx, stop := context.WithCancel(g.ctx)
 	late := time.AfterFunc(g.firstWait(), stop)
-	mute := time.AfterFunc(silence(s), func() { g.noteMute(p) })
+	unwatch := g.watchSilence(p, s)
 	r, err := x.g.d.Sender.Send(ctx, p.decode, x.request, tlcall.Send{Left: x.leftToSay(), Source: s, ResumeAfter: g.last})
 	late.Stop()
-	mute.Stop()
+	unwatch()
 	if err != nil {
 		stop()
 		return nil, g.sendFailed(p, began, err)
@@ -123,26 +123,34 @@
 	return r, nil
 }
 
-// silence is the wait for an answer's header that speaks against its engine.
-func silence(s tlcall.Source) time.Duration {
+// watchSilence tells the home when an engine stays silent, so that others'
+// requests are kept from it; this one may have run there, and so waits on. A
+// request that goes on elsewhere tells of the silence itself.
+func (g *generation) watchSilence(p place, s tlcall.Source) (unwatch func() bool) {
+	if !g.hasPlace || g.mayGoOnAfterSilence() {
+		return func() bool { return false }
+	}
+	after := muteAfterReading
 	if s.IsSet() {
-		return muteAfter
+		after = muteAfter
 	}
-	return muteAfterReading
+	t := time.AfterFunc(after, func() {
+		g.x.step("engine silent", logrus.Fields{"Endpoint": p.decode.ID})
+		g.x.g.d.Count(Muted)
+		g.report(tlbooking.Muted, p.decode.ID)
+	})
+	return t.Stop
 }
 
-// noteMute tells the home that an engine is silent, so that others' requests
-// are kept from it; this one may have run there, and so waits on.
-func (g *generation) noteMute(p place) {
-	g.x.step("engine silent", logrus.Fields{"Endpoint": p.decode.ID})
-	g.x.g.d.Count(Muted)
-	g.report(tlbooking.Muted, p.decode.ID)
+// mayGoOnAfterSilence says whether another engine can still be tried when this one is silent.
+func (g *generation) mayGoOnAfterSilence() bool {
+	return g.mayResume() && g.ran+1 < g.x.route.Attempts
 }
 
 // firstWait bounds the wait for an answer's header: where the request may be
 // resumed, so that another engine can still be tried, else as long as the caller waits.
 func (g *generation) firstWait() time.Duration {
-	if g.mayResume() && g.ran+1 < g.x.route.Attempts {
+	if g.mayGoOnAfterSilence() {
 		return max(g.x.route.Objective, leastFirstWait)
 	}
 	return max(g.x.left(), 0)
