--- a/io/tlconfigure/cluster_test.go
+++ b/io/tlconfigure/cluster_test.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// length returns the number of records.
+func (l *fakeLog) length() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
 // proposals counts the proposals with a nonce.
 func (l *fakeLog) proposals(nonce string) int {
 	l.mu.Lock()
@@ -176,6 +183,12 @@
 	return i.counts[reason]
 }
 
+// offset returns the offset of the last record that the instance has applied.
+func (i *instance) offset() uint64 {
+	s, _ := i.configurer.state()
+	return s.Offset
+}
+
 func testTiming() Timing {
 	t := DefaultTiming()
 	t.LongPollWait, t.Timeout, t.LagTolerance = 2*time.Second, time.Second, 200*time.Millisecond
--- a/io/tlconfigure/configurer_test.go
+++ b/io/tlconfigure/configurer_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"trefoillanding/core/tlconfig"
 	"trefoillanding/core/tlverdict"
 	"trefoillanding/core/tlwire"
 )
@@ -181,6 +182,10 @@
 		_, err := one.configurer.Apply(testContext(t), smallConfigCall(fmt.Sprint(n), n))
 		require.NoError(t, err)
 	}
+	// The first snapshot is due at once; it is neither in flight nor due any more once it has been read.
+	require.Eventually(t, func() bool {
+		return one.count(countSnapshot) == 1 && l.length() == 3 && one.offset() == 3
+	}, 10*time.Second, time.Millisecond)
 	l.update(func() { l.records = nil })
 	_, err := one.configurer.Apply(testContext(t), smallConfigCall("3", 3))
 	assert.Equal(t, tlverdict.LogUnavailable, tlverdict.Of(err).Reason)
@@ -191,6 +196,28 @@
 	assert.NotNil(t, c)
 }
 
+// A snapshot that is in flight while the log loses its records lands in the shorter
+// log; the instance notices by its offset and keeps its generation.
+func TestSnapshotInFlightShowsThatTheLogLostRecords(t *testing.T) {
+	l := newFakeLog()
+	log := l.log()
+	inner := log.Append
+	var lost atomic.Bool
+	log.Append = func(ctx context.Context, data []byte) (uint64, error) {
+		if _, isProposal := tlconfig.NonceOf(data); !isProposal && lost.CompareAndSwap(false, true) {
+			l.update(func() { l.records = nil })
+		}
+		return inner(ctx, data)
+	}
+	one := newCluster(t, log, 1, 1, testHeartbeat, testTiming())[0]
+	_, err := one.configurer.Apply(testContext(t), smallConfigCall("1", 1))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return one.count(countLogTruncated) > 0 }, 10*time.Second, time.Millisecond)
+	assert.Zero(t, one.count(countSnapshot))
+	g, _ := one.configurer.Current()
+	assert.EqualValues(t, 1, g)
+}
+
 // An instance that reaches neither the log nor a peer keeps its configuration,
 // and catches up without help when the log is reachable again.
 func TestIsolatedInstanceKeepsItsGenerationAndCatchesUp(t *testing.T) {
--- a/io/tlconfigure/read.go
+++ b/io/tlconfigure/read.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"trefoillanding/core/tlconfig"
 	"trefoillanding/core/tlwire"
 )
@@ -195,10 +197,17 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, c.o.Timing.Timeout)
 	defer cancel()
-	if _, err := c.o.Log.Append(ctx, data); err != nil {
+	at, err := c.o.Log.Append(ctx, data)
+	if err != nil {
 		c.o.Add(countAppendFailed, 1)
 		return
 	}
+	if at <= s.Offset {
+		c.o.Add(countLogTruncated, 1)
+		c.o.Logger.WithFields(logrus.Fields{"Offset": at, "Applied": s.Offset, "Generation": s.Generation}).
+			Error("the log lost records: a snapshot was appended before the last record applied")
+		return
+	}
 	c.o.Add(countSnapshot, 1)
 }
 
