Decide placing, refusing and roles from measured rates that may be unknown

Cause: the book of a home began with constants of the first sites (5 ms a token, 55,000 prompt tokens a second, 0.1 and 0.4 engine seconds a request). A home that refuses measures nothing, and a new home began again.

Change: core/tlrate holds estimates that are unknown until three measurements, with bounded steps. An unknown one refuses nobody, moves no role and limits a prefill engine to two prompts. Every instance measures its own streams by following its home's decisions, and brings its rates to a new home with its reservations (HeldReport.Rates). Bookings that a new home adopts are not measured: when they were placed is not known. A wait counts slots as well as memory. A decode engine reads a prompt itself where no answer is beside it and the wait is long, or where the request would be late and the answers beside it bear the pause (core/tlplace/direct.go). The first plan of roles with known work moves the whole surplus of prefill engines.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -5,35 +5,20 @@
 	"time"
 
 	"trefoillanding/core/tlendpoint"
-)
-
-const (
-	// initialBookingTime is the average time of a booking before any was measured.
-	initialBookingTime = 4 * time.Second
-	// initialTokenTime is the time of a booking per expected output token before any was measured.
-	initialTokenTime = 5 * time.Millisecond
-	// averageWeight is the weight of a new measurement in the averages of a book.
-	averageWeight = 0.05
-	// initialPrefillWork and initialDecodeWork are the engine seconds that a request
-	// takes on each side before any was measured.
-	initialPrefillWork = 0.1
-	initialDecodeWork  = 0.4
+	"trefoillanding/core/tlrate"
 )
 
 // Book holds the engines, bookings and queued requests of one service.
 type Book struct {
-	o           Options
-	engines     map[string]*engine
-	order       []*engine
-	bookings    map[string]*Booking
-	waiting     []Request
-	stalls      stallTracker
-	bookingTime time.Duration
-	// tokenTime is the average time of a booking per expected output token.
-	tokenTime time.Duration
-	// prefillWork and decodeWork are the average engine seconds that a request takes on each side.
-	prefillWork, decodeWork float64
-	lastRequest             time.Time
+	o        Options
+	engines  map[string]*engine
+	order    []*engine
+	bookings map[string]*Booking
+	waiting  []Request
+	stalls   stallTracker
+	// rates holds what the requests served so far have shown of the engines.
+	rates       tlrate.Rates
+	lastRequest time.Time
 	// earliestExpiry is the earliest time at which a booking may expire; the booking
 	// that it was noted for may have ended since.
 	earliestExpiry time.Time
@@ -43,16 +28,10 @@
 // New returns an empty book.
 func New(o Options, r *rand.Rand) *Book {
 	return &Book{
-		o:           o,
-		engines:     map[string]*engine{},
-		bookings:    map[string]*Booking{},
-		bookingTime: initialBookingTime,
-
-		tokenTime: initialTokenTime,
-
-		prefillWork: initialPrefillWork,
-		decodeWork:  initialDecodeWork,
-		random:      r,
+		o:        o,
+		engines:  map[string]*engine{},
+		bookings: map[string]*Booking{},
+		random:   r,
 	}
 }
 
@@ -124,17 +103,34 @@
 // Prefilled records that a prefill engine has read a request's prompt.
 func (b *Book) Prefilled(now time.Time, id string) {
 	k := b.bookings[id]
-	if k == nil || k.Prefill == "" {
+	if k == nil {
+		return
+	}
+	if k.Prefill == "" {
+		b.measurePrefill(now.Sub(k.placedAt), k)
 		return
 	}
 	if e := b.engines[k.Prefill]; e != nil {
 		e.recordSuccess()
-		e.updateSlowness(now.Sub(k.placedAt), k.prefillExpectedAt.Sub(k.placedAt))
+		if b.rates.Prefill.IsKnown() {
+			e.updateSlowness(now.Sub(k.placedAt), k.prefillExpectedAt.Sub(k.placedAt))
+		}
 		e.freeAt = e.freeAt.Add(now.Sub(k.prefillExpectedAt))
+		b.measurePrefill(now.Sub(later(k.placedAt, e.lastPrefilled)), k)
+		e.lastPrefilled = now
 	}
 	b.endPrefill(now, k)
 }
 
+// measurePrefill takes in the time in which a prefill engine read a prompt, without
+// the time that it waited behind others.
+func (b *Book) measurePrefill(took time.Duration, k *Booking) {
+	if !k.isMeasured || k.prompt == 0 {
+		return
+	}
+	b.rates.Prefill.Add(took.Seconds() / float64(k.prompt))
+}
+
 // PrefillFailed records that an engine failed to read a request's prompt; the booking stays.
 func (b *Book) PrefillFailed(now time.Time, id, engine string, f Failure) {
 	if e := b.engines[engine]; e != nil {
@@ -164,11 +160,8 @@
 	if k == nil {
 		return
 	}
-	held := now.Sub(k.placedAt)
-	b.bookingTime += time.Duration(averageWeight * float64(held-b.bookingTime))
-	if k.prompt > 0 {
-		b.prefillWork += averageWeight * (b.prefillTime(k.prompt, 1).Seconds() - b.prefillWork)
-		b.decodeWork += averageWeight * (held.Seconds()*float64(k.Tokens)/float64(b.o.Memory) - b.decodeWork)
+	if k.isMeasured {
+		b.rates.Booking.Add(now.Sub(k.placedAt).Seconds())
 	}
 	b.endPrefill(now, k)
 	b.release(now, id)
@@ -186,8 +179,8 @@
 			b.stalls.forRoute(e.DataCentre, k.dataCentre).recordNoStall()
 		}
 	}
-	if k.output > 0 {
-		b.tokenTime += time.Duration(averageWeight * float64(now.Sub(k.placedAt)/time.Duration(k.output)-b.tokenTime))
+	if k.isMeasured && k.output > 0 {
+		b.rates.Token.Add(now.Sub(k.placedAt).Seconds() / float64(k.output))
 	}
 	b.Ended(now, id)
 }
@@ -253,7 +246,40 @@
 	}
 }
 
-// Adopt adds a booking that another home made, unless the request has one here.
+// Follow adds the booking that another home has just made for a request, so that its
+// progress is measured here too.
+func (b *Book) Follow(now time.Time, r Request, d Decision) {
+	b.measureRequest(r)
+	b.Adopt(now, Booking{
+		Request:    r.ID,
+		Owner:      r.Owner,
+		Decode:     d.Decode,
+		Tokens:     d.Tokens,
+		prompt:     r.Prompt,
+		output:     r.Output,
+		isMeasured: true,
+	})
+}
+
+// Rates returns what this book has measured of the engines.
+func (b *Book) Rates() tlrate.Rates {
+	return b.rates
+}
+
+// MergeRates takes in what another instance has measured.
+func (b *Book) MergeRates(r tlrate.Rates) {
+	b.rates.Merge(r)
+}
+
+// measureRequest takes in the size of a request, as it was asked for: those that have
+// ended would show the shortest first.
+func (b *Book) measureRequest(r Request) {
+	b.rates.Prompt.Add(float64(r.Prompt))
+	share := max(float64(r.tokens(b.o))/float64(b.o.Memory), 1/float64(max(b.o.Slots, 1)))
+	b.rates.Load.Add(share * float64(r.Output))
+}
+
+// Adopt adds a booking that another home made some time ago, unless the request has one here.
 func (b *Book) Adopt(now time.Time, k Booking) {
 	if _, ok := b.bookings[k.Request]; ok {
 		return
--- a/core/tlplace/booking.go
+++ b/core/tlplace/booking.go
@@ -20,9 +20,12 @@
 	// hasStalled is set once a stall of its answer was counted.
 	hasStalled bool
 
-	prompt   int
-	output   int
-	placedAt time.Time
+	prompt int
+	output int
+	// isMeasured is set where placedAt is when the request was placed: a booking that
+	// a new home learns of was placed at an unknown time.
+	isMeasured bool
+	placedAt   time.Time
 	// prefillExpectedAt is when its prompt is expected to be read.
 	prefillExpectedAt time.Time
 	expiresAt         time.Time
--- a/core/tlplace/choose.go
+++ b/core/tlplace/choose.go
@@ -74,7 +74,7 @@
 func (b *Book) nextPrefillEngine(now time.Time, r Request, free []*engine) *engine {
 	var best *engine
 	for _, e := range b.usable(now, r, tlendpoint.Prefill) {
-		if e.freeAt.Sub(now) > b.o.DispatchAhead {
+		if !b.mayDispatch(now, e) {
 			continue
 		}
 		if best == nil || b.isBetterPrefillEngine(now, e, best, free) {
@@ -84,10 +84,21 @@
 	return best
 }
 
+// mayDispatch reports whether a prefill engine may be sent another prompt now.
+func (b *Book) mayDispatch(now time.Time, e *engine) bool {
+	if !b.rates.Prefill.IsKnown() {
+		return e.prefills < b.o.MaxUnmeasuredPrefills
+	}
+	return e.freeAt.Sub(now) <= b.o.DispatchAhead
+}
+
 func (b *Book) isBetterPrefillEngine(now time.Time, e, than *engine, free []*engine) bool {
 	if d := later(now, e.freeAt).Sub(later(now, than.freeAt)); d != 0 {
 		return d < 0
 	}
+	if !b.rates.Prefill.IsKnown() && e.prefills != than.prefills {
+		return e.prefills < than.prefills
+	}
 	near, thanNear := hasDecodeNearby(e, free), hasDecodeNearby(than, free)
 	if near != thanNear {
 		return near
@@ -130,38 +141,3 @@
 	}
 	return e.heldTokens() < than.heldTokens()
 }
-
-// directEngine returns a decode engine to read the prompt itself, or nil where a prefill
-// engine is expected free within DirectPrefillAfter or every
-// free decode engine already has MaxDirectPrefills prompts.
-func (b *Book) directEngine(now time.Time, r Request, free []*engine) *engine {
-	if b.prefillWait(now, r) < b.o.DirectPrefillAfter {
-		return nil
-	}
-	var idle []*engine
-	for _, e := range free {
-		if e.directPrefills < b.o.MaxDirectPrefills {
-			idle = append(idle, e)
-		}
-	}
-	return emptiest(idle, anyDataCentre)
-}
-
-// prefillWait returns how long a request would wait for a prefill engine, behind those queued before it.
-func (b *Book) prefillWait(now time.Time, r Request) time.Duration {
-	readers := b.usable(now, r, tlendpoint.Prefill)
-	if len(readers) == 0 {
-		return b.o.DirectPrefillAfter
-	}
-	var ahead time.Duration
-	for _, e := range readers {
-		ahead += later(now, e.freeAt).Sub(now)
-	}
-	for _, w := range b.waiting {
-		if w.ID == r.ID {
-			break
-		}
-		ahead += b.prefillTime(w.Prompt, 1)
-	}
-	return ahead / time.Duration(len(readers))
-}
--- /dev/null
+++ b/core/tlplace/direct.go
@@ -0,0 +1,77 @@
+package tlplace
+
+import (
+	"time"
+
+	"trefoillanding/core/tlendpoint"
+)
+
+// maxWaitShare is the share of the time left until a request is due from which a wait
+// for a prefill engine is long: what follows the wait has to fit in too.
+const maxWaitShare = 1.0 / 3
+
+// directSlowness is how many times longer a decode engine reads a prompt than a
+// prefill engine does, by the engines' protocol.
+const directSlowness = 2
+
+// directEngine returns a decode engine to read the prompt itself, or nil where the
+// request had better wait for a prefill engine.
+//
+// Reading a prompt delays each answer beside it by the reading time. An engine with
+// no answers reads it where the wait would be long. One with answers reads it
+// only where the request would be late otherwise, and the pause stays within the gap
+// that the answers are allowed.
+func (b *Book) directEngine(now time.Time, r Request, free []*engine) *engine {
+	wait, ok := b.prefillWait(now, r)
+	if !ok {
+		return emptiest(b.directCandidates(free, func(*engine) bool { return true }), anyDataCentre)
+	}
+	if !b.rates.Prefill.IsKnown() {
+		return nil
+	}
+	reads := b.prefillTime(r.Prompt, directSlowness)
+	if float64(wait) > maxWaitShare*float64(r.Due.Sub(now)) && reads < wait+b.prefillTime(r.Prompt, 1) {
+		idle := b.directCandidates(free, func(e *engine) bool { return e.running == 0 })
+		if len(idle) > 0 {
+			return emptiest(idle, anyDataCentre)
+		}
+	}
+	due := now.Add(wait + b.prefillTime(r.Prompt, 1) + b.firstEventDelay())
+	pause := reads + b.rates.AnswerTime(b.o.Stride)
+	if !due.After(r.Due) || r.Gap > 0 && pause > r.Gap {
+		return nil
+	}
+	return emptiest(b.directCandidates(free, func(*engine) bool { return true }), anyDataCentre)
+}
+
+// directCandidates returns the free engines that read fewer than MaxDirectPrefills
+// prompts and that may returns true for.
+func (b *Book) directCandidates(free []*engine, may func(*engine) bool) []*engine {
+	var list []*engine
+	for _, e := range free {
+		if e.directPrefills < b.o.MaxDirectPrefills && may(e) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// prefillWait returns how long a request would wait for a prefill engine, behind
+// those queued before it; false where there is no prefill engine.
+func (b *Book) prefillWait(now time.Time, r Request) (time.Duration, bool) {
+	readers := b.usable(now, r, tlendpoint.Prefill)
+	if len(readers) == 0 {
+		return 0, false
+	}
+	var ahead time.Duration
+	for _, e := range readers {
+		ahead += later(now, e.freeAt).Sub(now)
+	}
+	for _, w := range b.waiting {
+		if w.ID == r.ID {
+			break
+		}
+		ahead += b.prefillTime(w.Prompt, 1)
+	}
+	return ahead / time.Duration(len(readers)), true
+}
--- a/core/tlplace/engine.go
+++ b/core/tlplace/engine.go
@@ -26,6 +26,8 @@
 	prefills int
 	// freeAt is when the prompts sent to it are expected to be read.
 	freeAt time.Time
+	// lastPrefilled is when it last read a prompt.
+	lastPrefilled time.Time
 	// slowness is the ratio of actual to expected prefill duration.
 	slowness float64
 	// backoffUntil is the time before which no request is sent to it.
--- a/core/tlplace/memoryreport.go
+++ b/core/tlplace/memoryreport.go
@@ -29,13 +29,18 @@
 	e.reportedAt = now
 }
 
-// decayUntracked lowers the untracked memory linearly to 0 within an average booking's time.
+// decayUntracked lowers the untracked memory linearly to 0 within an average booking's
+// time, or within BookingTimeout while that is unknown.
 func (b *Book) decayUntracked(now time.Time) {
+	within, known := b.rates.Booking.Duration()
+	if !known {
+		within = b.o.BookingTimeout
+	}
 	for _, e := range b.order {
 		if e.untracked == 0 {
 			continue
 		}
-		left := 1 - float64(now.Sub(e.reportedAt))/float64(b.bookingTime)
+		left := 1 - float64(now.Sub(e.reportedAt))/float64(within)
 		e.untracked = max(int(float64(e.untrackedReported)*left), 0)
 	}
 }
--- a/core/tlplace/options.go
+++ b/core/tlplace/options.go
@@ -15,20 +15,18 @@
 	OutputShare float64
 	// MemoryShare is the share of Memory that may be booked; the rest absorbs outputs longer than expected.
 	MemoryShare float64
-	// PrefillRate is the initial estimate of the prompt tokens that a prefill engine reads per second.
-	PrefillRate float64
-	// PrefillSetup is the part of a prefill's duration that does not depend on the prompt's length.
-	PrefillSetup time.Duration
+	// Stride is the number of tokens in each event of an answer.
+	Stride int
 	// DispatchAhead is how long before a prefill engine is free the next prompt is sent to it, to cover the transit time.
 	DispatchAhead time.Duration
-	// FirstEventDelay is the time from the end of a prefill until the caller has the first event: the
-	// memory transfer, one step of the decode engine for each token of the event, and a margin.
-	FirstEventDelay time.Duration
+	// TransferMargin is the time allowed for the transfer of a prompt's memory and the
+	// way of the first event to its caller, beside the time of that event's tokens.
+	TransferMargin time.Duration
 	// StartMargin is the margin, on top of a slow prefill, between a request's latest
 	// start and the time its caller gives up.
 	StartMargin time.Duration
-	// DirectPrefillAfter is the expected wait for a prefill engine from which a decode engine reads the prompt itself.
-	DirectPrefillAfter time.Duration
+	// MaxUnmeasuredPrefills is the maximum number of prompts at a prefill engine while its speed is unknown.
+	MaxUnmeasuredPrefills int
 	// MaxDirectPrefills is the maximum number of prompts that a decode engine reads at once: each
 	// slows the answers beside it.
 	MaxDirectPrefills int
@@ -53,26 +51,26 @@
 	return int(o.MemoryShare * float64(o.Memory))
 }
 
-// DefaultOptions returns the default options for engines with the given memory in tokens and number of slots.
-func DefaultOptions(memory, slots int) Options {
+// DefaultOptions returns the default options for engines with the given memory in
+// tokens, number of slots and tokens an event.
+func DefaultOptions(memory, slots, stride int) Options {
 	return Options{
-		Memory:             memory,
-		Slots:              slots,
-		BlockSize:          16,
-		OutputShare:        0.8,
-		MemoryShare:        0.97,
-		PrefillRate:        55_000,
-		PrefillSetup:       30 * time.Millisecond,
-		DispatchAhead:      30 * time.Millisecond,
-		FirstEventDelay:    160 * time.Millisecond,
-		StartMargin:        250 * time.Millisecond,
-		DirectPrefillAfter: 250 * time.Millisecond,
-		MaxDirectPrefills:  1,
-		ReserveAfter:       400 * time.Millisecond,
-		FailureBackoff:     800 * time.Millisecond,
-		MaxFailureBackoff:  4 * time.Second,
-		FullBackoff:        150 * time.Millisecond,
-		BookingTimeout:     20 * time.Second,
-		RetryJitter:        0.5,
+		Memory:                memory,
+		Slots:                 slots,
+		Stride:                stride,
+		BlockSize:             16,
+		OutputShare:           0.8,
+		MemoryShare:           0.97,
+		DispatchAhead:         30 * time.Millisecond,
+		TransferMargin:        50 * time.Millisecond,
+		StartMargin:           250 * time.Millisecond,
+		MaxUnmeasuredPrefills: 2,
+		MaxDirectPrefills:     1,
+		ReserveAfter:          400 * time.Millisecond,
+		FailureBackoff:        800 * time.Millisecond,
+		MaxFailureBackoff:     4 * time.Second,
+		FullBackoff:           150 * time.Millisecond,
+		BookingTimeout:        20 * time.Second,
+		RetryJitter:           0.5,
 	}
 }
--- a/core/tlplace/refuse.go
+++ b/core/tlplace/refuse.go
@@ -11,8 +11,8 @@
 	minRetryAfter = 300 * time.Millisecond
 	// maxRetryAfter is the longest: callers give up after a few seconds in all.
 	maxRetryAfter = 4 * time.Second
-	// defaultMemoryWait is the wait for memory where none can be estimated: with no decode engines, or no memory in use.
-	defaultMemoryWait = time.Second
+	// defaultRoomWait is the time to return where none can be estimated: with no decode engines, or none in use.
+	defaultRoomWait = time.Second
 )
 
 // refuseImpossible refuses a request that no engine could ever run.
@@ -21,7 +21,7 @@
 		return b.refusal(now, r, TooLarge, maxRetryAfter), true
 	}
 	if !b.hasDecoder() {
-		return b.refusal(now, r, NoEngines, defaultMemoryWait), true
+		return b.refusal(now, r, NoEngines, defaultRoomWait), true
 	}
 	return Decision{}, false
 }
@@ -34,22 +34,23 @@
 	if len(b.waiting) == 0 {
 		return Decision{}, false
 	}
-	w := b.memoryWait(r.tokens(b.o))
-	if b.latestStart(r).Before(now.Add(w)) {
+	w, known := b.roomWait(r.tokens(b.o))
+	if known && b.latestStart(r).Before(now.Add(w)) {
 		return b.refusal(now, r, WaitTooLong, w), true
 	}
 	return Decision{}, false
 }
 
 // latestStart returns the latest time to start a request so that its first event
-// comes before the caller gives up, and its last before the deadline.
+// comes before the caller gives up, and its last before the deadline; what is not
+// known of the engines counts as no time.
 func (b *Book) latestStart(r Request) time.Time {
 	read := b.prefillTime(r.Prompt, latestStartSlowness)
 	first := r.GiveUp.Add(-read - b.o.StartMargin)
 	if r.Deadline.IsZero() || r.HasBegun {
 		return first
 	}
-	run := time.Duration(latestStartOutputShare * float64(r.Output) * float64(b.tokenTime))
+	run := time.Duration(latestStartOutputShare * float64(b.rates.AnswerTime(r.Output)))
 	last := r.Deadline.Add(-read - run)
 	if last.Before(first) {
 		return last
@@ -75,25 +76,42 @@
 	return false
 }
 
-// memoryWait returns how long it takes until memory for a request is free, after that for the queued ones.
-func (b *Book) memoryWait(tokens int) time.Duration {
-	booked := 0
+// roomWait returns how long it takes until memory and a slot for a request are free,
+// after those for the queued ones; false while nothing was measured.
+func (b *Book) roomWait(tokens int) (time.Duration, bool) {
+	held, running, slots := 0, 0, 1+len(b.waiting)
 	for _, e := range b.order {
-		booked += e.heldTokens()
+		held += e.heldTokens()
+		running += e.running
 		if e.Role == tlendpoint.Decode && !e.IsDraining {
 			tokens -= max(e.freeTokens(b.o), 0)
+			slots -= max(b.o.Slots-e.running, 0)
 		}
 	}
-	if booked == 0 {
-		return defaultMemoryWait
-	}
 	for _, w := range b.waiting {
 		tokens += w.tokens(b.o)
 	}
-	if tokens <= 0 {
+	turnover, known := b.rates.Booking.Duration()
+	share := max(shareOf(tokens, held), shareOf(slots, running))
+	return time.Duration(share * float64(turnover)), known && (held > 0 || running > 0)
+}
+
+// shareOf returns the share of what is in use that has to end before so much is free;
+// 0 where nothing has to, or nothing is in use.
+func shareOf(missing, used int) float64 {
+	if missing <= 0 || used <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) / float64(booked) * float64(b.bookingTime))
+	return float64(missing) / float64(used)
+}
+
+// returnTime returns when a refused caller may find room.
+func (b *Book) returnTime(r Request) time.Duration {
+	w, known := b.roomWait(r.tokens(b.o))
+	if !known {
+		return defaultRoomWait
+	}
+	return w
 }
 
 func (b *Book) refusal(now time.Time, r Request, why Reason, wait time.Duration) Decision {
--- a/core/tlplace/request.go
+++ b/core/tlplace/request.go
@@ -24,6 +24,8 @@
 	Rank int
 	// Due is when the first event has to reach the caller to be on time.
 	Due time.Time
+	// Gap is the longest pause between events for which an answer is on time; 0 if there is none.
+	Gap time.Duration
 	// GiveUp is when the caller gives up if it has received nothing.
 	GiveUp time.Time
 	// Deadline is when the answer has to be complete.
--- a/core/tlplace/role.go
+++ b/core/tlplace/role.go
@@ -13,8 +13,8 @@
 // RoleState returns the input of a role plan, except for what only the sender of role orders knows.
 func (b *Book) RoleState(now time.Time) tlrole.State {
 	s := tlrole.State{
-		PrefillWork: b.prefillWork,
-		DecodeWork:  b.decodeWork,
+		PrefillWork: b.rates.PrefillWork(),
+		DecodeWork:  b.rates.DecodeWork(),
 		HasTraffic:  !b.lastRequest.IsZero() && now.Sub(b.lastRequest) < trafficWindow,
 		Waiting:     len(b.waiting),
 	}
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -100,7 +100,7 @@
 
 // lateness returns 0 for a request that can still be on time and 1 for one that can't.
 func (b *Book) lateness(now time.Time, r Request) int {
-	if now.Add(b.prefillTime(r.Prompt, 1) + b.o.FirstEventDelay).After(r.Due) {
+	if now.Add(b.rates.PrefillTime(r.Prompt) + b.firstEventDelay()).After(r.Due) {
 		return 1
 	}
 	return 0
@@ -127,7 +127,7 @@
 		return d, true
 	}
 	if now.After(b.latestStart(r)) {
-		return b.refusal(now, r, WaitTooLong, b.memoryWait(r.tokens(b.o))), true
+		return b.refusal(now, r, WaitTooLong, b.returnTime(r)), true
 	}
 	if r.tokens(b.o) > room {
 		return Decision{}, false
@@ -148,11 +148,13 @@
 
 		dataCentre: r.DataCentre,
 
-		prompt:    r.Prompt,
-		output:    r.Output,
-		placedAt:  now,
-		expiresAt: now.Add(b.o.BookingTimeout),
+		prompt:     r.Prompt,
+		output:     r.Output,
+		isMeasured: true,
+		placedAt:   now,
+		expiresAt:  now.Add(b.o.BookingTimeout),
 	}
+	b.measureRequest(r)
 	d := Decision{Request: r.ID, Owner: r.Owner, Decode: c.decode.ID, Tokens: k.Tokens, Waited: now.Sub(r.arrived)}
 	c.decode.booked += k.Tokens
 	c.decode.running++
@@ -174,10 +176,16 @@
 	return d
 }
 
-// prefillTime returns the expected duration of a prefill at an engine with the given slowness.
+// prefillTime returns the expected duration of a prefill at an engine with the given
+// slowness; 0 while it is unknown.
 func (b *Book) prefillTime(prompt int, slowness float64) time.Duration {
-	s := float64(prompt) / b.o.PrefillRate * slowness
-	return b.o.PrefillSetup + time.Duration(s*float64(time.Second))
+	return time.Duration(slowness * float64(b.rates.PrefillTime(prompt)))
+}
+
+// firstEventDelay returns the time from the end of a prefill until the caller has the
+// first event: its tokens, and a margin for the transfer of the memory.
+func (b *Book) firstEventDelay() time.Duration {
+	return b.rates.AnswerTime(b.o.Stride) + b.o.TransferMargin
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/tlrole/plan.go
+++ b/core/tlrole/plan.go
@@ -56,7 +56,7 @@
 // State is the input of a plan for one service.
 type State struct {
 	Engines []Engine
-	// PrefillWork and DecodeWork are the engine seconds that a request takes in each role.
+	// PrefillWork and DecodeWork are the engine seconds that a request takes in each role; 0 while unknown.
 	PrefillWork, DecodeWork float64
 	// PrefillUtilisation is the recent share of time, from 0 to 1, that prefill engines were busy.
 	PrefillUtilisation float64
@@ -68,6 +68,8 @@
 	SinceChange time.Duration
 	// SinceMove is the time since the last move.
 	SinceMove time.Duration
+	// IsFirst says that the sender of the orders has moved no engine yet.
+	IsFirst bool
 }
 
 // Move is a role change to order from an engine.
@@ -78,6 +80,9 @@
 
 // Plan returns the role changes to order now; it may return none.
 func Plan(o Options, s State) []Move {
+	if s.PrefillWork <= 0 || s.DecodeWork <= 0 {
+		return nil
+	}
 	prefill, decode := s.countByRole()
 	want := PrefillEngines(o, s)
 	switch {
@@ -87,6 +92,9 @@
 		return s.moves(prefill-want, tlendpoint.Prefill, tlendpoint.Decode)
 	case !s.HasTraffic && prefill < want && decode > o.MinDecodeEngines:
 		return s.moves(want-prefill, tlendpoint.Decode, tlendpoint.Prefill)
+	case s.IsFirst && prefill > want && s.Waiting == 0:
+		// The engines started in other roles than the work calls for; the surplus is idle.
+		return s.moves(prefill-want, tlendpoint.Prefill, tlendpoint.Decode)
 	case s.SinceMove < o.MoveInterval:
 		return nil
 	case prefill > want && s.Waiting > 0 && s.PrefillUtilisation < o.IdleUtilisation:
--- a/core/tlrole/plan_test.go
+++ b/core/tlrole/plan_test.go
@@ -40,6 +40,8 @@
 		{"1 before traffic all move at once", State{Engines: engines(6, 12)}, 2, tlendpoint.Decode},
 		{"2 one at a time while no request waits", State{Engines: engines(7, 11), HasTraffic: true}, 1, tlendpoint.Decode},
 		{"2b none for a difference of one", State{Engines: engines(5, 13), HasTraffic: true}, 0, 0},
+		{"2c the whole surplus in the first plan", State{Engines: engines(7, 11), HasTraffic: true, IsFirst: true}, 3, tlendpoint.Decode},
+		{"2d none in the first plan while requests wait and prefill engines are busy", State{Engines: engines(7, 11), HasTraffic: true, IsFirst: true, Waiting: 1, PrefillUtilisation: 0.9}, 0, 0},
 		{"3 none within the move interval", State{Engines: engines(7, 11), HasTraffic: true, SinceMove: time.Second}, 0, 0},
 		{"4 no busy prefill engine while requests wait", State{Engines: engines(7, 11), HasTraffic: true, Waiting: 9, PrefillUtilisation: 0.9}, 0, 0},
 		{"5 an idle prefill engine while requests wait", State{Engines: engines(7, 11), HasTraffic: true, Waiting: 9, PrefillUtilisation: 0.2}, 1, tlendpoint.Decode},
@@ -63,6 +65,16 @@
 	}
 }
 
+func TestPlanMovesNothingWhileTheWorkOfARequestIsUnknown(t *testing.T) {
+	for _, work := range [][2]float64{{0, 0}, {0.1, 0}, {0, 0.4}} {
+		for _, hasTraffic := range []bool{false, true} {
+			s := State{Engines: engines(9, 9), HasTraffic: hasTraffic, SinceMove: time.Hour, SinceChange: time.Hour, IsFirst: true}
+			s.PrefillWork, s.DecodeWork = work[0], work[1]
+			assert.Empty(t, Plan(options(), s))
+		}
+	}
+}
+
 func TestPlanMovesNothingUntilEngineListSettles(t *testing.T) {
 	s := State{Engines: engines(1, 5), PrefillWork: 0.1, DecodeWork: 0.4, SinceMove: time.Hour}
 	assert.Empty(t, Plan(options(), s))
--- a/core/tlroute/service.go
+++ b/core/tlroute/service.go
@@ -16,6 +16,8 @@
 	Slots int
 	// Memory is the KV memory of an engine in tokens.
 	Memory int
+	// Stride is the number of tokens in each event of an answer.
+	Stride int
 	// HandleLifetime is how long an engine keeps the result of a prefill.
 	HandleLifetime time.Duration
 	// RoleChangeTime is how long an engine is unavailable while it changes its role.
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -4,6 +4,35 @@
 
 import "time"
 
+// EngineRate is a moving average of measurements.
+type EngineRate struct {
+	// Average is the moving average.
+	Average float64 `json:"Average" yaml:"Average" cbor:"Average"`
+
+	// Samples is the number of measurements that it rests on.
+	Samples int `json:"Samples" yaml:"Samples" cbor:"Samples"`
+}
+
+// EngineRates holds what an instance has measured of the engines of a service.
+type EngineRates struct {
+	// Booking is how long a request occupies a decode engine, in seconds.
+	Booking EngineRate `json:"Booking" yaml:"Booking" cbor:"Booking"`
+
+	// Load is the share of a decode engine that a request occupies times the tokens
+	// of its expected answer.
+	Load EngineRate `json:"Load" yaml:"Load" cbor:"Load"`
+
+	// Prefill is the time in which a prefill engine reads a token of a prompt, in
+	// seconds.
+	Prefill EngineRate `json:"Prefill" yaml:"Prefill" cbor:"Prefill"`
+
+	// Prompt is the length of a prompt, in tokens.
+	Prompt EngineRate `json:"Prompt" yaml:"Prompt" cbor:"Prompt"`
+
+	// Token is the same for each token of the expected answer, in seconds.
+	Token EngineRate `json:"Token" yaml:"Token" cbor:"Token"`
+}
+
 // HeldPlace is the reservation that a request holds on a decode engine.
 type HeldPlace struct {
 	// Decode is the engine that generates the output.
@@ -22,6 +51,9 @@
 	// Held lists the reservations.
 	Held []HeldPlace `json:"Held" yaml:"Held" cbor:"Held"`
 
+	// Rates holds what the sender has measured of the engines.
+	Rates *EngineRates `json:"Rates,omitempty" yaml:"Rates,omitempty" cbor:"Rates,omitempty"`
+
 	// Service is the name of the service whose engines are reserved.
 	Service string `json:"Service" yaml:"Service" cbor:"Service"`
 }
@@ -79,6 +111,10 @@
 	// DueIn is the time left until the first event is due.
 	DueIn time.Duration `json:"DueIn" yaml:"DueIn" cbor:"DueIn"`
 
+	// Gap is the longest pause between events for which an answer is on time; 0 if
+	// there is none.
+	Gap time.Duration `json:"Gap,omitempty" yaml:"Gap,omitempty" cbor:"Gap,omitempty"`
+
 	// GiveUpIn is the time left until the caller gives up.
 	GiveUpIn time.Duration `json:"GiveUpIn" yaml:"GiveUpIn" cbor:"GiveUpIn"`
 
--- a/io/tlbooking/coordinator.go
+++ b/io/tlbooking/coordinator.go
@@ -112,7 +112,7 @@
 	k := d.byService[service]
 	if k == nil && e != nil {
 		k = &reservations{
-			b:       tlplace.New(tlplace.DefaultOptions(e.Memory, e.Slots), d.o.Random()),
+			b:       tlplace.New(tlplace.DefaultOptions(e.Memory, e.Slots, e.Stride), d.o.Random()),
 			waiters: map[string]*waiter{},
 		}
 		d.byService[service] = k
@@ -184,6 +184,7 @@
 	}
 	k.dropOwners(now, func(o tlplace.Owner) bool { return o != d.o.Self })
 	report := tlwire.HeldReport{Service: service, Held: []tlwire.HeldPlace{}}
+	report.Rates = encodeRates(k.rates())
 	for _, p := range k.held(d.o.Self) {
 		report.Held = append(report.Held, tlwire.HeldPlace{Request: p.Request, Decode: p.Decode, Tokens: p.Tokens})
 	}
--- a/io/tlbooking/home.go
+++ b/io/tlbooking/home.go
@@ -31,6 +31,7 @@
 		GiveUp:           now.Add(c.GiveUpIn),
 		Deadline:         now.Add(c.UntilIn),
 		PrefillKeptUntil: now.Add(c.ReadIn),
+		Gap:              c.Gap,
 		HasBegun:         c.HasBegun,
 		Avoid:            c.Avoid,
 	})
@@ -83,6 +84,7 @@
 	for _, h := range r.Held {
 		list = append(list, tlplace.Booking{Request: h.Request, Owner: owner, Decode: h.Decode, Tokens: h.Tokens})
 	}
+	k.mergeRates(decodeRates(r.Rates))
 	k.adopt(d.o.Now(), list)
 	return tlpeer.Empty{}, nil
 }
--- a/io/tlbooking/place.go
+++ b/io/tlbooking/place.go
@@ -99,6 +99,7 @@
 		UntilIn:    r.Deadline.Sub(now),
 		ReadIn:     max(r.PrefillKeptUntil.Sub(now), 0),
 		HasBegun:   r.HasBegun,
+		Gap:        r.Gap,
 		Avoid:      r.Avoid,
 	}
 }
@@ -107,7 +108,7 @@
 func (d *Coordinator) adoptDecision(k *reservations, r tlplace.Request, a tlwire.PlaceAnswer) tlplace.Decision {
 	d.o.Count(PlacedByHome)
 	if a.Decode != "" {
-		k.adopt(d.o.Now(), []tlplace.Booking{{Request: r.ID, Owner: d.o.Self, Decode: a.Decode, Tokens: a.Tokens}})
+		k.follow(d.o.Now(), r, tlplace.Decision{Decode: a.Decode, Tokens: a.Tokens})
 	}
 	return tlplace.Decision{
 		Request:       r.ID,
--- a/io/tlbooking/reservations.go
+++ b/io/tlbooking/reservations.go
@@ -6,6 +6,7 @@
 
 	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlplace"
+	"trefoillanding/core/tlrate"
 	"trefoillanding/core/tlrole"
 )
 
@@ -148,6 +149,25 @@
 	}
 }
 
+// follow adds the reservation that a home has just made for a request of this instance.
+func (k *reservations) follow(now time.Time, r tlplace.Request, d tlplace.Decision) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.b.Follow(now, r, d)
+}
+
+func (k *reservations) rates() tlrate.Rates {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.b.Rates()
+}
+
+func (k *reservations) mergeRates(r tlrate.Rates) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.b.MergeRates(r)
+}
+
 func (k *reservations) held(o tlplace.Owner) []tlplace.Booking {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -133,6 +133,7 @@
 		// Zero if no prefill can be reused.
 		PrefillKeptUntil: g.sourceExpiry,
 		HasBegun:         g.hasSentHeader,
+		Gap:              r.GapObjective,
 		Avoid:            g.avoid,
 	}
 }
--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -156,7 +156,8 @@
 	s := o.o.Roles(service)
 	o.readUse[service] += readUseWeight * (s.PrefillUtilisation - o.readUse[service])
 	s.PrefillUtilisation = o.readUse[service]
-	s.SinceMove = now.Sub(o.lastBatch[service])
+	last, hasMoved := o.lastBatch[service]
+	s.SinceMove, s.IsFirst = now.Sub(last), !hasMoved
 	if l := o.engineCounts[service]; l.engines != len(s.Engines) {
 		o.engineCounts[service] = engineCount{len(s.Engines), now}
 	}
