Space the prompts that a decode engine reads itself, and count the wait for a prefill engine as lateness

And a request counted as on time though the prefill engines had prompts for longer than it had left.

Change: with answers beside it, an engine reads the next prompt one event after the last one. Lateness includes the time until a prefill engine is free.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -19,6 +19,8 @@
 	// rates holds what the requests served so far have shown of the engines.
 	rates       tlrate.Rates
 	lastRequest time.Time
+	// readDelay is the time until the next prompt can be read, as of the last Tick.
+	readDelay time.Duration
 	// earliestExpiry is the earliest time at which a booking may expire; the booking
 	// that it was noted for may have ended since.
 	earliestExpiry time.Time
@@ -224,7 +226,7 @@
 }
 
 // DirectPrefillDone records that a decode engine has read a prompt itself.
-func (b *Book) DirectPrefillDone(id string) {
+func (b *Book) DirectPrefillDone(now time.Time, id string) {
 	k := b.bookings[id]
 	if k == nil || !k.IsDirect {
 		return
@@ -232,11 +234,12 @@
 	k.IsDirect = false
 	if e := b.engines[k.Decode]; e != nil {
 		e.directPrefills = max(e.directPrefills-1, 0)
+		e.directFrom = now.Add(b.rates.AnswerTime(b.o.Stride))
 	}
 }
 
 func (b *Book) release(now time.Time, id string) {
-	b.DirectPrefillDone(id)
+	b.DirectPrefillDone(now, id)
 	k := b.bookings[id]
 	delete(b.bookings, id)
 	if e := b.engines[k.Decode]; e != nil {
--- a/core/tlplace/direct.go
+++ b/core/tlplace/direct.go
@@ -24,14 +24,14 @@
 func (b *Book) directEngine(now time.Time, r Request, free []*engine) *engine {
 	wait, ok := b.prefillWait(now, r)
 	if !ok {
-		return emptiest(b.directCandidates(free, func(*engine) bool { return true }), anyDataCentre)
+		return emptiest(b.directCandidates(now, free, func(*engine) bool { return true }), anyDataCentre)
 	}
 	if !b.rates.Prefill.IsKnown() {
 		return nil
 	}
 	reads := b.prefillTime(r.Prompt, directSlowness)
 	if float64(wait) > maxWaitShare*float64(r.Due.Sub(now)) && reads < wait+b.prefillTime(r.Prompt, 1) {
-		idle := b.directCandidates(free, func(e *engine) bool { return e.running == 0 })
+		idle := b.directCandidates(now, free, func(e *engine) bool { return e.running == 0 })
 		if len(idle) > 0 {
 			return emptiest(idle, anyDataCentre)
 		}
@@ -41,15 +41,16 @@
 	if !due.After(r.Due) || r.Gap > 0 && pause > r.Gap {
 		return nil
 	}
-	return emptiest(b.directCandidates(free, func(*engine) bool { return true }), anyDataCentre)
+	return emptiest(b.directCandidates(now, free, func(*engine) bool { return true }), anyDataCentre)
 }
 
-// directCandidates returns the free engines that read fewer than MaxDirectPrefills
-// prompts and that may returns true for.
-func (b *Book) directCandidates(free []*engine, may func(*engine) bool) []*engine {
+// directCandidates returns the free engines that may read another prompt now and that
+// may returns true for.
+func (b *Book) directCandidates(now time.Time, free []*engine, may func(*engine) bool) []*engine {
 	var list []*engine
 	for _, e := range free {
-		if e.directPrefills < b.o.MaxDirectPrefills && may(e) {
+		isRested := e.running == 0 || !now.Before(e.directFrom)
+		if e.directPrefills < b.o.MaxDirectPrefills && isRested && may(e) {
 			list = append(list, e)
 		}
 	}
--- a/core/tlplace/engine.go
+++ b/core/tlplace/engine.go
@@ -22,6 +22,9 @@
 	running int
 	// directPrefills counts the prompts that this decode engine is to read itself.
 	directPrefills int
+	// directFrom is when it may read another prompt itself: two readings within one
+	// event of the answers beside them would add up to one pause.
+	directFrom time.Time
 	// prefills counts the unread prompts sent to this prefill engine.
 	prefills int
 	// freeAt is when the prompts sent to it are expected to be read.
--- a/core/tlplace/measured_test.go
+++ b/core/tlplace/measured_test.go
@@ -157,3 +157,34 @@
 		})
 	}
 }
+
+// Two prompts read one right after the other pause the answers beside them once, for
+// the time of both.
+func TestDirectReadingsAreAnEventApartWhereAnswersRunBeside(t *testing.T) {
+	b := newBook(0, 1)
+	b.o.Stride = 10
+	submitOne(t, b, 0, request("runs", 100, 0))
+	b.DirectPrefillDone(start, "runs")
+	assert.Empty(t, b.Submit(at(10*time.Millisecond), request("1", 1000, 0)), "an event of 10 tokens takes 50 ms")
+	d := b.Tick(at(50 * time.Millisecond))
+	require.Len(t, d, 1)
+	assert.Equal(t, "1", d[0].Request)
+	b.Served(at(60*time.Millisecond), "runs")
+	b.Served(at(60*time.Millisecond), "1")
+	submitOne(t, b, 60*time.Millisecond, request("2", 1000, 0))
+}
+
+// While the prefill engines are busy, a request whose prompt can't be read in time
+// does not take the room of one that can be served in time.
+func TestLatenessIncludesWaitForPrefillEngine(t *testing.T) {
+	b := newBook(1, 1)
+	submitOne(t, b, 0, request("full", 9000, 0))
+	require.Empty(t, b.Submit(at(0), request("soon due", 2000, 0)))
+	require.Empty(t, b.Submit(at(500*time.Millisecond), request("fresh", 2000, 500*time.Millisecond)))
+	b.Prefilled(at(100*time.Millisecond), "full")
+	b.engines["p0"].freeAt = at(900 * time.Millisecond)
+	b.Served(at(600*time.Millisecond), "full")
+	b.readDelay = b.nextReadDelay(at(600 * time.Millisecond))
+	b.sortWaiting(at(600 * time.Millisecond))
+	assert.Equal(t, "fresh", b.waiting[0].ID)
+}
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -20,6 +20,7 @@
 	if !b.canDecideAny(now, room) {
 		return nil
 	}
+	b.readDelay = b.nextReadDelay(now)
 	b.sortWaiting(now)
 	b.reserveForFirst(now)
 	var decisions []Decision
@@ -98,9 +99,24 @@
 	})
 }
 
+// nextReadDelay returns the time until the next prompt can be read at a prefill
+// engine; 0 where none is usable, since decode engines read it then.
+func (b *Book) nextReadDelay(now time.Time) time.Duration {
+	var next time.Time
+	for _, e := range b.order {
+		if e.Role == tlendpoint.Prefill && e.isUsable(now) && (next.IsZero() || e.freeAt.Before(next)) {
+			next = later(e.freeAt, now)
+		}
+	}
+	if next.IsZero() {
+		return 0
+	}
+	return next.Sub(now)
+}
+
 // lateness returns 0 for a request that can still be on time and 1 for one that can't.
 func (b *Book) lateness(now time.Time, r Request) int {
-	if now.Add(b.rates.PrefillTime(r.Prompt) + b.firstEventDelay()).After(r.Due) {
+	if now.Add(b.readDelay + b.rates.PrefillTime(r.Prompt) + b.firstEventDelay()).After(r.Due) {
 		return 1
 	}
 	return 0
--- a/io/tlbooking/reservations.go
+++ b/io/tlbooking/reservations.go
@@ -122,7 +122,7 @@
 	case PrefillConnectionBroke:
 		k.b.PrefillFailed(now, request, engine, tlplace.ConnectionBroke)
 	case PrefilledAtDecode:
-		k.b.DirectPrefillDone(request)
+		k.b.DirectPrefillDone(now, request)
 	case Completed:
 		k.b.Served(now, request)
 	case DecodeFailed:
