--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -130,7 +130,7 @@
 	if !k.isMeasured || k.prompt == 0 {
 		return
 	}
-	b.rates.Prefill.Add(took.Seconds() / float64(k.prompt))
+	b.rates.Prefill.Add(took, k.prompt)
 }
 
 // PrefillFailed records that an engine failed to read a request's prompt; the booking stays.
@@ -182,7 +182,7 @@
 		}
 	}
 	if k.isMeasured && k.output > 0 {
-		b.rates.Token.Add(now.Sub(k.placedAt).Seconds() / float64(k.output))
+		b.rates.Answer.Add(now.Sub(k.placedAt), k.output)
 	}
 	b.Ended(now, id)
 }
--- a/core/tlplace/book_test.go
+++ b/core/tlplace/book_test.go
@@ -41,7 +41,13 @@
 // testRates returns rates of engines that read a prompt token and generate a token in so many seconds.
 func testRates(prefill, token float64) tlrate.Rates {
 	known := func(x float64) tlrate.Estimate { return tlrate.Estimate{Average: x, Samples: 10} }
-	return tlrate.Rates{Booking: known(4), Token: known(token), Prefill: known(prefill), Prompt: known(4000), Load: known(40)}
+	return tlrate.Rates{
+		Booking: known(4),
+		Answer:  tlrate.Ratio{Time: known(100 * token), Units: known(100)},
+		Prefill: tlrate.Ratio{Time: known(4000 * prefill), Units: known(4000)},
+		Prompt:  known(4000),
+		Load:    known(40),
+	}
 }
 
 func engines(readers, decoders int) []tlendpoint.Endpoint {
--- a/core/tlplace/measured_test.go
+++ b/core/tlplace/measured_test.go
@@ -52,7 +52,7 @@
 			b := newUnmeasuredBook(2, 4)
 			assert.Zero(t, k.play(t, b, 20, 0))
 			assert.InEpsilon(t, k.prefill, b.Rates().Prefill.Value(), 0.01)
-			assert.InEpsilon(t, k.token, b.Rates().Token.Value(), 0.2)
+			assert.InEpsilon(t, k.token, b.Rates().Answer.Value(), 0.2)
 		})
 	}
 }
@@ -81,7 +81,7 @@
 				}
 			}
 			next.MergeRates(other.Rates())
-			assert.InEpsilon(t, home.Rates().Token.Value(), next.Rates().Token.Value(), 0.01)
+			assert.InEpsilon(t, home.Rates().Answer.Value(), next.Rates().Answer.Value(), 0.01)
 			assert.InEpsilon(t, home.Rates().Prefill.Value(), next.Rates().Prefill.Value(), 0.01)
 			assert.Positive(t, next.RoleState(start).PrefillWork)
 			assert.Positive(t, next.RoleState(start).DecodeWork)
--- a/core/tlrate/estimate_test.go
+++ b/core/tlrate/estimate_test.go
@@ -58,14 +58,14 @@
 func TestNewHomeStartsWithMeasurementsOfOthers(t *testing.T) {
 	var home, a, b Rates
 	for range 10 {
-		a.Token.Add(0.001)
-		b.Token.Add(0.002)
+		a.Answer.Add(time.Millisecond, 1)
+		b.Answer.Add(2*time.Millisecond, 1)
 	}
 	home.Merge(a)
 	assert.Equal(t, a, home)
 	home.Merge(b)
-	assert.InEpsilon(t, 0.0015, home.Token.Value(), 1e-9)
-	assert.Equal(t, maxSamples, home.Token.Samples)
+	assert.InEpsilon(t, 0.0015, home.Answer.Value(), 1e-9)
+	assert.Equal(t, maxSamples, home.Answer.Time.Samples)
 }
 
 func TestMergeIgnoresInvalidEstimates(t *testing.T) {
@@ -79,3 +79,22 @@
 		assert.Equal(t, known, e)
 	}
 }
+
+// A hint that is half too short or twice too long would raise an average of ratios by a quarter.
+func TestRatioIsNotRaisedByGuessedUnits(t *testing.T) {
+	var r Ratio
+	for n := range 20 {
+		r.Add(time.Second, []int{500, 2000}[n%2])
+	}
+	assert.InDelta(t, 1.0/1250, r.Value(), 0.1/1250)
+}
+
+func TestRatioIgnoresClockThatJumped(t *testing.T) {
+	var r Ratio
+	for range maxSamples {
+		r.Add(time.Second, 1000)
+	}
+	r.Add(-time.Hour, 1000)
+	r.Add(time.Hour, 1000)
+	assert.InDelta(t, 0.001, r.Value(), 0.001*float64(maxStep-1)/maxSamples+1e-9)
+}
--- a/core/tlrate/rates.go
+++ b/core/tlrate/rates.go
@@ -6,10 +6,10 @@
 type Rates struct {
 	// Booking is how long a request occupies a decode engine, in seconds.
 	Booking Estimate
-	// Token is the same for each token of the expected answer, in seconds.
-	Token Estimate
-	// Prefill is the time in which a prefill engine reads a token of a prompt, in seconds.
-	Prefill Estimate
+	// Answer is the same for each token of the expected answer.
+	Answer Ratio
+	// Prefill is the time in which a prefill engine reads a token of a prompt.
+	Prefill Ratio
 	// Prompt is the length of a prompt, in tokens.
 	Prompt Estimate
 	// Load is the share of a decode engine that a request occupies, by memory or by
@@ -20,7 +20,7 @@
 // Merge takes in the estimates of another instance.
 func (r *Rates) Merge(o Rates) {
 	r.Booking.Merge(o.Booking)
-	r.Token.Merge(o.Token)
+	r.Answer.Merge(o.Answer)
 	r.Prefill.Merge(o.Prefill)
 	r.Prompt.Merge(o.Prompt)
 	r.Load.Merge(o.Load)
@@ -28,12 +28,12 @@
 
 // PrefillTime returns how long a prefill engine takes to read a prompt, in tokens; 0 while that is unknown.
 func (r Rates) PrefillTime(prompt int) time.Duration {
-	return seconds(r.Prefill.Value() * float64(prompt))
+	return r.Prefill.Of(prompt)
 }
 
 // AnswerTime returns how long a decode engine takes for an answer, in tokens; 0 while that is unknown.
 func (r Rates) AnswerTime(output int) time.Duration {
-	return seconds(r.Token.Value() * float64(output))
+	return r.Answer.Of(output)
 }
 
 // PrefillWork returns the seconds of a prefill engine that a request takes; 0 while unknown.
@@ -43,9 +43,5 @@
 
 // DecodeWork returns the seconds of a decode engine that a request takes; 0 while unknown.
 func (r Rates) DecodeWork() float64 {
-	return r.Token.Value() * r.Load.Value()
-}
-
-func seconds(s float64) time.Duration {
-	return time.Duration(s * float64(time.Second))
+	return r.Answer.Value() * r.Load.Value()
 }
--- a/core/tlrole/plan.go
+++ b/core/tlrole/plan.go
@@ -9,8 +9,8 @@
 
 // Options are the parameters of a plan.
 type Options struct {
-	// Headroom multiplies the prefill share of the work: a queue of prompts makes
-	// requests late long before the prefill engines are fully utilised.
+	// Headroom multiplies the prefill share of the work. It is below 1 since decode
+	// engines can read the prompts that are too many, while prefill engines can't decode.
 	Headroom float64
 	// MinPrefillEngines is the least number of prefill engines to keep.
 	MinPrefillEngines int
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -15,6 +15,9 @@
 
 // EngineRates holds what an instance has measured of the engines of a service.
 type EngineRates struct {
+	// Answer is the same for each token of the expected answer.
+	Answer EngineRatio `json:"Answer" yaml:"Answer" cbor:"Answer"`
+
 	// Booking is how long a request occupies a decode engine, in seconds.
 	Booking EngineRate `json:"Booking" yaml:"Booking" cbor:"Booking"`
 
@@ -22,15 +25,20 @@
 	// of its expected answer.
 	Load EngineRate `json:"Load" yaml:"Load" cbor:"Load"`
 
-	// Prefill is the time in which a prefill engine reads a token of a prompt, in
-	// seconds.
-	Prefill EngineRate `json:"Prefill" yaml:"Prefill" cbor:"Prefill"`
+	// Prefill is the time in which a prefill engine reads a token of a prompt.
+	Prefill EngineRatio `json:"Prefill" yaml:"Prefill" cbor:"Prefill"`
 
 	// Prompt is the length of a prompt, in tokens.
 	Prompt EngineRate `json:"Prompt" yaml:"Prompt" cbor:"Prompt"`
+}
+
+// EngineRatio is the average time of something over its average number of tokens.
+type EngineRatio struct {
+	// Time is the average time, in seconds.
+	Time EngineRate `json:"Time" yaml:"Time" cbor:"Time"`
 
-	// Token is the same for each token of the expected answer, in seconds.
-	Token EngineRate `json:"Token" yaml:"Token" cbor:"Token"`
+	// Units is the average number of tokens.
+	Units EngineRate `json:"Units" yaml:"Units" cbor:"Units"`
 }
 
 // HeldPlace is the reservation that a request holds on a decode engine.
--- a/io/tlbooking/rates.go
+++ b/io/tlbooking/rates.go
@@ -8,13 +8,21 @@
 func encodeRates(r tlrate.Rates) *tlwire.EngineRates {
 	return &tlwire.EngineRates{
 		Booking: tlwire.EngineRate(r.Booking),
-		Token:   tlwire.EngineRate(r.Token),
-		Prefill: tlwire.EngineRate(r.Prefill),
+		Answer:  encodeRatio(r.Answer),
+		Prefill: encodeRatio(r.Prefill),
 		Prompt:  tlwire.EngineRate(r.Prompt),
 		Load:    tlwire.EngineRate(r.Load),
 	}
 }
 
+func encodeRatio(r tlrate.Ratio) tlwire.EngineRatio {
+	return tlwire.EngineRatio{Time: tlwire.EngineRate(r.Time), Units: tlwire.EngineRate(r.Units)}
+}
+
+func decodeRatio(r tlwire.EngineRatio) tlrate.Ratio {
+	return tlrate.Ratio{Time: tlrate.Estimate(r.Time), Units: tlrate.Estimate(r.Units)}
+}
+
 // decodeRates returns the estimates of a message; those of an instance that sends none are unknown.
 func decodeRates(r *tlwire.EngineRates) tlrate.Rates {
 	if r == nil {
@@ -22,8 +30,8 @@
 	}
 	return tlrate.Rates{
 		Booking: tlrate.Estimate(r.Booking),
-		Token:   tlrate.Estimate(r.Token),
-		Prefill: tlrate.Estimate(r.Prefill),
+		Answer:  decodeRatio(r.Answer),
+		Prefill: decodeRatio(r.Prefill),
 		Prompt:  tlrate.Estimate(r.Prompt),
 		Load:    tlrate.Estimate(r.Load),
 	}
