Refuse a late request as soon as it has no chance of room

Cause: in an overload, requests that can still be on time go first.

Change: the book measures which share of the room given away goes to late requests while some are queued. A late request is refused once the room ahead of it, at that share, is not free before its latest start (hopeless.go). The forecast needs ten running requests, and counts free memory in whole pieces of a request's size, on arrival too.

Tests: hopeless_test.go plays twice the load that the engines serve (fails without the change: a tenth of the refusals come early), 0.9 of it, and a burst that room is left for.

A trial that forecast from the flow of arrivals in the last second refused callers after bursts whom room was left for.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -6,6 +6,7 @@
 
 	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlrate"
+	"trefoillanding/core/tlshare"
 )
 
 // Book holds the engines, bookings and queued requests of one service.
@@ -19,6 +20,11 @@
 	// rates holds what the requests served so far have shown of the engines.
 	rates       tlrate.Rates
 	lastRequest time.Time
+	// lateShare is the share of the room given away while late requests were queued
+	// that went to late ones; 1 where none were queued.
+	lateShare tlshare.Share
+	// hopelessChecked is when the queue was last checked for requests without a chance.
+	hopelessChecked time.Time
 	// readDelay is the time until the next prompt can be read, as of the last Tick.
 	readDelay time.Duration
 	// earliestExpiry is the earliest time at which a booking may expire; the booking
@@ -30,10 +36,11 @@
 // New returns an empty book.
 func New(o Options, r *rand.Rand) *Book {
 	return &Book{
-		o:        o,
-		engines:  map[string]*engine{},
-		bookings: map[string]*Booking{},
-		random:   r,
+		o:         o,
+		engines:   map[string]*engine{},
+		bookings:  map[string]*Booking{},
+		lateShare: 1,
+		random:    r,
 	}
 }
 
--- a/core/tlplace/refuse.go
+++ b/core/tlplace/refuse.go
@@ -79,21 +79,13 @@
 // roomWait returns how long it takes until memory and a slot for a request are free,
 // after those for the queued ones; false while nothing was measured.
 func (b *Book) roomWait(tokens int) (time.Duration, bool) {
-	held, running, slots := 0, 0, 1+len(b.waiting)
-	for _, e := range b.order {
-		held += e.heldTokens()
-		running += e.running
-		if e.Role == tlendpoint.Decode && !e.IsDraining {
-			tokens -= max(e.freeTokens(b.o), 0)
-			slots -= max(b.o.Slots-e.running, 0)
-		}
-	}
+	u := b.use(tokens)
 	for _, w := range b.waiting {
-		tokens += w.tokens(b.o)
+		u.take(w.tokens(b.o))
 	}
+	u.take(tokens)
 	turnover, known := b.rates.Booking.Duration()
-	share := max(shareOf(tokens, held), shareOf(slots, running))
-	return time.Duration(share * float64(turnover)), known && (held > 0 || running > 0)
+	return time.Duration(u.missingShare() * float64(turnover)), known && (u.held > 0 || u.running > 0)
 }
 
 // shareOf returns the share of what is in use that has to end before so much is free;
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -18,15 +18,19 @@
 	}
 	room := b.maxFreeTokens(now)
 	if !b.canDecideAny(now, room) {
-		return nil
+		return b.refuseHopeless(now)
 	}
 	b.readDelay = b.nextReadDelay(now)
 	b.sortWaiting(now)
 	b.reserveForFirst(now)
+	hasLate := b.lateness(now, b.waiting[len(b.waiting)-1]) == 1
 	var decisions []Decision
 	keep := b.waiting[:0]
 	for _, r := range b.waiting {
 		d, decided := b.decide(now, r, room)
+		if hasLate && decided && d.Refused == NotRefused {
+			b.noteLatePlacement(b.lateness(now, r) == 1)
+		}
 		if !decided {
 			keep = append(keep, r)
 			continue
@@ -35,7 +39,7 @@
 		room = b.maxFreeTokens(now)
 	}
 	b.waiting = keep
-	return decisions
+	return append(decisions, b.refuseHopeless(now)...)
 }
 
 // maxFreeTokens returns the largest number of free tokens of any usable decode engine with a free slot.
