Obey endpoints that leave or want rest, and cut off bytes without end

Change: core/tlendpoint/notices.go holds what an incarnation of an endpoint has said of itself; the directory counts one that leaves as draining, and picks none that rests. Requests name such engines to the home to be avoided; the home is told who leaves, for it places for all. A service whose endpoints all rest refuses at once with the time left.

--- a/core/tlcall/send.go
+++ b/core/tlcall/send.go
@@ -49,4 +49,8 @@
 	NotRun bool
 	// IsMisdirected says that another endpoint now uses the address.
 	IsMisdirected bool
+	// IsLeaving says that the endpoint is shutting down and takes no new requests.
+	IsLeaving bool
+	// RestFor is how long the endpoint wants no requests from this instance; 0 if it does not say so.
+	RestFor time.Duration
 }
--- a/core/tlevent/splitter.go
+++ b/core/tlevent/splitter.go
@@ -53,6 +53,11 @@
 	return s.lastID
 }
 
+// Pending returns the number of bytes buffered of an incomplete event.
+func (s *Splitter) Pending() int {
+	return len(s.pending)
+}
+
 // IsEmpty reports whether no incomplete event is buffered.
 func (s *Splitter) IsEmpty() bool {
 	return len(s.pending) == 0
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -78,6 +78,15 @@
 	Value []byte `json:"Value" yaml:"Value" cbor:"Value"`
 }
 
+// LeavingReport tells the home instance that an engine has said that it leaves.
+type LeavingReport struct {
+	// Endpoint is the ID of the engine.
+	Endpoint string `json:"Endpoint" yaml:"Endpoint" cbor:"Endpoint"`
+
+	// Incarnation is the engine's incarnation that leaves.
+	Incarnation int64 `json:"Incarnation" yaml:"Incarnation" cbor:"Incarnation"`
+}
+
 // PlaceAnswer holds the decision on a PlaceCall, or says that it is still pending.
 type PlaceAnswer struct {
 	// Decode is the engine that generates the output.
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -18,6 +18,8 @@
 	badConfig       = "BadConfig"
 	connectionsMade = "ConnectionsMade"
 	reportsFailed   = "ReportsFailed"
+	endpointLeaving = "Leaving"
+	endpointResting = "Resting"
 )
 
 // counters holds the counter groups of an instance.
@@ -41,7 +43,7 @@
 	return counters{
 		gateway:      s.Group("Gateway", names...),
 		store:        s.Group("Store", storeCalls, storeOutages, badEntry, badConfig),
-		endpoints:    s.Group("Endpoints", connectionsMade, reportsFailed),
+		endpoints:    s.Group("Endpoints", connectionsMade, reportsFailed, endpointLeaving, endpointResting),
 		reservations: s.Group("Places", tlbooking.CounterNames...),
 		peers:        s.Group("Peers", tlpeer.CounterNames...),
 		traces:       s.Group("Traces", tltrace.CounterNames...),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,7 @@
 	i.sender = tlsend.New(tlsend.Codec{
 		EncodeSend:   platform.EncodeSend,
 		DecodeAnswer: platform.DecodeAnswer,
-	}, func() { i.counters.endpoints.Count(connectionsMade) })
+	}, i.sendHooks())
 	i.endpoints = newEndpointEntries()
 	i.instances = newInstanceEntries()
 	if err := i.listen(); err != nil {
@@ -134,6 +134,7 @@
 	i.followEndpoints()
 	i.followInstances()
 	i.handleRecordsCalls()
+	i.handleLeavingReports()
 	i.built.Store(true)
 	return nil
 }
@@ -199,9 +200,14 @@
 
 // publishEndpoints passes the endpoints that were read to the directory and the coordinator.
 func (i *Instance) publishEndpoints(all []tlendpoint.Endpoint) {
-	i.directory.Set(all)
+	i.directory.Set(time.Now(), all)
+	i.setEngines()
+}
+
+// setEngines passes the engines in the directory to the coordinator.
+func (i *Instance) setEngines() {
 	t := i.table.Load()
-	if t == nil {
+	if t == nil || i.coordinator == nil {
 		return
 	}
 	for _, s := range t.EngineServices() {
--- /dev/null
+++ b/gateway/notice.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"trefoillanding/core/tlcall"
+	"trefoillanding/core/tlendpoint"
+	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlsend"
+)
+
+// kindLeaving is the kind of message with which an instance tells the home of a
+// service that an engine has said that it leaves.
+const kindLeaving = "Leaving"
+
+func (i *Instance) sendHooks() tlsend.Hooks {
+	return tlsend.Hooks{
+		OnDial:   func() { i.counters.endpoints.Count(connectionsMade) },
+		OnNotice: i.onNotice,
+		IsResting: func(e tlendpoint.Endpoint) bool {
+			return i.directory.IsResting(time.Now(), e)
+		},
+	}
+}
+
+// onNotice takes in that an endpoint has said in an answer that it leaves or wants rest.
+func (i *Instance) onNotice(e tlendpoint.Endpoint, a tlcall.Answer) {
+	l := i.log.WithFields(logrus.Fields{"Endpoint": e.ID, "Service": e.Service, "Incarnation": e.Incarnation, "Answered": a.ID})
+	if a.IsLeaving && i.markLeaving(e) {
+		l.Info("endpoint says that it leaves")
+		i.reportLeaving(e)
+	}
+	if a.RestFor <= 0 {
+		return
+	}
+	i.counters.endpoints.Count(endpointResting)
+	if i.directory.MarkResting(time.Now(), e, a.RestFor) {
+		l.WithField("RestMs", a.RestFor.Milliseconds()).Info("endpoint wants rest")
+	}
+}
+
+// markLeaving takes an endpoint out of use; it reports whether that is news.
+func (i *Instance) markLeaving(e tlendpoint.Endpoint) bool {
+	if !i.directory.MarkLeaving(time.Now(), e) {
+		return false
+	}
+	i.counters.endpoints.Count(endpointLeaving)
+	i.setEngines()
+	return true
+}
+
+// reportLeaving tells the home of an engine's service, which places for all instances.
+func (i *Instance) reportLeaving(e tlendpoint.Endpoint) {
+	if e.Role == tlendpoint.NoRole || !i.built.Load() {
+		return
+	}
+	home := i.gossip.Oldest(e.Service, homeCandidates)
+	if home == i.settings.Name {
+		return
+	}
+	r := tlwire.LeavingReport{Endpoint: e.ID, Incarnation: e.Incarnation}
+	i.outboxPost(home, kindLeaving, func(ctx context.Context) error {
+		return tlpeer.Send(ctx, i.mesh, home, kindLeaving, r)
+	})
+}
+
+// handleLeavingReports takes in what other instances were told by engines. A report
+// on an incarnation that is not listed here is ignored.
+func (i *Instance) handleLeavingReports() {
+	tlpeer.Handle(i.mesh, kindLeaving, func(_ context.Context, from tlpeer.Peer, r tlwire.LeavingReport) (tlpeer.Empty, error) {
+		e, ok := i.directory.Find(r.Endpoint)
+		if ok && e.Incarnation == r.Incarnation && i.markLeaving(e) {
+			i.log.WithFields(logrus.Fields{"Endpoint": e.ID, "Service": e.Service, "Incarnation": e.Incarnation, "Peer": from.Name}).
+				Info("endpoint leaves, by another instance's report")
+		}
+		return tlpeer.Empty{}, nil
+	})
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -78,9 +78,7 @@
 		IsGone: func(o tlplace.Owner) bool {
 			return i.gossip.OwnerLiveness(o.Name, o.Incarnation) == tlmember.Gone
 		},
-		Post: func(peer, kind string, send func(context.Context) error) {
-			i.outbox.Post(peer, tloutbox.Message{Kind: kind, Send: send})
-		},
+		Post:   i.outboxPost,
 		Now:    time.Now,
 		Random: tlrandom.New,
 		Log:    i.log,
@@ -88,6 +86,11 @@
 	}
 }
 
+// outboxPost sends a one-way message to another instance without waiting.
+func (i *Instance) outboxPost(peer, kind string, send func(context.Context) error) {
+	i.outbox.Post(peer, tloutbox.Message{Kind: kind, Send: send})
+}
+
 func (i *Instance) gatewayDeps() tlgateway.Deps {
 	s := i.settings.Gateway
 	return tlgateway.Deps{
--- a/io/tldirectory/directory.go
+++ b/io/tldirectory/directory.go
@@ -15,9 +15,12 @@
 	mu        sync.Mutex
 	byService map[string][]tlendpoint.Endpoint
 	byID      map[string]tlendpoint.Endpoint
-	health    *tlhealth.Table
-	isLoaded  bool
-	onChange  func(id string, before, after bool)
+	// listed holds all endpoints as they were set, notices what they have said since.
+	listed   []tlendpoint.Endpoint
+	notices  *tlendpoint.Notices
+	health   *tlhealth.Table
+	isLoaded bool
+	onChange func(id string, before, after bool)
 }
 
 // New returns an empty directory. onChange is called, without the lock held, when
@@ -26,25 +29,33 @@
 	return &Directory{
 		byService: map[string][]tlendpoint.Endpoint{},
 		byID:      map[string]tlendpoint.Endpoint{},
+		notices:   tlendpoint.NewNotices(),
 		health:    tlhealth.New(r),
 		onChange:  onChange,
 	}
 }
 
 // Set replaces all known endpoints.
-func (d *Directory) Set(all []tlendpoint.Endpoint) {
-	byService := map[string][]tlendpoint.Endpoint{}
-	byID := make(map[string]tlendpoint.Endpoint, len(all))
-	for _, e := range all {
-		byService[e.Service] = append(byService[e.Service], e)
-		byID[e.ID] = e
-	}
+func (d *Directory) Set(now time.Time, all []tlendpoint.Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.byService, d.byID, d.isLoaded = byService, byID, true
+	d.listed, d.isLoaded = all, true
+	d.notices.Listed(now, all)
+	d.index()
 	d.health.Retain(all)
 }
 
+// index rebuilds the lists; an endpoint that has said that it leaves counts as draining. d.mu must be held.
+func (d *Directory) index() {
+	d.byService = map[string][]tlendpoint.Endpoint{}
+	d.byID = make(map[string]tlendpoint.Endpoint, len(d.listed))
+	for _, e := range d.listed {
+		e.IsDraining = e.IsDraining || d.notices.IsLeaving(e)
+		d.byService[e.Service] = append(d.byService[e.Service], e)
+		d.byID[e.ID] = e
+	}
+}
+
 // IsLoaded says whether Set has been called.
 func (d *Directory) IsLoaded() bool {
 	d.mu.Lock()
@@ -52,6 +63,78 @@
 	return d.isLoaded
 }
 
+// MarkLeaving records that an incarnation of an endpoint leaves, so that it counts as
+// draining; it reports whether that is news.
+func (d *Directory) MarkLeaving(now time.Time, e tlendpoint.Endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.notices.Leaving(now, e) {
+		return false
+	}
+	d.index()
+	return true
+}
+
+// MarkResting records that an endpoint wants no requests for a time; it reports
+// whether it was not resting before.
+func (d *Directory) MarkResting(now time.Time, e tlendpoint.Endpoint, rest time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.notices.Rest(now, now.Add(rest), e)
+}
+
+// IsResting reports whether an endpoint wants no requests now.
+func (d *Directory) IsResting(now time.Time, e tlendpoint.Endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Before(d.notices.RestUntil(e))
+}
+
+// Unavailable returns the IDs of the endpoints of a service that have said that they
+// leave, or that want no requests now.
+func (d *Directory) Unavailable(now time.Time, service string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []string
+	for _, e := range d.byService[service] {
+		if d.notices.IsLeaving(e) || now.Before(d.notices.RestUntil(e)) {
+			list = append(list, e.ID)
+		}
+	}
+	return list
+}
+
+// RestLeft returns how long it takes until the first endpoint of a service that can
+// answer wants requests again; false if one wants them now, or there is none.
+func (d *Directory) RestLeft(now time.Time, service string) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var first time.Time
+	for _, e := range d.byService[service] {
+		if e.IsDraining || e.Role == tlendpoint.Prefill {
+			continue
+		}
+		until := d.notices.RestUntil(e)
+		if !now.Before(until) {
+			return 0, false
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first.Sub(now), !first.IsZero()
+}
+
+// awake returns the endpoints of a service that want requests now; d.mu must be held.
+func (d *Directory) awake(now time.Time, service string) []tlendpoint.Endpoint {
+	list := d.byService[service]
+	isResting := func(e tlendpoint.Endpoint) bool { return now.Before(d.notices.RestUntil(e)) }
+	if !slices.ContainsFunc(list, isResting) {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), isResting)
+}
+
 // Endpoints returns the endpoints of a service; the returned slice is never modified.
 func (d *Directory) Endpoints(service string) []tlendpoint.Endpoint {
 	d.mu.Lock()
@@ -71,7 +154,7 @@
 func (d *Directory) Pick(now time.Time, service string, avoid []string, mayRepeat bool) (tlendpoint.Endpoint, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.health.Pick(now, d.byService[service], avoid, mayRepeat)
+	return d.health.Pick(now, d.awake(now, service), avoid, mayRepeat)
 }
 
 // Observe records the outcome of a request sent to an endpoint and how long it took.
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -169,7 +169,8 @@
 	if !errors.As(err, &f) {
 		f = &tlsend.Error{Endpoint: p.decode.ID, MayHaveRun: true, Outcome: tlhealth.Broken, Err: err}
 	}
-	if f.Outcome == tlhealth.CallerGone && g.ctx.Err() == nil {
+	if f.Outcome == tlhealth.CallerGone && !x.isCallerGone() {
+		// The timer of the header and the deadline end the send at the same moment.
 		f.Outcome = tlhealth.TimedOut
 	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, f.Outcome, x.g.deps.Now().Sub(began))
@@ -183,8 +184,11 @@
 		g.possibleRuns++
 	}
 	g.sourceExpiry = time.Time{}
-	if f.Outcome == tlhealth.Broken {
+	switch f.Outcome {
+	case tlhealth.Broken:
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
+	case tlhealth.Refused:
+		g.abandonEngine(p.decode.ID, tlbooking.DecodeFull)
 	}
 	return g.attemptFailed(p, f)
 }
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -1,6 +1,7 @@
 package tlgateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -63,6 +64,9 @@
 		return g.pickEndpoint()
 	}
 	x := g.x
+	if e := x.restRefusal(); e != nil {
+		return placement{}, g.finalError(e)
+	}
 	d, err := x.g.deps.Reservations.Reserve(g.ctx, x.service.Name, g.reservationRequest())
 	if err != nil {
 		return placement{}, g.finalError(tlverdict.Of(err))
@@ -85,6 +89,9 @@
 func (g *generation) pickEndpoint() (placement, *tlverdict.Error) {
 	x := g.x
 	e, ok := x.g.deps.Directory.Pick(x.g.deps.Now(), x.service.Name, g.avoid, g.mayResume())
+	if e := x.restRefusal(); !ok && e != nil {
+		return placement{}, g.finalError(e)
+	}
 	if !ok {
 		return placement{}, tlverdict.New(tlverdict.NoEndpoint, "no endpoint of service %s is available", x.service.Name).WithRetryAfter(busyRetryAfter)
 	}
@@ -134,8 +141,18 @@
 		PrefillKeptUntil: g.sourceExpiry,
 		HasBegun:         g.hasSentHeader,
 		Gap:              r.GapObjective,
-		Avoid:            g.avoid,
+		Avoid:            append(slices.Clone(g.avoid), x.g.deps.Directory.Unavailable(x.g.deps.Now(), x.service.Name)...),
+	}
+}
+
+// restRefusal returns the error of a request that all endpoints of its service want to
+// be spared, with the time at which the first wants requests again; nil if one does now.
+func (x *exchange) restRefusal() *tlverdict.Error {
+	left, all := x.g.deps.Directory.RestLeft(x.g.deps.Now(), x.service.Name)
+	if !all {
+		return nil
 	}
+	return tlverdict.New(tlverdict.PoolBusy, "all endpoints of service %s want rest", x.service.Name).WithRetryAfter(left)
 }
 
 func refusalError(d tlplace.Decision) *tlverdict.Error {
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -70,6 +70,10 @@
 		c.run()
 		return
 	}
+	if e := x.restRefusal(); e != nil {
+		x.refuse(e)
+		return
+	}
 	x.refuse(tlverdict.New(tlverdict.NoEndpoint, "no endpoint of service %s is available", x.service.Name).WithRetryAfter(busyRetryAfter))
 }
 
@@ -241,9 +245,12 @@
 // finish answers a request that no endpoint served with its most informative failure.
 func (c *plainRequest) finish() {
 	x, s := c.x, c.bestFailure
+	rest := x.restRefusal()
 	switch {
 	case c.ctx.Err() != nil:
 		c.refuseTimedOut()
+	case rest != nil && c.possibleRuns == 0:
+		x.refuse(rest)
 	case s.err == nil && s.answer.reply.Answer.NotRun && c.possibleRuns == 0:
 		x.refuse(tlverdict.New(tlverdict.PoolBusy, "the endpoints of service %s are full", x.service.Name).WithRetryAfter(busyRetryAfter))
 	case s.err == nil && !s.answer.reply.Answer.NotRun:
--- a/io/tlgateway/prefill.go
+++ b/io/tlgateway/prefill.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -29,7 +30,10 @@
 	releaseTimeout = time.Second
 )
 
-var errPrefillStatus = errors.New("the prefill engine did not answer with status 200")
+var (
+	errPrefillStatus  = errors.New("the prefill engine did not answer with status 200")
+	errPrefillGarbled = errors.New("the prefill engine's answer can't be read")
+)
 
 // prefill has the prompt read and returns which engine holds its KV cache. An
 // empty source leaves the prompt to the decode engine; a failed prefill thus
@@ -78,6 +82,9 @@
 
 // prefillEvent distinguishes an engine that broke the connection or refused from one that was silent.
 func prefillEvent(err error) tlbooking.Event {
+	if errors.Is(err, errPrefillGarbled) {
+		return tlbooking.PrefillFailed
+	}
 	switch prefillOutcome(err) {
 	case tlhealth.Broken, tlhealth.Refused:
 		return tlbooking.PrefillConnectionBroke
@@ -93,6 +100,9 @@
 	if errors.Is(err, errPrefillStatus) {
 		return tlhealth.Refused
 	}
+	if errors.Is(err, errPrefillGarbled) {
+		return tlhealth.Broken
+	}
 	return tlhealth.TimedOut
 }
 
@@ -120,7 +130,11 @@
 	if err != nil {
 		return "", err
 	}
-	return x.g.deps.Wire.DecodePrefilled(b)
+	handle, err := x.g.deps.Wire.DecodePrefilled(b)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errPrefillGarbled, err)
+	}
+	return handle, nil
 }
 
 // release frees an unused handle; if that fails, the engine's memory stays held until the handle expires.
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -19,6 +19,8 @@
 const (
 	// readBufferBytes is the size of the buffer that a stream is read with.
 	readBufferBytes = 4 << 10
+	// maxEventBytes bounds an event: more bytes without the end of one are no answer.
+	maxEventBytes = 1 << 20
 	// stallThreshold is the pause between events above which the network path is
 	// suspected: TCP retransmits a lost packet after 200 ms at the earliest.
 	stallThreshold = 200 * time.Millisecond
@@ -39,7 +41,10 @@
 	return err
 }
 
-var errTruncatedEvent = errors.New("the stream ended within an event")
+var (
+	errTruncatedEvent = errors.New("the stream ended within an event")
+	errEventTooLarge  = errors.New("the stream has an event without end")
+)
 
 // forwardEvents sends a stream's events to the caller as they arrive; its results are those of attempt.
 func (g *generation) forwardEvents(p placement, r *tlsend.Reply) (bool, *tlverdict.Error) {
@@ -104,6 +109,9 @@
 				return err
 			}
 		}
+		if s.Pending() > maxEventBytes {
+			return errEventTooLarge
+		}
 		if errors.Is(err, io.EOF) && s.IsEmpty() {
 			return nil
 		}
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -35,7 +35,10 @@
 	bufferBytes = 4 << 10
 )
 
-var errOtherRequest = errors.New("the answer belongs to another request")
+var (
+	errOtherRequest = errors.New("the answer belongs to another request")
+	errResting      = errors.New("the endpoint wants no requests now")
+)
 
 // Codec encodes the headers of a send and decodes those of an answer.
 type Codec struct {
@@ -46,12 +49,22 @@
 // Sender sends requests to endpoints.
 type Sender struct {
 	codec     Codec
+	hooks     Hooks
 	transport *http.Transport
-	onDial    func()
 }
 
-// New returns a Sender; onDial is called before each new connection is opened.
-func New(w Codec, onDial func()) *Sender {
+// Hooks are called by a Sender; all are required.
+type Hooks struct {
+	// OnDial is called before each new connection is opened.
+	OnDial func()
+	// OnNotice is called with each answer in which an endpoint says that it leaves or wants rest.
+	OnNotice func(tlendpoint.Endpoint, tlcall.Answer)
+	// IsResting reports whether an endpoint wants no requests now; none is sent then.
+	IsResting func(tlendpoint.Endpoint) bool
+}
+
+// New returns a Sender.
+func New(w Codec, hooks Hooks) *Sender {
 	d := &net.Dialer{
 		Timeout: dialTimeout,
 		Control: setUserTimeout,
@@ -62,7 +75,7 @@
 			Count:    keepAliveProbes,
 		},
 	}
-	s := &Sender{codec: w, onDial: onDial}
+	s := &Sender{codec: w, hooks: hooks}
 	s.transport = &http.Transport{
 		DialContext:            s.dial(d),
 		DisableCompression:     true,
@@ -77,7 +90,7 @@
 
 func (s *Sender) dial(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		s.onDial()
+		s.hooks.OnDial()
 		c, err := d.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
@@ -102,6 +115,9 @@
 // Send sends a request to an endpoint and returns the answer once its header has
 // arrived; an error is always an *Error.
 func (s *Sender) Send(ctx context.Context, e tlendpoint.Endpoint, r Request, c tlcall.Send) (*Reply, error) {
+	if s.hooks.IsResting(e) {
+		return nil, &Error{Endpoint: e.ID, Outcome: tlhealth.Refused, Err: errResting}
+	}
 	p := &progress{}
 	ctx = httptrace.WithClientTrace(ctx, p.trace())
 	a, err := s.transport.RoundTrip(s.newRequest(ctx, e, r, c))
@@ -115,6 +131,9 @@
 		Body:   a.Body,
 		Length: a.ContentLength,
 	}
+	if reply.Answer.IsLeaving || reply.Answer.RestFor > 0 {
+		s.hooks.OnNotice(e, reply.Answer)
+	}
 	if reply.Answer.ID != "" && reply.Answer.ID != r.ID {
 		_ = a.Body.Close()
 		return nil, &Error{Endpoint: e.ID, MayHaveRun: true, Outcome: tlhealth.Broken, Err: errOtherRequest}
--- a/io/tlsend/sender_test.go
+++ b/io/tlsend/sender_test.go
@@ -29,7 +29,11 @@
 }
 
 func newSender(t *testing.T) *Sender {
-	s := New(codec, func() {})
+	s := New(codec, Hooks{
+		OnDial:    func() {},
+		OnNotice:  func(tlendpoint.Endpoint, tlcall.Answer) {},
+		IsResting: func(tlendpoint.Endpoint) bool { return false },
+	})
 	t.Cleanup(s.Close)
 	return s
 }
