Keep what is in force when the store goes back to a copy

Positions were offsets alone: after the store went back, records at offsets read before would have been taken for those read then, fencing numbers and incarnations been given out a second time, and endpoints that had left been used again by their old entries.

Change: a position is an era and an offset (tlkeyed.Position). Followers read a topic anew when its era rises and ignore answers of an earlier one, from the store or from another instance. Numbers of fences and instances rise across eras. A holder waits a whole handover after an era it has not seen, and takes no number where the era changes between its read and its append. Instances write themselves down again with the incarnation they have, and keep the others that are missing until gossip finds them silent. The configuration with the higher version stays in force and is passed on. An incarnation of an endpoint that drained keeps draining; one that was removed comes back with a higher sequence or a new incarnation only. Log lines store went back, own entry written again; counter Store.WentBack.

Mutants: numbers without the era (2 tests), a rise of the era ignored (2 tests).

--- a/core/tlendpoint/endpoint.go
+++ b/core/tlendpoint/endpoint.go
@@ -38,6 +38,8 @@
 	Role Role
 	// Incarnation distinguishes restarts under the same ID.
 	Incarnation int64
+	// Sequence rises with each entry that an incarnation writes; 0 if it is not given.
+	Sequence int64
 	// IsDraining says that it is shutting down and takes no new requests.
 	IsDraining bool
 }
--- a/core/tlkeyed/record.go
+++ b/core/tlkeyed/record.go
@@ -7,6 +7,8 @@
 	Value []byte
 	// Offset is the position of the record in the log.
 	Offset uint64
+	// Era is the era of the log in which it was read.
+	Era uint64
 }
 
 // IsTombstone reports whether the record deletes its key.
@@ -21,4 +23,11 @@
 	Next uint64
 	// End is the offset of the next append.
 	End uint64
+	// Era is the era of the log in which they were read.
+	Era uint64
+}
+
+// Position returns the position from which to read next.
+func (b Batch) Position() Position {
+	return Position{Era: b.Era, Offset: b.Next}
 }
--- a/core/tlkeyed/table.go
+++ b/core/tlkeyed/table.go
@@ -9,6 +9,7 @@
 type Table struct {
 	byKey      map[string]Record
 	nextOffset uint64
+	era        uint64
 }
 
 // NewTable returns an empty table.
@@ -16,19 +17,19 @@
 	return &Table{byKey: map[string]Record{}}
 }
 
-// Next returns the offset from which to read next.
-func (t *Table) Next() uint64 {
-	return t.nextOffset
+// Next returns the position from which to read next.
+func (t *Table) Next() Position {
+	return Position{Era: t.era, Offset: t.nextOffset}
 }
 
 // Reset replaces the contents by a batch with the newest record of each key.
 func (t *Table) Reset(b Batch) {
 	clear(t.byKey)
-	t.nextOffset = 0
+	t.nextOffset, t.era = 0, b.Era
 	t.Apply(b)
 }
 
-// Apply adds later records. It ignores those before Next, which it has applied
+// Apply adds later records of the same era. It ignores those before Next, which it has applied
 // before and which may have been superseded.
 func (t *Table) Apply(b Batch) {
 	for _, r := range b.Records {
@@ -46,7 +47,7 @@
 
 // All returns the newest record of each key, sorted by key.
 func (t *Table) All() Batch {
-	b := Batch{Next: t.nextOffset, End: t.nextOffset}
+	b := Batch{Next: t.nextOffset, End: t.nextOffset, Era: t.era}
 	for _, r := range t.byKey {
 		b.Records = append(b.Records, r)
 	}
--- a/core/tlkeyed/table_test.go
+++ b/core/tlkeyed/table_test.go
@@ -31,5 +31,14 @@
 	n.Reset(Batch{Records: []Record{record("a", "9", 9)}, Next: 11})
 	n.Apply(Batch{Records: []Record{record("a", "5", 5), record("gone", "6", 6)}, Next: 7})
 	assert.Equal(t, []Record{record("a", "9", 9)}, n.All().Records)
-	assert.Equal(t, uint64(11), n.Next())
+	assert.Equal(t, uint64(11), n.Next().Offset)
+}
+
+func TestNumbersRiseAcrossErasThoughOffsetsGoBack(t *testing.T) {
+	last := uint64(0)
+	for _, p := range []Position{{0, 0}, {0, 9}, {1, 0}, {1, 3}, {2, 1}, {2, 2}, {5, 0}} {
+		assert.Greater(t, p.Number(), last)
+		last = p.Number()
+	}
+	assert.Less(t, Position{Era: 1 << 20, Offset: 1<<32 - 2}.Number(), uint64(1)<<53, "exact in JSON")
 }
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -179,6 +179,9 @@
 // RecordsAnswer holds the newest record of each key; it is empty if the asking
 // instance has read as far as the answering one.
 type RecordsAnswer struct {
+	// Era is the era of the log in which it has read so far.
+	Era uint64 `json:"Era,omitempty" yaml:"Era,omitempty" cbor:"Era,omitempty"`
+
 	// IsFresh is true if the answering instance reads the log itself and did so
 	// successfully a short time ago.
 	IsFresh bool `json:"IsFresh,omitempty" yaml:"IsFresh,omitempty" cbor:"IsFresh,omitempty"`
@@ -193,6 +196,9 @@
 // RecordsCall asks an instance that has read further in a topic for the newest
 // records.
 type RecordsCall struct {
+	// Era is the era of the log in which it has read so far.
+	Era uint64 `json:"Era,omitempty" yaml:"Era,omitempty" cbor:"Era,omitempty"`
+
 	// From is the offset up to which the sender has read.
 	From uint64 `json:"From" yaml:"From" cbor:"From"`
 
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -14,6 +14,7 @@
 const (
 	storeCalls      = "Calls"
 	storeOutages    = "Lost"
+	storeWentBack   = "WentBack"
 	badEntry        = "BadEntry"
 	badConfig       = "BadConfig"
 	connectionsMade = "ConnectionsMade"
@@ -42,7 +43,7 @@
 	}
 	return counters{
 		gateway:      s.Group("Gateway", names...),
-		store:        s.Group("Store", storeCalls, storeOutages, badEntry, badConfig),
+		store:        s.Group("Store", storeCalls, storeOutages, storeWentBack, badEntry, badConfig),
 		endpoints:    s.Group("Endpoints", connectionsMade, reportsFailed, endpointLeaving, endpointResting),
 		reservations: s.Group("Places", tlbooking.CounterNames...),
 		peers:        s.Group("Peers", tlpeer.CounterNames...),
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -41,11 +42,11 @@
 		Read: func(ctx context.Context, from uint64, wait time.Duration) (tlkeyed.Batch, error) {
 			return i.store.Read(ctx, topic, from, wait)
 		},
-		AskPeer: func(ctx context.Context, from uint64) (tlkeyed.Batch, bool) {
+		AskPeer: func(ctx context.Context, from tlkeyed.Position) (tlkeyed.Batch, bool) {
 			return i.recordsFromPeers(ctx, topic, from)
 		},
 		IsReader: i.isReader,
-		AskReader: func(ctx context.Context, from uint64) (tlkeyed.Batch, bool) {
+		AskReader: func(ctx context.Context, from tlkeyed.Position) (tlkeyed.Batch, bool) {
 			return i.recordsFromReader(ctx, topic, from)
 		},
 		AskEvery:    readerQueryInterval,
@@ -53,8 +54,11 @@
 		Wait:        wait,
 		Every:       every,
 		Timeout:     storeTimeout,
-		Reset:       reset,
-		Apply:       apply,
+		OnEra: func(before, after uint64, known, read []tlkeyed.Record) []tlkeyed.Record {
+			return i.onEra(topic, before, after, known, read)
+		},
+		Reset: reset,
+		Apply: apply,
 		OnLost: func(err error) {
 			i.counters.store.Count(storeOutages)
 			i.log.WithFields(logrus.Fields{"Topic": topic, "Cause": err.Error()}).Warn("store lost")
@@ -104,10 +108,17 @@
 	list *tlendpoint.List
 	// isLoaded reports whether the entries have been read; until then an empty list does not mean that there are no endpoints.
 	isLoaded bool
+	// wentBack is when the store last went back, in Unix nanoseconds.
+	wentBack *atomic.Int64
 }
 
 func newEndpointEntries() endpointEntries {
-	return endpointEntries{mu: &sync.Mutex{}, list: tlendpoint.NewList()}
+	return endpointEntries{mu: &sync.Mutex{}, list: tlendpoint.NewList(), wentBack: &atomic.Int64{}}
+}
+
+// wentBackAt returns when the store last went back; long ago if it never did.
+func (e *endpointEntries) wentBackAt() time.Time {
+	return time.Unix(0, e.wentBack.Load())
 }
 
 func (e *endpointEntries) all() ([]tlendpoint.Endpoint, bool) {
@@ -162,6 +173,9 @@
 // renew their entries then. Where the store answered another instance meanwhile,
 // an endpoint whose entry disappeared has left.
 func (i *Instance) keepUntil() time.Time {
+	if back := i.endpoints.wentBackAt(); time.Since(back) < tlendpoint.OutageGrace {
+		return back.Add(tlendpoint.OutageGrace)
+	}
 	failed := i.followers[platform.TopicEndpoints].FailedAt()
 	until := failed.Add(storeRecoveryDelay + tlendpoint.OutageGrace)
 	served := time.Unix(0, i.peerReachedStoreAt.Load())
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -52,9 +52,9 @@
 	}
 	isLost := false
 	for ctx.Err() == nil {
-		offset, err := i.appendEntry(ctx, i.settings.Name, e)
+		p, err := i.appendEntry(ctx, i.settings.Name, e)
 		if err == nil {
-			return incarnationOf(offset), nil
+			return p.Number(), nil
 		}
 		if !isLost {
 			isLost = true
@@ -66,13 +66,13 @@
 	return 0, ctx.Err()
 }
 
-// incarnationOf returns the incarnation of an instance whose entry is at an offset; 0 stands for none.
-func incarnationOf(offset uint64) uint64 {
-	return offset + 1
+// incarnationOf returns the incarnation of an instance whose entry is a record; 0 stands for none.
+func incarnationOf(r tlkeyed.Record) uint64 {
+	return tlkeyed.Position{Era: r.Era, Offset: r.Offset}.Number()
 }
 
-// appendEntry appends an instance's entry, or a tombstone if e is nil, and returns its offset.
-func (i *Instance) appendEntry(ctx context.Context, name string, e []byte) (uint64, error) {
+// appendEntry appends an instance's entry, or a tombstone if e is nil, and returns its position.
+func (i *Instance) appendEntry(ctx context.Context, name string, e []byte) (tlkeyed.Position, error) {
 	ctx, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
 	return i.store.AppendKey(ctx, platform.TopicInstances, name, e)
@@ -117,15 +117,12 @@
 			i.reregister(r)
 			continue
 		}
-		e, err := tlcodec.Decode[tlwire.Instance](r.Value)
+		e, err := decodeInstance(r)
 		if err != nil || e.Name != r.Key {
 			i.counters.store.Count(badEntry)
 			i.log.WithFields(logrus.Fields{"Key": r.Key, "Offset": r.Offset}).Warn("instance entry ignored: cannot be decoded or its name differs from its key")
 			continue
 		}
-		if e.Incarnation == 0 {
-			e.Incarnation = incarnationOf(r.Offset)
-		}
 		i.instances.byName[r.Key] = e
 	}
 	l := tlwire.InstanceList{Instances: make([]tlwire.Instance, 0, len(i.instances.byName))}
@@ -139,7 +136,7 @@
 
 // reregister registers this instance again if another one, taking it for gone, dropped its entry.
 func (i *Instance) reregister(r tlkeyed.Record) {
-	if r.Key != i.settings.Name || i.draining.Load() || incarnationOf(r.Offset) < i.self.Incarnation {
+	if r.Key != i.settings.Name || i.draining.Load() || incarnationOf(r) < i.self.Incarnation {
 		return
 	}
 	i.log.WithField("Offset", r.Offset).Warn("own entry was dropped; registering again")
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -26,7 +26,7 @@
 			Newest: func(ctx context.Context) (tlkeyed.Batch, error) {
 				return i.store.Newest(ctx, platform.TopicFences)
 			},
-			Append: func(ctx context.Context, service string, holder []byte, at uint64) (uint64, error) {
+			Append: func(ctx context.Context, service string, holder []byte, at uint64) (tlkeyed.Position, error) {
 				return i.store.AppendKeyAt(ctx, platform.TopicFences, service, holder, at)
 			},
 		},
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -52,8 +52,8 @@
 	}
 	a.IsFresh = f.IsFresh()
 	b := f.Snapshot()
-	a.Next = b.Next
-	if b.Next <= c.From {
+	a.Next, a.Era = b.Next, b.Era
+	if b.Position().Compare(tlkeyed.Position{Era: c.Era, Offset: c.From}) <= 0 {
 		return a
 	}
 	for _, r := range b.Records {
@@ -87,6 +87,18 @@
 		if i.newestPeerVersion.Load() > i.version() {
 			i.followers[platform.TopicConfig].CatchUp(ctx)
 		}
+		if i.newestPeerVersion.Load() > i.version() {
+			i.takeConfigFromPeers(ctx)
+		}
+	}
+}
+
+// takeConfigFromPeers puts a newer configuration in force that another instance holds,
+// though it has read no further: after the store went back, it shows an older one
+// until the operator writes again.
+func (i *Instance) takeConfigFromPeers(ctx context.Context) {
+	if b, ok := i.recordsFromPeers(ctx, platform.TopicConfig, tlkeyed.Position{}); ok {
+		i.applyConfig(b.Records)
 	}
 }
 
@@ -106,9 +118,9 @@
 	return i.gossip.Largest(readStorePurpose, n)
 }
 
-// recordsFromReader returns what a reader has read of a topic beyond an offset,
+// recordsFromReader returns what a reader has read of a topic beyond a position,
 // which may be nothing; false if no reader that was asked reaches the store.
-func (i *Instance) recordsFromReader(ctx context.Context, topic string, from uint64) (tlkeyed.Batch, bool) {
+func (i *Instance) recordsFromReader(ctx context.Context, topic string, from tlkeyed.Position) (tlkeyed.Batch, bool) {
 	list := i.readers()
 	if len(list) == 0 {
 		return tlkeyed.Batch{}, false
@@ -116,17 +128,17 @@
 	first := rand.IntN(len(list))
 	for k := range min(maxPeersAsked, len(list)) {
 		m := list[(first+k)%len(list)]
-		a, err := i.callPeerForRecords(ctx, m.Name, tlwire.RecordsCall{Topic: topic, From: from})
-		if err == nil && a.IsFresh && a.Next >= from {
+		a, err := i.callPeerForRecords(ctx, m.Name, tlwire.RecordsCall{Topic: topic, From: from.Offset, Era: from.Era})
+		if err == nil && a.IsFresh && batchOf(a).Position().Compare(from) >= 0 {
 			return batchOf(a), true
 		}
 	}
 	return tlkeyed.Batch{}, false
 }
 
-// recordsFromPeers returns what another instance has read of a topic beyond an
-// offset; false if none that was asked has read further.
-func (i *Instance) recordsFromPeers(ctx context.Context, topic string, from uint64) (tlkeyed.Batch, bool) {
+// recordsFromPeers returns what another instance has read of a topic beyond a
+// position; false if none that was asked has read further.
+func (i *Instance) recordsFromPeers(ctx context.Context, topic string, from tlkeyed.Position) (tlkeyed.Batch, bool) {
 	// The list that Live returns is shared, so shuffle a copy.
 	live := slices.Clone(i.gossip.Live())
 	rand.Shuffle(len(live), func(a, b int) { live[a], live[b] = live[b], live[a] })
@@ -136,14 +148,14 @@
 			continue
 		}
 		asked++
-		a, err := i.callPeerForRecords(ctx, m.Name, tlwire.RecordsCall{Topic: topic, From: from})
+		a, err := i.callPeerForRecords(ctx, m.Name, tlwire.RecordsCall{Topic: topic, From: from.Offset, Era: from.Era})
 		if err == nil && a.IsFresh {
 			i.peerReachedStoreAt.Store(time.Now().UnixNano())
 		}
-		if err != nil || a.Next <= from {
+		if err != nil || batchOf(a).Position().Compare(from) <= 0 {
 			continue
 		}
-		i.log.WithFields(logrus.Fields{"Topic": topic, "From": from, "Next": a.Next, "Peer": m.Name}).Info("records taken from another instance")
+		i.log.WithFields(logrus.Fields{"Topic": topic, "From": from.Offset, "Next": a.Next, "Era": a.Era, "Peer": m.Name}).Info("records taken from another instance")
 		return batchOf(a), true
 	}
 	return tlkeyed.Batch{}, false
@@ -156,9 +168,9 @@
 }
 
 func batchOf(a tlwire.RecordsAnswer) tlkeyed.Batch {
-	b := tlkeyed.Batch{Next: a.Next, End: a.Next}
+	b := tlkeyed.Batch{Next: a.Next, End: a.Next, Era: a.Era}
 	for _, r := range a.Records {
-		b.Records = append(b.Records, tlkeyed.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		b.Records = append(b.Records, tlkeyed.Record{Key: r.Key, Value: r.Value, Offset: r.Offset, Era: a.Era})
 	}
 	return b
 }
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -33,8 +33,8 @@
 
 // TopicStatus tells how far a topic was read.
 type TopicStatus struct {
-	// Next is the offset of the next record to read.
-	Next uint64
+	// Next is the offset of the next record to read, in an era of the store.
+	Next, Era uint64
 	// AgeMs is the time since the store, or a reader of it, last answered, in milliseconds.
 	AgeMs int64
 }
@@ -72,7 +72,8 @@
 }
 
 func topicStatus(f *tlfollow.Follower) TopicStatus {
-	return TopicStatus{Next: f.Snapshot().Next, AgeMs: time.Since(f.AnsweredAt()).Milliseconds()}
+	p := f.Snapshot().Position()
+	return TopicStatus{Next: p.Offset, Era: p.Era, AgeMs: time.Since(f.AnsweredAt()).Milliseconds()}
 }
 
 func (i *Instance) serveStatus(w http.ResponseWriter, _ *http.Request) {
--- a/io/tlfollow/follower.go
+++ b/io/tlfollow/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,9 @@
 	maxRetryDelay = 600 * time.Millisecond
 )
 
+// errStaleEra means that an answer was given before the log went back.
+var errStaleEra = errors.New("the answer is of an earlier era of the log")
+
 // Options configures a follower; all functions are required.
 type Options struct {
 	// Newest returns the newest record of each key.
@@ -27,14 +31,14 @@
 	// Read returns the records from an offset on, waiting at most the given time for the first one.
 	Read func(ctx context.Context, from uint64, wait time.Duration) (tlkeyed.Batch, error)
 	// AskPeer returns the newest record of each key from another instance that
-	// has read beyond an offset; false if none has.
-	AskPeer func(ctx context.Context, from uint64) (tlkeyed.Batch, bool)
+	// has read beyond a position; false if none has.
+	AskPeer func(ctx context.Context, from tlkeyed.Position) (tlkeyed.Batch, bool)
 	// IsReader says whether this instance reads the log for others. Instances that
 	// are not readers ask one, and read the log only if no reader reaches it.
 	IsReader func() bool
-	// AskReader returns what a reader has read beyond an offset, which may be
+	// AskReader returns what a reader has read beyond a position, which may be
 	// nothing; false if no reader reaches the log.
-	AskReader func(ctx context.Context, from uint64) (tlkeyed.Batch, bool)
+	AskReader func(ctx context.Context, from tlkeyed.Position) (tlkeyed.Batch, bool)
 	// IsCompacted says whether an error of Read means that the records were deleted.
 	IsCompacted func(error) bool
 	// Wait is how long a read waits for records; 0 means that it does not wait.
@@ -45,6 +49,9 @@
 	AskEvery time.Duration
 	// Timeout bounds a call, in addition to its wait.
 	Timeout time.Duration
+	// OnEra is called when the log has gone back, with the eras before and after, what
+	// was known and what was read; it returns what to know from now on.
+	OnEra func(before, after uint64, known, read []tlkeyed.Record) []tlkeyed.Record
 	// Reset receives the newest record of each key, which replaces everything known.
 	Reset func([]tlkeyed.Record)
 	// Apply receives later records.
@@ -120,7 +127,7 @@
 	return f.loaded
 }
 
-func (f *Follower) next() uint64 {
+func (f *Follower) next() tlkeyed.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.table.Next()
@@ -151,13 +158,21 @@
 	if !f.o.IsReader() && f.askReader(ctx) {
 		return nil
 	}
-	b, err := f.o.Read(ctx, f.next(), f.o.Wait)
+	next := f.next()
+	b, err := f.o.Read(ctx, next.Offset, f.o.Wait)
 	if err != nil && f.o.IsCompacted(err) {
 		return f.reset(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	switch {
+	case b.Era < next.Era:
+		return errStaleEra
+	case b.Era > next.Era:
+		// The records at these offsets are not those that follow the ones known here.
+		return f.reset(ctx)
+	}
 	f.mu.Lock()
 	f.table.Apply(b)
 	f.mu.Unlock()
@@ -172,6 +187,9 @@
 	if err != nil {
 		return err
 	}
+	if b.Era < f.next().Era {
+		return errStaleEra
+	}
 	f.adopt(b)
 	return nil
 }
@@ -197,13 +215,20 @@
 
 // adoptIfAhead adopts what another instance has read, unless this one has read as far meanwhile.
 func (f *Follower) adoptIfAhead(b tlkeyed.Batch) {
-	if b.Next > f.next() {
+	if b.Position().Compare(f.next()) > 0 {
 		f.adopt(b)
 	}
 }
 
 // adopt replaces everything known by the newest record of each key.
 func (f *Follower) adopt(b tlkeyed.Batch) {
+	f.mu.Lock()
+	known := f.table.All()
+	wentBack := f.loaded && b.Era > known.Era
+	f.mu.Unlock()
+	if wentBack {
+		b.Records = f.o.OnEra(known.Era, b.Era, known.Records, b.Records)
+	}
 	f.mu.Lock()
 	f.table.Reset(b)
 	f.loaded = true
--- a/io/tlfollow/follower_test.go
+++ b/io/tlfollow/follower_test.go
@@ -23,12 +23,15 @@
 	newest   tlkeyed.Batch
 	read     tlkeyed.Batch
 	err      error
+	// errOnce limits err to one read.
+	errOnce  bool
 	fresh    tlkeyed.Batch
 	hasFresh bool
 	isReader bool
 	reads    int
 	resets   [][]tlkeyed.Record
 	applied  []tlkeyed.Record
+	eras     [][2]uint64
 	lost     int
 	regained int
 }
@@ -50,11 +53,19 @@
 		Newest: func(context.Context) (tlkeyed.Batch, error) { return s.newest, s.err },
 		Read: func(context.Context, uint64, time.Duration) (tlkeyed.Batch, error) {
 			s.reads++
-			return s.read, s.err
+			err := s.err
+			if s.errOnce {
+				s.err = nil
+			}
+			return s.read, err
+		},
+		AskPeer:   func(context.Context, tlkeyed.Position) (tlkeyed.Batch, bool) { return s.fresh, s.hasFresh },
+		IsReader:  func() bool { return s.isReader },
+		AskReader: func(context.Context, tlkeyed.Position) (tlkeyed.Batch, bool) { return s.fresh, s.hasFresh },
+		OnEra: func(before, after uint64, _, read []tlkeyed.Record) []tlkeyed.Record {
+			s.eras = append(s.eras, [2]uint64{before, after})
+			return read
 		},
-		AskPeer:     func(context.Context, uint64) (tlkeyed.Batch, bool) { return s.fresh, s.hasFresh },
-		IsReader:    func() bool { return s.isReader },
-		AskReader:   func(context.Context, uint64) (tlkeyed.Batch, bool) { return s.fresh, s.hasFresh },
 		IsCompacted: func(err error) bool { return errors.Is(err, errCompacted) },
 		Every:       time.Second,
 		AskEvery:    2 * time.Second,
@@ -81,7 +92,7 @@
 	s.read = batch(5, "b", "c")
 	s.step(t, f)
 	assert.Len(t, s.applied, 2)
-	assert.Equal(t, uint64(5), f.next())
+	assert.Equal(t, uint64(5), f.next().Offset)
 	s.read = batch(5)
 	s.step(t, f)
 	assert.Len(t, s.applied, 2)
@@ -101,7 +112,7 @@
 	}
 	s.step(t, f)
 	require.Len(t, s.resets, 2)
-	assert.Equal(t, uint64(9), f.next())
+	assert.Equal(t, uint64(9), f.next().Offset)
 	assert.Len(t, f.Snapshot().Records, 1)
 }
 
@@ -130,7 +141,7 @@
 	s.isReader, s.hasFresh, s.fresh = false, true, batch(7, "d")
 	assert.Equal(t, 2*time.Second, s.step(t, f))
 	assert.Zero(t, s.reads)
-	assert.Equal(t, uint64(7), f.next())
+	assert.Equal(t, uint64(7), f.next().Offset)
 	assert.False(t, f.IsFresh(), "an instance that is not a reader does not vouch for the log to others")
 	s.hasFresh = false
 	s.read = batch(8, "e")
@@ -146,3 +157,60 @@
 	s.now = s.now.Add(freshFor)
 	assert.False(t, f.IsFresh())
 }
+
+// inEra returns a batch as it was read in an era.
+func inEra(era uint64, b tlkeyed.Batch) tlkeyed.Batch {
+	b.Era = era
+	return b
+}
+
+func TestLogThatWentBackIsReadAnew(t *testing.T) {
+	cases := []struct {
+		name string
+		// answer sets what the log or a reader answers after the newest records of era 1 up to 3.
+		answer func(s *fakeLog)
+		eras   int
+		next   tlkeyed.Position
+	}{
+		{"1 the offset is gone", func(s *fakeLog) {
+			s.newest = inEra(2, batch(1, "b"))
+			s.err = errCompacted
+			s.errOnce = true
+		}, 1, tlkeyed.Position{Era: 2, Offset: 1}},
+		{"2 other records are at the offset by now", func(s *fakeLog) {
+			s.read, s.newest = inEra(2, batch(5, "c")), inEra(2, batch(5, "b", "c"))
+		}, 1, tlkeyed.Position{Era: 2, Offset: 5}},
+		{"3 twice in between", func(s *fakeLog) {
+			s.read, s.newest = inEra(3, batch(4)), inEra(3, batch(4, "b"))
+		}, 1, tlkeyed.Position{Era: 3, Offset: 4}},
+		{"4 an answer of the era before comes late", func(s *fakeLog) {
+			s.read = inEra(0, batch(9, "late"))
+		}, 0, tlkeyed.Position{Era: 1, Offset: 3}},
+		{"5 a reader is in the new era, at a lower offset", func(s *fakeLog) {
+			s.isReader, s.hasFresh, s.fresh = false, true, inEra(2, batch(1, "b"))
+		}, 1, tlkeyed.Position{Era: 2, Offset: 1}},
+		{"6 a reader is still in the era before, at a higher offset", func(s *fakeLog) {
+			s.isReader, s.hasFresh, s.fresh = false, true, inEra(0, batch(9, "old"))
+		}, 0, tlkeyed.Position{Era: 1, Offset: 3}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFakeLog()
+			s.newest = inEra(1, batch(3, "a"))
+			f := s.follower()
+			require.NoError(t, f.step(t.Context()))
+			c.answer(s)
+			_ = f.step(t.Context())
+			assert.Len(t, s.eras, c.eras)
+			assert.Equal(t, c.next, f.next())
+			assert.Empty(t, s.applied, "no record of one era follows those of another")
+		})
+	}
+}
+
+func TestFirstReadIsNoChangeOfEra(t *testing.T) {
+	s := newFakeLog()
+	s.newest = inEra(7, batch(3, "a"))
+	require.NoError(t, s.follower().step(t.Context()))
+	assert.Empty(t, s.eras)
+}
--- a/io/tlorder/controller_test.go
+++ b/io/tlorder/controller_test.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex
 	now     time.Time
 	records []tlkeyed.Record
+	era     uint64
 	orders  []sentOrder
 	onLoad  func()
 }
@@ -45,20 +46,20 @@
 		Newest: func(context.Context) (tlkeyed.Batch, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			b := tlkeyed.Batch{End: uint64(len(w.records))}
+			b := tlkeyed.Batch{End: uint64(len(w.records)), Era: w.era}
 			if n := len(w.records); n > 0 {
 				b.Records = w.records[n-1:]
 			}
 			return b, nil
 		},
-		Append: func(_ context.Context, service string, holder []byte, at uint64) (uint64, error) {
+		Append: func(_ context.Context, service string, holder []byte, at uint64) (tlkeyed.Position, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if at != uint64(len(w.records)) {
-				return 0, errConflict
+				return tlkeyed.Position{}, errConflict
 			}
 			w.records = append(w.records, tlkeyed.Record{Key: service, Value: holder, Offset: at})
-			return at, nil
+			return tlkeyed.Position{Era: w.era, Offset: at}, nil
 		},
 	}
 }
@@ -199,3 +200,68 @@
 	o.plan(context.Background(), "s")
 	assert.Len(t, w.orders, 1, "the engine counts for the role that it will have")
 }
+
+// goBack restores the log from a copy with so many records.
+func (w *testbed) goBack(records int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.records = w.records[:records:records]
+	w.era++
+}
+
+// A log that went back gives out offsets again and has lost the record of whoever may
+// still give orders.
+func TestNoFencingNumberIsGivenTwiceWhenTheLogGoesBack(t *testing.T) {
+	cases := []struct {
+		name string
+		// sees says that the next holder has seen the era before.
+		sees bool
+		kept int
+	}{
+		{"1 the next holder has seen the record that is lost", true, 0},
+		{"2 the next holder has seen nothing before", false, 0},
+		{"3 an older record of the former holder is left", true, 1},
+		{"4 the same, and the next holder has seen nothing before", false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestbed()
+			w.era = 1
+			a, b := w.controller("a"), w.controller("b")
+			w.settle(a)
+			w.settle(b)
+			a.plan(t.Context(), "s")
+			w.advance(orderExpiry)
+			a.plan(t.Context(), "s")
+			require.Len(t, w.orders, 2)
+			if c.sees {
+				_, err := b.fence.acquire(t.Context(), "s")
+				require.ErrorIs(t, err, errHeld)
+			}
+			w.goBack(c.kept)
+			for range 200 {
+				b.plan(t.Context(), "s")
+				w.advance(100 * time.Millisecond)
+			}
+			require.Greater(t, len(w.orders), 2)
+			next := w.orders[2]
+			assert.Equal(t, "b", next.holder)
+			assert.Greater(t, next.fence, w.orders[1].fence)
+			assert.Greater(t, next.at.Sub(w.orders[1].at), 3*time.Second+batchMaxAge)
+		})
+	}
+}
+
+// A record that was appended after the log went back says nothing on who held the lease before.
+func TestNoFencingNumberWhereTheLogGoesBackBeforeTheAppend(t *testing.T) {
+	w := newTestbed()
+	w.era = 1
+	o := w.controller("a")
+	log := o.fence.log
+	o.fence.log.Append = func(ctx context.Context, service string, holder []byte, at uint64) (tlkeyed.Position, error) {
+		w.goBack(int(at))
+		return log.Append(ctx, service, holder, at)
+	}
+	_, err := o.fence.acquire(t.Context(), "s")
+	assert.ErrorIs(t, err, errWentBack)
+}
