Spread requests over engines where instances decide without a home

Half of a large idle surplus of prefill engines moves at a time. The queue holds pointers, and what does not depend on a request is worked out once a tick.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -15,7 +15,7 @@
 	engines  map[string]*engine
 	order    []*engine
 	bookings map[string]*Booking
-	waiting  []Request
+	waiting  []*Request
 	stalls   stallTracker
 	// rates holds what the requests served so far have shown of the engines.
 	rates       tlrate.Rates
@@ -25,8 +25,9 @@
 	lateShare tlshare.Share
 	// hopelessChecked is when the queue was last checked for requests without a chance.
 	hopelessChecked time.Time
-	// readDelay is the time until the next prompt can be read, as of the last Tick.
-	readDelay time.Duration
+	// readDelay is the time until the next prompt can be read, and firstDelay that from
+	// there to its first event, as of the last Tick.
+	readDelay, firstDelay time.Duration
 	// earliestExpiry is the earliest time at which a booking may expire; the booking
 	// that it was noted for may have ended since.
 	earliestExpiry time.Time
@@ -84,10 +85,10 @@
 	b.Withdraw(now, r.ID)
 	b.lastRequest = now
 	r.arrived = now
-	if d, refused := b.refuseEarly(now, r); refused {
+	if d, refused := b.refuseEarly(now, &r); refused {
 		return []Decision{d}
 	}
-	b.waiting = append(b.waiting, r)
+	b.waiting = append(b.waiting, &r)
 	return b.Tick(now)
 }
 
@@ -95,7 +96,7 @@
 func (b *Book) Enqueue(now time.Time, r Request) {
 	b.Withdraw(now, r.ID)
 	r.arrived = now
-	b.waiting = append(b.waiting, r)
+	b.waiting = append(b.waiting, &r)
 }
 
 // Withdraw removes a request, queued or booked, whose caller is gone.
@@ -259,7 +260,7 @@
 // Follow adds the booking that another home has just made for a request, so that its
 // progress is measured here too.
 func (b *Book) Follow(now time.Time, r Request, d Decision) {
-	b.measureRequest(r)
+	b.measureRequest(&r)
 	b.Adopt(now, Booking{
 		Request:    r.ID,
 		Owner:      r.Owner,
@@ -283,9 +284,9 @@
 
 // measureRequest takes in the size of a request, as it was asked for: those that have
 // ended would show the shortest first.
-func (b *Book) measureRequest(r Request) {
+func (b *Book) measureRequest(r *Request) {
 	b.rates.Prompt.Add(float64(r.Prompt))
-	share := max(float64(r.tokens(b.o))/float64(b.o.Memory), 1/float64(max(b.o.Slots, 1)))
+	share := max(float64(r.tokens(&b.o))/float64(b.o.Memory), 1/float64(max(b.o.Slots, 1)))
 	b.rates.Load.Add(share * float64(r.Output))
 }
 
--- a/core/tlplace/choose.go
+++ b/core/tlplace/choose.go
@@ -1,6 +1,7 @@
 package tlplace
 
 import (
+	"slices"
 	"time"
 
 	"trefoillanding/core/tlendpoint"
@@ -13,25 +14,39 @@
 	reusesPrefill bool
 }
 
-// usable returns the engines of a role that a request may be sent to now.
-func (b *Book) usable(now time.Time, r Request, role tlendpoint.Role) []*engine {
+// usable returns the engines of a role that a request may be sent to now, from a random
+// one on: where all instances decide by themselves, since their home is gone, those
+// with equal books must not choose the same engines.
+func (b *Book) usable(now time.Time, r *Request, role tlendpoint.Role) []*engine {
 	var list []*engine
 	for _, e := range b.order {
 		if e.Role == role && e.isUsable(now) && !r.avoids(e.ID) {
 			list = append(list, e)
 		}
 	}
+	return b.rotate(list)
+}
+
+// rotate moves a random number of engines from the beginning of a list to its end.
+func (b *Book) rotate(list []*engine) []*engine {
+	if len(list) < 2 {
+		return list
+	}
+	n := b.random.IntN(len(list))
+	slices.Reverse(list[:n])
+	slices.Reverse(list[n:])
+	slices.Reverse(list)
 	return list
 }
 
 // choose returns engines that have room for a request now, if there are any.
-func (b *Book) choose(now time.Time, r Request) (choice, bool) {
+func (b *Book) choose(now time.Time, r *Request) (choice, bool) {
 	var free []*engine
 	for _, e := range b.usable(now, r, tlendpoint.Decode) {
 		if e.reservedFor != "" && e.reservedFor != r.ID {
 			continue
 		}
-		if e.fits(r.tokens(b.o), b.o) {
+		if e.fits(r.tokens(&b.o), b.o) {
 			free = append(free, e)
 		}
 	}
@@ -54,7 +69,7 @@
 
 // preferOwnersDataCentre returns the free engines in the owner's data centre while
 // answers stall between data centres; all of them otherwise, or where none is there.
-func (b *Book) preferOwnersDataCentre(now time.Time, r Request, free []*engine) []*engine {
+func (b *Book) preferOwnersDataCentre(now time.Time, r *Request, free []*engine) []*engine {
 	if !b.stalls.isStalling(now) {
 		return free
 	}
@@ -71,7 +86,7 @@
 }
 
 // nextPrefillEngine returns the prefill engine that is free first, or nil if none is free within DispatchAhead.
-func (b *Book) nextPrefillEngine(now time.Time, r Request, free []*engine) *engine {
+func (b *Book) nextPrefillEngine(now time.Time, r *Request, free []*engine) *engine {
 	var best *engine
 	for _, e := range b.usable(now, r, tlendpoint.Prefill) {
 		if !b.mayDispatch(now, e) {
--- a/core/tlplace/direct.go
+++ b/core/tlplace/direct.go
@@ -21,7 +21,7 @@
 // no answers reads it where the wait would be long. One with answers reads it
 // only where the request would be late otherwise, and the pause stays within the gap
 // that the answers are allowed.
-func (b *Book) directEngine(now time.Time, r Request, free []*engine) *engine {
+func (b *Book) directEngine(now time.Time, r *Request, free []*engine) *engine {
 	wait, ok := b.prefillWait(now, r)
 	if !ok {
 		return emptiest(b.directCandidates(now, free, func(*engine) bool { return true }), anyDataCentre)
@@ -59,7 +59,7 @@
 
 // prefillWait returns how long a request would wait for a prefill engine, behind
 // those queued before it; false where there is no prefill engine.
-func (b *Book) prefillWait(now time.Time, r Request) (time.Duration, bool) {
+func (b *Book) prefillWait(now time.Time, r *Request) (time.Duration, bool) {
 	readers := b.usable(now, r, tlendpoint.Prefill)
 	if len(readers) == 0 {
 		return 0, false
--- a/core/tlplace/hopeless.go
+++ b/core/tlplace/hopeless.go
@@ -38,13 +38,13 @@
 	var refused []Decision
 	keep := b.waiting[:0]
 	for _, r := range b.waiting {
-		u.take(r.tokens(b.o))
+		u.take(r.tokens(&b.o))
 		wait := time.Duration(u.missingShare() * float64(turnover))
 		if r.HasBegun || b.lateness(now, r) == 0 || b.startsInTime(now, r, wait, spare) {
 			keep = append(keep, r)
 			continue
 		}
-		u.giveBack(r.tokens(b.o))
+		u.giveBack(r.tokens(&b.o))
 		refused = append(refused, b.refusal(now, r, WaitTooLong, returnAfter(wait, spare)))
 	}
 	b.waiting = keep
@@ -66,7 +66,7 @@
 
 // startsInTime reports whether a late request may start in time, given how long the
 // room ahead of it takes and the share of that room which late requests get.
-func (b *Book) startsInTime(now time.Time, r Request, wait time.Duration, spare float64) bool {
+func (b *Book) startsInTime(now time.Time, r *Request, wait time.Duration, spare float64) bool {
 	if wait <= 0 {
 		return true
 	}
@@ -91,7 +91,7 @@
 func (b *Book) smallestQueued() int {
 	smallest := 0
 	for _, r := range b.waiting {
-		if n := r.tokens(b.o); smallest == 0 || n < smallest {
+		if n := r.tokens(&b.o); smallest == 0 || n < smallest {
 			smallest = n
 		}
 	}
--- a/core/tlplace/refuse.go
+++ b/core/tlplace/refuse.go
@@ -16,8 +16,8 @@
 )
 
 // refuseImpossible refuses a request that no engine could ever run.
-func (b *Book) refuseImpossible(now time.Time, r Request) (Decision, bool) {
-	if r.tokens(b.o) > b.o.bookable() {
+func (b *Book) refuseImpossible(now time.Time, r *Request) (Decision, bool) {
+	if r.tokens(&b.o) > b.o.bookable() {
 		return b.refusal(now, r, TooLarge, maxRetryAfter), true
 	}
 	if !b.hasDecoder() {
@@ -27,14 +27,14 @@
 }
 
 // refuseEarly refuses a request on arrival if memory is not expected to be free before its latest start.
-func (b *Book) refuseEarly(now time.Time, r Request) (Decision, bool) {
+func (b *Book) refuseEarly(now time.Time, r *Request) (Decision, bool) {
 	if d, impossible := b.refuseImpossible(now, r); impossible {
 		return d, true
 	}
 	if len(b.waiting) == 0 {
 		return Decision{}, false
 	}
-	w, known := b.roomWait(r.tokens(b.o))
+	w, known := b.roomWait(r.tokens(&b.o))
 	if known && b.latestStart(r).Before(now.Add(w)) {
 		return b.refusal(now, r, WaitTooLong, w), true
 	}
@@ -44,7 +44,7 @@
 // latestStart returns the latest time to start a request so that its first event
 // comes before the caller gives up, and its last before the deadline; what is not
 // known of the engines counts as no time.
-func (b *Book) latestStart(r Request) time.Time {
+func (b *Book) latestStart(r *Request) time.Time {
 	read := b.prefillTime(r.Prompt, latestStartSlowness)
 	first := r.GiveUp.Add(-read - b.o.StartMargin)
 	if r.Deadline.IsZero() || r.HasBegun {
@@ -81,7 +81,7 @@
 func (b *Book) roomWait(tokens int) (time.Duration, bool) {
 	u := b.use(tokens)
 	for _, w := range b.waiting {
-		u.take(w.tokens(b.o))
+		u.take(w.tokens(&b.o))
 	}
 	u.take(tokens)
 	turnover, known := b.rates.Booking.Duration()
@@ -98,15 +98,15 @@
 }
 
 // returnTime returns when a refused caller may find room.
-func (b *Book) returnTime(r Request) time.Duration {
-	w, known := b.roomWait(r.tokens(b.o))
+func (b *Book) returnTime(r *Request) time.Duration {
+	w, known := b.roomWait(r.tokens(&b.o))
 	if !known {
 		return defaultRoomWait
 	}
 	return w
 }
 
-func (b *Book) refusal(now time.Time, r Request, why Reason, wait time.Duration) Decision {
+func (b *Book) refusal(now time.Time, r *Request, why Reason, wait time.Duration) Decision {
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	wait += time.Duration(b.o.RetryJitter * b.random.Float64() * float64(wait))
 	return Decision{
--- a/core/tlplace/request.go
+++ b/core/tlplace/request.go
@@ -41,12 +41,12 @@
 }
 
 // tokens returns the memory to book, in tokens, rounded up to whole blocks.
-func (r Request) tokens(o Options) int {
+func (r *Request) tokens(o *Options) int {
 	n := r.Prompt + int(o.OutputShare*float64(r.Output))
 	return (n + o.BlockSize - 1) / o.BlockSize * o.BlockSize
 }
 
-func (r Request) avoids(engine string) bool {
+func (r *Request) avoids(engine string) bool {
 	for _, a := range r.Avoid {
 		if a == engine {
 			return true
@@ -56,7 +56,7 @@
 }
 
 // startedOrder returns 0 for a request that has begun, which sorts before all others, and 1 for those.
-func (r Request) startedOrder() int {
+func (r *Request) startedOrder() int {
 	if r.HasBegun {
 		return 0
 	}
@@ -64,6 +64,6 @@
 }
 
 // isPrefillKept reports whether a finished prefill of the prompt is still kept.
-func (r Request) isPrefillKept(now time.Time) bool {
+func (r *Request) isPrefillKept(now time.Time) bool {
 	return now.Before(r.PrefillKeptUntil)
 }
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -20,7 +20,7 @@
 	if !b.canDecideAny(now, room) {
 		return b.refuseHopeless(now)
 	}
-	b.readDelay = b.nextReadDelay(now)
+	b.readDelay, b.firstDelay = b.nextReadDelay(now), b.firstEventDelay()
 	b.sortWaiting(now)
 	b.reserveForFirst(now)
 	hasLate := b.lateness(now, b.waiting[len(b.waiting)-1]) == 1
@@ -61,7 +61,7 @@
 		return true
 	}
 	for _, r := range b.waiting {
-		if r.tokens(b.o) <= room || now.After(b.latestStart(r)) {
+		if r.tokens(&b.o) <= room || now.After(b.latestStart(r)) {
 			return true
 		}
 	}
@@ -93,7 +93,7 @@
 
 // sortWaiting puts requests that have begun first, then those that can still be on time, then by rank and due time.
 func (b *Book) sortWaiting(now time.Time) {
-	slices.SortStableFunc(b.waiting, func(x, y Request) int {
+	slices.SortStableFunc(b.waiting, func(x, y *Request) int {
 		return cmp.Or(
 			cmp.Compare(x.startedOrder(), y.startedOrder()),
 			cmp.Compare(b.lateness(now, x), b.lateness(now, y)),
@@ -119,8 +119,8 @@
 }
 
 // lateness returns 0 for a request that can still be on time and 1 for one that can't.
-func (b *Book) lateness(now time.Time, r Request) int {
-	if now.Add(b.readDelay + b.rates.PrefillTime(r.Prompt) + b.firstEventDelay()).After(r.Due) {
+func (b *Book) lateness(now time.Time, r *Request) int {
+	if now.Add(b.readDelay + b.rates.PrefillTime(r.Prompt) + b.firstDelay).After(r.Due) {
 		return 1
 	}
 	return 0
@@ -142,14 +142,14 @@
 }
 
 // decide places or refuses a request; room is the largest number of free tokens of any engine.
-func (b *Book) decide(now time.Time, r Request, room int) (Decision, bool) {
+func (b *Book) decide(now time.Time, r *Request, room int) (Decision, bool) {
 	if d, impossible := b.refuseImpossible(now, r); impossible {
 		return d, true
 	}
 	if now.After(b.latestStart(r)) {
 		return b.refusal(now, r, WaitTooLong, b.returnTime(r)), true
 	}
-	if r.tokens(b.o) > room {
+	if r.tokens(&b.o) > room {
 		return Decision{}, false
 	}
 	c, ok := b.choose(now, r)
@@ -159,12 +159,12 @@
 	return b.place(now, r, c), true
 }
 
-func (b *Book) place(now time.Time, r Request, c choice) Decision {
+func (b *Book) place(now time.Time, r *Request, c choice) Decision {
 	k := &Booking{
 		Request: r.ID,
 		Owner:   r.Owner,
 		Decode:  c.decode.ID,
-		Tokens:  r.tokens(b.o),
+		Tokens:  r.tokens(&b.o),
 
 		dataCentre: r.DataCentre,
 
--- a/core/tlplace/tick_test.go
+++ b/core/tlplace/tick_test.go
@@ -74,3 +74,33 @@
 		n++
 	}
 }
+
+// BenchmarkDecision measures one request that is served and one that takes its room, by
+// the number of engines, with as many queued requests.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range []int{20, 200, 1000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			k := newBook(size/5, size)
+			for n := range size {
+				k.Submit(start, longWaitingRequest(fmt.Sprint("r", n)))
+				k.Prefilled(start, fmt.Sprint("r", n))
+			}
+			for n := range size {
+				k.Submit(start, longWaitingRequest(fmt.Sprint("q", n)))
+			}
+			running := make([]string, 0, size)
+			for n := range size {
+				running = append(running, fmt.Sprint("r", n))
+			}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				k.Served(start, running[n%size])
+				for _, d := range k.Tick(start) {
+					running[n%size] = d.Request
+					k.Prefilled(start, d.Request)
+				}
+				k.Submit(start, longWaitingRequest(fmt.Sprint("m", n)))
+			}
+		})
+	}
+}
--- a/core/tlrole/plan.go
+++ b/core/tlrole/plan.go
@@ -99,6 +99,9 @@
 		return nil
 	case prefill > want && s.Waiting > 0 && s.PrefillUtilisation < o.IdleUtilisation:
 		return s.moves(1, tlendpoint.Prefill, tlendpoint.Decode)
+	case prefill >= want+o.Hysteresis && s.Waiting == 0 && s.PrefillUtilisation < o.IdleUtilisation:
+		// Half of a surplus that is idle: the work may have been measured on few requests.
+		return s.moves(max((prefill-want)/2, 1), tlendpoint.Prefill, tlendpoint.Decode)
 	case prefill >= want+o.Hysteresis && s.Waiting == 0:
 		return s.moves(1, tlendpoint.Prefill, tlendpoint.Decode)
 	case prefill+o.Hysteresis <= want && s.Waiting == 0 && decode > o.MinDecodeEngines:
--- a/core/tlrole/plan_test.go
+++ b/core/tlrole/plan_test.go
@@ -41,6 +41,8 @@
 		{"2 one at a time while no request waits", State{Engines: engines(7, 11), HasTraffic: true}, 1, tlendpoint.Decode},
 		{"2b none for a difference of one", State{Engines: engines(5, 13), HasTraffic: true}, 0, 0},
 		{"2c the whole surplus in the first plan", State{Engines: engines(7, 11), HasTraffic: true, IsFirst: true}, 3, tlendpoint.Decode},
+		{"2e half of a large surplus that is idle", State{Engines: engines(12, 6), HasTraffic: true}, 4, tlendpoint.Decode},
+		{"2f one of a large surplus that is busy", State{Engines: engines(12, 6), HasTraffic: true, PrefillUtilisation: 0.9}, 1, tlendpoint.Decode},
 		{"2d none in the first plan while requests wait and prefill engines are busy", State{Engines: engines(7, 11), HasTraffic: true, IsFirst: true, Waiting: 1, PrefillUtilisation: 0.9}, 0, 0},
 		{"3 none within the move interval", State{Engines: engines(7, 11), HasTraffic: true, SinceMove: time.Second}, 0, 0},
 		{"4 no busy prefill engine while requests wait", State{Engines: engines(7, 11), HasTraffic: true, Waiting: 9, PrefillUtilisation: 0.9}, 0, 0},
--- a/io/tlfollow/follower_test.go
+++ b/io/tlfollow/follower_test.go
@@ -19,10 +19,10 @@
 
 // fakeLog stands in for a log and a reader of it; both answer what the test sets.
 type fakeLog struct {
-	now      time.Time
-	newest   tlkeyed.Batch
-	read     tlkeyed.Batch
-	err      error
+	now    time.Time
+	newest tlkeyed.Batch
+	read   tlkeyed.Batch
+	err    error
 	// errOnce limits err to one read.
 	errOnce  bool
 	fresh    tlkeyed.Batch
