Don't count memory twice at a home that hears of it from the engine first

Cause: a new home that is told an engine's load before the owner's reservations counted the same memory as unknown and as booked, until the next report a second later. Change: an adopted booking is taken off the unknown memory. Test: TestAdoptedBookingIsNotCountedTwice.

Left out after trials: a new home that asks all engines at once.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -304,6 +304,9 @@
 	if e := b.engines[k.Decode]; e != nil {
 		e.booked += k.Tokens
 		e.running++
+		// A report that came first counted its memory as that of an unknown request.
+		e.untracked = max(e.untracked-k.Tokens, 0)
+		e.untrackedReported = max(e.untrackedReported-k.Tokens, 0)
 	}
 }
 
--- a/core/tlplace/book_test.go
+++ b/core/tlplace/book_test.go
@@ -275,6 +275,17 @@
 	assert.Equal(t, "d0", d[0].Decode)
 }
 
+// Guards against counting memory twice at a new home that hears of it from the engine
+// before it hears of the booking from its owner.
+func TestAdoptedBookingIsNotCountedTwice(t *testing.T) {
+	b := newBook(2, 1)
+	b.MemoryReported(start, "d0", 6000)
+	b.Adopt(start, Booking{Request: "1", Owner: owner, Decode: "d0", Tokens: 4000})
+	assert.Equal(t, 6000, b.engines["d0"].heldTokens())
+	b.Adopt(start, Booking{Request: "2", Owner: owner, Decode: "d0", Tokens: 3000})
+	assert.Equal(t, 7000, b.engines["d0"].heldTokens())
+}
+
 func TestReportThatCountsEndedBookingShowsNoUntrackedMemory(t *testing.T) {
 	b := newBook(2, 1)
 	submitOne(t, b, 0, request("1", 5000, 0))
