--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -117,6 +117,7 @@
 		return
 	}
 	if k.Prefill == "" {
+		// The booking of another home, which this book follows; it doesn't know the engine's queue.
 		b.measurePrefill(now.Sub(k.placedAt), k)
 		return
 	}
--- a/core/tlplace/doc.go
+++ b/core/tlplace/doc.go
@@ -10,6 +10,11 @@
 // of one engine is therefore reserved for the first request in the queue once it
 // has waited for Options.ReserveAfter.
 //
+// In an overload, requests that can still be on time go first, and one that is late
+// is refused once no room is expected for it in time. What the book knows of its
+// engines' speed is measured (package tlrate) and unknown at first; what is unknown
+// refuses nobody.
+//
 // It also handles failing engines and networks: an engine that loses answers gets
 // a request only where no other has room, and while answers stall between data
 // centres, engines in the owner's data centre are preferred.
--- a/core/tlplace/hopeless.go
+++ b/core/tlplace/hopeless.go
@@ -1,10 +1,6 @@
 package tlplace
 
-import (
-	"time"
-
-	"trefoillanding/core/tlendpoint"
-)
+import "time"
 
 // hopelessInterval is the time between checks for requests without a chance: each
 // looks at the whole queue.
@@ -30,7 +26,7 @@
 		return nil
 	}
 	b.hopelessChecked = now
-	u := b.use(b.smallestQueued())
+	u := b.usage(b.smallestQueued())
 	if u.running < minRunning {
 		return nil
 	}
@@ -81,12 +77,6 @@
 	return time.Duration(float64(wait) / spare)
 }
 
-// use is what is in use and what is free at the decode engines.
-type use struct {
-	held, running         int
-	freeTokens, freeSlots int
-}
-
 // smallestQueued returns the memory of the smallest queued request, in tokens.
 func (b *Book) smallestQueued() int {
 	smallest := 0
@@ -97,36 +87,3 @@
 	}
 	return smallest
 }
-
-// use returns what is in use at the decode engines now. Free memory counts in whole
-// pieces of the given size, in tokens: less at one engine is no room for a request.
-func (b *Book) use(piece int) use {
-	var u use
-	for _, e := range b.order {
-		u.held += e.heldTokens()
-		u.running += e.running
-		if e.Role == tlendpoint.Decode && !e.IsDraining {
-			u.freeTokens += max(e.freeTokens(b.o), 0) / max(piece, 1) * max(piece, 1)
-			u.freeSlots += max(b.o.Slots-e.running, 0)
-		}
-	}
-	return u
-}
-
-// take takes the room of a request; what is free may become negative.
-func (u *use) take(tokens int) {
-	u.freeTokens -= tokens
-	u.freeSlots--
-}
-
-// giveBack gives back the room of a request.
-func (u *use) giveBack(tokens int) {
-	u.freeTokens += tokens
-	u.freeSlots++
-}
-
-// missingShare returns the share of what is in use that has to end before the room
-// that was taken is free; 0 where nothing has to, or nothing is in use.
-func (u *use) missingShare() float64 {
-	return max(shareOf(-u.freeTokens, u.held), shareOf(-u.freeSlots, u.running))
-}
--- a/core/tlplace/refuse.go
+++ b/core/tlplace/refuse.go
@@ -79,7 +79,7 @@
 // roomWait returns how long it takes until memory and a slot for a request are free,
 // after those for the queued ones; false while nothing was measured.
 func (b *Book) roomWait(tokens int) (time.Duration, bool) {
-	u := b.use(tokens)
+	u := b.usage(tokens)
 	for _, w := range b.waiting {
 		u.take(w.tokens(&b.o))
 	}
@@ -88,15 +88,6 @@
 	return time.Duration(u.missingShare() * float64(turnover)), known && (u.held > 0 || u.running > 0)
 }
 
-// shareOf returns the share of what is in use that has to end before so much is free;
-// 0 where nothing has to, or nothing is in use.
-func shareOf(missing, used int) float64 {
-	if missing <= 0 || used <= 0 {
-		return 0
-	}
-	return float64(missing) / float64(used)
-}
-
 // returnTime returns when a refused caller may find room.
 func (b *Book) returnTime(r *Request) time.Duration {
 	w, known := b.roomWait(r.tokens(&b.o))
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -20,7 +20,7 @@
 		Warn("store went back")
 	switch topic {
 	case platform.TopicConfig:
-		return i.keepNewestConfig(known, read)
+		return keepNewestConfig(known, read)
 	case platform.TopicEndpoints:
 		i.endpoints.wentBack.Store(time.Now().UnixNano())
 	case platform.TopicInstances:
@@ -32,7 +32,7 @@
 
 // keepNewestConfig returns the configuration with the higher version, so that others
 // who ask this instance for it get the one in force.
-func (i *Instance) keepNewestConfig(known, read []tlkeyed.Record) []tlkeyed.Record {
+func keepNewestConfig(known, read []tlkeyed.Record) []tlkeyed.Record {
 	if configVersion(known) > configVersion(read) {
 		return known
 	}
@@ -84,12 +84,18 @@
 	if i.draining.Load() {
 		state = tlwire.InstanceStateLeaving
 	}
+	l := i.log.WithField("Incarnation", i.self.Incarnation)
 	e, err := i.entry(state, i.self.Incarnation)
-	for err == nil && ctx.Err() == nil {
-		if _, err := i.appendEntry(ctx, i.settings.Name, e); err == nil {
-			i.log.WithField("Incarnation", i.self.Incarnation).Info("own entry written again")
+	if err != nil {
+		l.WithField("Cause", err.Error()).Error("own entry not encoded")
+		return
+	}
+	for ctx.Err() == nil {
+		if _, err = i.appendEntry(ctx, i.settings.Name, e); err == nil {
+			l.Info("own entry written again")
 			return
 		}
+		l.WithField("Cause", err.Error()).Warn("own entry not written again yet")
 		wait(ctx, registerRetryDelay)
 	}
 }
