Say things once that the change said twice

Gone are two guards that could not be true (coordinator and gossip exist before any send), and a look at resting endpoints where one had been picked. The comments of Avoid name all that it lists.

No decision changes; no test was changed.

--- a/core/tlplace/direct.go
+++ b/core/tlplace/direct.go
@@ -22,18 +22,18 @@
 // only where the request would be late otherwise, and the pause stays within the gap
 // that the answers are allowed.
 func (b *Book) directEngine(now time.Time, r *Request, free []*engine) *engine {
+	ready := b.readyToRead(now, free)
 	wait, ok := b.prefillWait(now, r)
 	if !ok {
-		return emptiest(b.directCandidates(now, free, func(*engine) bool { return true }), anyDataCentre)
+		return emptiest(ready, anyDataCentre)
 	}
 	if !b.rates.Prefill.IsKnown() {
 		return nil
 	}
 	reads := b.prefillTime(r.Prompt, directSlowness)
 	if float64(wait) > maxWaitShare*float64(r.Due.Sub(now)) && reads < wait+b.prefillTime(r.Prompt, 1) {
-		idle := b.directCandidates(now, free, func(e *engine) bool { return e.running == 0 })
-		if len(idle) > 0 {
-			return emptiest(idle, anyDataCentre)
+		if e := emptiest(withoutAnswers(ready), anyDataCentre); e != nil {
+			return e
 		}
 	}
 	due := now.Add(wait + b.prefillTime(r.Prompt, 1) + b.firstEventDelay())
@@ -41,16 +41,26 @@
 	if !due.After(r.Due) || r.Gap > 0 && pause > r.Gap {
 		return nil
 	}
-	return emptiest(b.directCandidates(now, free, func(*engine) bool { return true }), anyDataCentre)
+	return emptiest(ready, anyDataCentre)
 }
 
-// directCandidates returns the free engines that may read another prompt now and that
-// may returns true for.
-func (b *Book) directCandidates(now time.Time, free []*engine, may func(*engine) bool) []*engine {
+// readyToRead returns the free engines that may read another prompt now.
+func (b *Book) readyToRead(now time.Time, free []*engine) []*engine {
 	var list []*engine
 	for _, e := range free {
 		isRested := e.running == 0 || !now.Before(e.directFrom)
-		if e.directPrefills < b.o.MaxDirectPrefills && isRested && may(e) {
+		if e.directPrefills < b.o.MaxDirectPrefills && isRested {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// withoutAnswers returns the engines that generate no answer.
+func withoutAnswers(engines []*engine) []*engine {
+	var list []*engine
+	for _, e := range engines {
+		if e.running == 0 {
 			list = append(list, e)
 		}
 	}
--- a/core/tlplace/request.go
+++ b/core/tlplace/request.go
@@ -34,7 +34,7 @@
 	PrefillKeptUntil time.Time
 	// HasBegun is set once the caller has received events and waits for the next.
 	HasBegun bool
-	// Avoid lists the IDs of engines that failed the request.
+	// Avoid lists the IDs of engines that failed the request, leave, or want rest.
 	Avoid []string
 
 	arrived time.Time
--- a/core/tlrate/estimate.go
+++ b/core/tlrate/estimate.go
@@ -29,7 +29,7 @@
 		return
 	}
 	if e.IsKnown() {
-		x = min(max(x, e.Average/maxStep), e.Average*maxStep)
+		x = bounded(x, e.Average)
 	}
 	e.Samples = min(e.Samples+1, maxSamples)
 	e.Average += (x - e.Average) / float64(e.Samples)
@@ -61,12 +61,17 @@
 	}
 	n := min(o.Samples, maxSamples)
 	if e.IsKnown() {
-		o.Average = min(max(o.Average, e.Average/maxStep), e.Average*maxStep)
+		o.Average = bounded(o.Average, e.Average)
 	}
 	e.Average = (e.Average*float64(e.Samples) + o.Average*float64(n)) / float64(e.Samples+n)
 	e.Samples = min(e.Samples+n, maxSamples)
 }
 
+// bounded returns a measurement within maxStep of what was expected.
+func bounded(x, expected float64) float64 {
+	return min(max(x, expected/maxStep), expected*maxStep)
+}
+
 func isMeasurement(x float64) bool {
 	return x > 0 && !math.IsInf(x, 1)
 }
--- a/core/tlrate/ratio.go
+++ b/core/tlrate/ratio.go
@@ -18,8 +18,7 @@
 	}
 	s := took.Seconds()
 	if r.IsKnown() {
-		expected := r.Value() * float64(units)
-		s = min(max(s, expected/maxStep), expected*maxStep)
+		s = bounded(s, r.Value()*float64(units))
 	}
 	r.Time.Add(s)
 	r.Units.Add(float64(units))
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -119,7 +119,8 @@
 // PlaceCall asks the home instance of a service's engines to admit a request and
 // reserve engine memory for it; a repeated call waits for the decision.
 type PlaceCall struct {
-	// Avoid lists the engines that have already failed this request.
+	// Avoid lists the engines that have already failed this request, or that told the
+	// sender that they leave or want rest.
 	Avoid []string `json:"Avoid,omitempty" yaml:"Avoid,omitempty" cbor:"Avoid,omitempty"`
 
 	// DataCentre is the data centre of the instance that serves the caller.
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -22,7 +22,7 @@
 	case platform.TopicConfig:
 		return keepNewestConfig(known, read)
 	case platform.TopicEndpoints:
-		i.endpoints.wentBack.Store(time.Now().UnixNano())
+		i.storeWentBackAt.Store(time.Now().UnixNano())
 	case platform.TopicInstances:
 		i.running.Go(func() { i.restoreEntry(i.ctx) })
 		return keepInstances(known, read)
@@ -90,13 +90,11 @@
 		l.WithField("Cause", err.Error()).Error("own entry not encoded")
 		return
 	}
-	for ctx.Err() == nil {
-		if _, err = i.appendEntry(ctx, i.settings.Name, e); err == nil {
-			l.Info("own entry written again")
-			return
-		}
+	_, err = i.appendOwnEntry(ctx, e, func(err error) {
 		l.WithField("Cause", err.Error()).Warn("own entry not written again yet")
-		wait(ctx, registerRetryDelay)
+	})
+	if err == nil {
+		l.Info("own entry written again")
 	}
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -108,17 +107,10 @@
 	list *tlendpoint.List
 	// isLoaded reports whether the entries have been read; until then an empty list does not mean that there are no endpoints.
 	isLoaded bool
-	// wentBack is when the store last went back, in Unix nanoseconds.
-	wentBack *atomic.Int64
 }
 
 func newEndpointEntries() endpointEntries {
-	return endpointEntries{mu: &sync.Mutex{}, list: tlendpoint.NewList(), wentBack: &atomic.Int64{}}
-}
-
-// wentBackAt returns when the store last went back; long ago if it never did.
-func (e *endpointEntries) wentBackAt() time.Time {
-	return time.Unix(0, e.wentBack.Load())
+	return endpointEntries{mu: &sync.Mutex{}, list: tlendpoint.NewList()}
 }
 
 func (e *endpointEntries) all() ([]tlendpoint.Endpoint, bool) {
@@ -173,7 +165,7 @@
 // renew their entries then. Where the store answered another instance meanwhile,
 // an endpoint whose entry disappeared has left.
 func (i *Instance) keepUntil() time.Time {
-	if back := i.endpoints.wentBackAt(); time.Since(back) < tlendpoint.OutageGrace {
+	if back := time.Unix(0, i.storeWentBackAt.Load()); time.Since(back) < tlendpoint.OutageGrace {
 		return back.Add(tlendpoint.OutageGrace)
 	}
 	failed := i.followers[platform.TopicEndpoints].FailedAt()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	// peerReachedStoreAt is when another instance last answered that it reaches the store while
 	// this one does not, in Unix nanoseconds.
 	peerReachedStoreAt atomic.Int64
+	// storeWentBackAt is when the endpoints' entries last went back to a copy, in Unix nanoseconds.
+	storeWentBackAt atomic.Int64
 	// newestPeerVersion is the newest configuration version that another instance reported;
 	// catchUpRequests signals that it is newer than this instance's.
 	newestPeerVersion atomic.Uint64
@@ -207,7 +209,7 @@
 // setEngines passes the engines in the directory to the coordinator.
 func (i *Instance) setEngines() {
 	t := i.table.Load()
-	if t == nil || i.coordinator == nil {
+	if t == nil {
 		return
 	}
 	for _, s := range t.EngineServices() {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -50,20 +50,32 @@
 	if err != nil {
 		return 0, err
 	}
+	p, err := i.appendOwnEntry(ctx, e, func(err error) {
+		i.counters.store.Count(storeOutages)
+		i.log.WithField("Cause", err.Error()).Warn("store lost before the instance was written down")
+	})
+	if err != nil {
+		return 0, err
+	}
+	return p.Number(), nil
+}
+
+// appendOwnEntry appends this instance's entry, retrying until the store has accepted
+// it, and returns its position; onLost is called with the first failure.
+func (i *Instance) appendOwnEntry(ctx context.Context, e []byte, onLost func(error)) (tlkeyed.Position, error) {
 	isLost := false
 	for ctx.Err() == nil {
 		p, err := i.appendEntry(ctx, i.settings.Name, e)
 		if err == nil {
-			return p.Number(), nil
+			return p, nil
 		}
 		if !isLost {
 			isLost = true
-			i.counters.store.Count(storeOutages)
-			i.log.WithField("Cause", err.Error()).Warn("store lost before the instance was written down")
+			onLost(err)
 		}
 		wait(ctx, registerRetryDelay)
 	}
-	return 0, ctx.Err()
+	return tlkeyed.Position{}, ctx.Err()
 }
 
 // incarnationOf returns the incarnation of an instance whose entry is a record; 0 stands for none.
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -55,7 +55,7 @@
 
 // reportLeaving tells the home of an engine's service, which places for all instances.
 func (i *Instance) reportLeaving(e tlendpoint.Endpoint) {
-	if e.Role == tlendpoint.NoRole || !i.built.Load() {
+	if e.Role == tlendpoint.NoRole {
 		return
 	}
 	home := i.gossip.Oldest(e.Service, homeCandidates)
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -89,10 +89,10 @@
 func (g *generation) pickEndpoint() (placement, *tlverdict.Error) {
 	x := g.x
 	e, ok := x.g.deps.Directory.Pick(x.g.deps.Now(), x.service.Name, g.avoid, g.mayResume())
-	if e := x.restRefusal(); !ok && e != nil {
-		return placement{}, g.finalError(e)
-	}
 	if !ok {
+		if e := x.restRefusal(); e != nil {
+			return placement{}, g.finalError(e)
+		}
 		return placement{}, tlverdict.New(tlverdict.NoEndpoint, "no endpoint of service %s is available", x.service.Name).WithRetryAfter(busyRetryAfter)
 	}
 	return placement{decode: e}, nil
