Wait for the log's time, not for the append, in the retention gap test

Cause: the test waited until the Mark had been appended, and then moved the clock past twice the key skew. The stream judges the age of a key only once it has read the Mark back; between the two it refuses, rightly. Ruled out: a fault of the ledger (the refusal says what is so).

What the test asks of the ledger is unchanged.

--- a/io/tlledger/refresh_test.go
+++ b/io/tlledger/refresh_test.go
@@ -29,6 +29,16 @@
 	return s.isRefreshing
 }
 
+// knowsLogTime reports whether the home has read a record since the gap, so that the age
+// of a key can be judged; the Mark is in the log some time before that.
+func (h *Home) knowsLogTime() bool {
+	s, _ := h.acquire(0)
+	defer h.release(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.table.LacksLogTime()
+}
+
 func claimKey(h *Home, key string, nonce uint64) tlwire.ClaimAnswer {
 	d := tlclaim.NewDigest([]byte(key))
 	return h.Claim(context.Background(), tlwire.ClaimCall{
@@ -76,7 +86,7 @@
 	defer fresh.Close()
 	a := claimKey(fresh, "pay-0", 2)
 	assert.Equal(t, string(tlverdict.KeyTooOld), a.Reason)
-	require.Eventually(t, func() bool { return !fresh.streamIsRefreshing() }, time.Second, time.Millisecond)
+	require.Eventually(t, fresh.knowsLogTime, time.Second, time.Millisecond)
 	clock.advance(2*tlclaim.KeySkew + time.Second)
 	a = claimKey(fresh, timedKey(clock.now()), 3)
 	assert.Equal(t, tlwire.ClaimAnswerKindHolder, a.Kind, a.Message)
