Look at the engines once for the whole queue

The home used all of its processor time from the burst at 6 s on, answered no call within 300 ms, and its instances decided by themselves with books that didn't know of each other: hundreds of prompts a second ran into their time limit. The log shows it: the home's line every 2 s is missing from 12.5 to 26.3 s, and it changes to and fro.

Ruled out: prefill rates that fall too low (the log gives 25 to 30 ms for 1,000 tokens until the home is late, and more after that), roles (22 readers).

Change: a pass knows what all engines have in common (largest room, room where prompts may be read directly, sum of the waits), and passes over requests that it shows can't be placed. The wait before a request counts each one kept before it once; it counted some twice before.

--- a/core/tlplace/choose.go
+++ b/core/tlplace/choose.go
@@ -40,7 +40,7 @@
 }
 
 // choose returns engines that have room for a request now, if there are any.
-func (b *Book) choose(now time.Time, r *Request) (choice, bool) {
+func (b *Book) choose(now time.Time, r *Request, p *pass) (choice, bool) {
 	var free []*engine
 	for _, e := range b.usable(now, r, tlendpoint.Decode) {
 		if e.reservedFor != "" && e.reservedFor != r.ID {
@@ -57,11 +57,10 @@
 	if r.isPrefillKept(now) {
 		return choice{decode: emptiest(free, anyDataCentre), reusesPrefill: true}, true
 	}
-	p := b.nextPrefillEngine(now, r, free)
-	if p != nil {
-		return choice{prefill: p, decode: emptiest(free, p.DataCentre)}, true
+	if e := b.nextPrefillEngine(now, r, free); e != nil {
+		return choice{prefill: e, decode: emptiest(free, e.DataCentre)}, true
 	}
-	if d := b.directEngine(now, r, free); d != nil {
+	if d := b.directEngine(now, r, free, p); d != nil {
 		return choice{decode: d}, true
 	}
 	return choice{}, false
--- a/core/tlplace/direct.go
+++ b/core/tlplace/direct.go
@@ -1,10 +1,6 @@
 package tlplace
 
-import (
-	"time"
-
-	"trefoillanding/core/tlendpoint"
-)
+import "time"
 
 // maxWaitShare is the share of the time left until a request is due from which a wait
 // for a prefill engine is long: what follows the wait has to fit in too.
@@ -14,33 +10,54 @@
 // prefill engine does, by the engines' protocol.
 const directSlowness = 2
 
-// directEngine returns a decode engine to read the prompt itself, or nil where the
-// request had better wait for a prefill engine.
+// directReading says which decode engines may read a prompt themselves.
+type directReading int
+
+const (
+	// readsNowhere means that the request had better wait for a prefill engine.
+	readsNowhere directReading = iota
+	// readsIdle means an engine that generates no answer.
+	readsIdle
+	// readsBeside means any engine; one that generates no answer comes first by its memory.
+	readsBeside
+)
+
+// directReading returns which decode engines may read a request's prompt.
 //
 // Reading a prompt delays each answer beside it by the reading time. An engine with
 // no answers reads it where the wait would be long. One with answers reads it
 // only where the request would be late otherwise, and the pause stays within the gap
 // that the answers are allowed.
-func (b *Book) directEngine(now time.Time, r *Request, free []*engine) *engine {
-	ready := b.readyToRead(now, free)
-	wait, ok := b.prefillWait(now, r)
+func (b *Book) directReading(now time.Time, r *Request, p *pass) directReading {
+	wait, ok := p.prefillWait()
 	if !ok {
-		return emptiest(ready, anyDataCentre)
+		return readsBeside
 	}
 	if !b.rates.Prefill.IsKnown() {
-		return nil
-	}
-	reads := b.prefillTime(r.Prompt, directSlowness)
-	if float64(wait) > maxWaitShare*float64(r.Due.Sub(now)) && reads < wait+b.prefillTime(r.Prompt, 1) {
-		if e := emptiest(withoutAnswers(ready), anyDataCentre); e != nil {
-			return e
-		}
+		return readsNowhere
 	}
-	due := now.Add(wait + b.prefillTime(r.Prompt, 1) + b.firstEventDelay())
+	reads, prefill := b.prefillTime(r.Prompt, directSlowness), b.prefillTime(r.Prompt, 1)
 	pause := reads + b.rates.AnswerTime(b.o.Stride)
-	if !due.After(r.Due) || r.Gap > 0 && pause > r.Gap {
+	isLate := now.Add(wait + prefill + b.firstDelay).After(r.Due)
+	switch {
+	case isLate && (r.Gap <= 0 || pause <= r.Gap):
+		return readsBeside
+	case float64(wait) > maxWaitShare*float64(r.Due.Sub(now)) && reads < wait+prefill:
+		return readsIdle
+	}
+	return readsNowhere
+}
+
+// directEngine returns a decode engine to read the prompt itself, or nil.
+func (b *Book) directEngine(now time.Time, r *Request, free []*engine, p *pass) *engine {
+	kind := b.directReading(now, r, p)
+	if kind == readsNowhere {
 		return nil
 	}
+	ready := b.readyToRead(now, free)
+	if kind == readsIdle {
+		ready = withoutAnswers(ready)
+	}
 	return emptiest(ready, anyDataCentre)
 }
 
@@ -48,14 +65,19 @@
 func (b *Book) readyToRead(now time.Time, free []*engine) []*engine {
 	var list []*engine
 	for _, e := range free {
-		isRested := e.running == 0 || !now.Before(e.directFrom)
-		if e.directPrefills < b.o.MaxDirectPrefills && isRested {
+		if b.mayReadDirectly(now, e) {
 			list = append(list, e)
 		}
 	}
 	return list
 }
 
+// mayReadDirectly reports whether a decode engine may read another prompt now.
+func (b *Book) mayReadDirectly(now time.Time, e *engine) bool {
+	isRested := e.running == 0 || !now.Before(e.directFrom)
+	return isRested && e.directPrefills < b.o.MaxDirectPrefills
+}
+
 // withoutAnswers returns the engines that generate no answer.
 func withoutAnswers(engines []*engine) []*engine {
 	var list []*engine
@@ -66,23 +88,3 @@
 	}
 	return list
 }
-
-// prefillWait returns how long a request would wait for a prefill engine, behind
-// those queued before it; false where there is no prefill engine.
-func (b *Book) prefillWait(now time.Time, r *Request) (time.Duration, bool) {
-	readers := b.usable(now, r, tlendpoint.Prefill)
-	if len(readers) == 0 {
-		return 0, false
-	}
-	var ahead time.Duration
-	for _, e := range readers {
-		ahead += later(now, e.freeAt).Sub(now)
-	}
-	for _, w := range b.waiting {
-		if w.ID == r.ID {
-			break
-		}
-		ahead += b.prefillTime(w.Prompt, 1)
-	}
-	return ahead / time.Duration(len(readers)), true
-}
--- a/core/tlplace/measured_test.go
+++ b/core/tlplace/measured_test.go
@@ -184,7 +184,7 @@
 	b.Prefilled(at(100*time.Millisecond), "full")
 	b.engines["p0"].freeAt = at(900 * time.Millisecond)
 	b.Served(at(600*time.Millisecond), "full")
-	b.readDelay = b.nextReadDelay(at(600 * time.Millisecond))
+	b.readDelay = b.newPass(at(600*time.Millisecond), nil).readDelay
 	b.sortWaiting(at(600 * time.Millisecond))
 	assert.Equal(t, "fresh", b.waiting[0].ID)
 }
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -16,52 +16,49 @@
 	if len(b.waiting) == 0 {
 		return nil
 	}
-	room := b.maxFreeTokens(now)
-	if !b.canDecideAny(now, room) {
+	p := b.newPass(now, nil)
+	b.readDelay, b.firstDelay = p.readDelay, b.firstEventDelay()
+	if !b.canDecideAny(now, &p) {
 		return b.refuseHopeless(now)
 	}
-	b.readDelay, b.firstDelay = b.nextReadDelay(now), b.firstEventDelay()
 	b.sortWaiting(now)
 	b.reserveForFirst(now)
+	return append(b.decideWaiting(now, &p), b.refuseHopeless(now)...)
+}
+
+// decideWaiting decides on the queued requests in their order, and keeps those that have to wait.
+func (b *Book) decideWaiting(now time.Time, p *pass) []Decision {
 	hasLate := b.lateness(now, b.waiting[len(b.waiting)-1]) == 1
 	var decisions []Decision
 	keep := b.waiting[:0]
 	for _, r := range b.waiting {
-		d, decided := b.decide(now, r, room)
-		if hasLate && decided && d.Refused == NotRefused {
-			b.noteLatePlacement(b.lateness(now, r) == 1)
-		}
+		d, decided := b.decide(now, r, p)
 		if !decided {
+			p.queued += b.prefillTime(r.Prompt, 1)
 			keep = append(keep, r)
 			continue
 		}
+		if d.Refused == NotRefused {
+			p.renew(now, b)
+			if hasLate {
+				b.noteLatePlacement(b.lateness(now, r) == 1)
+			}
+		}
 		decisions = append(decisions, d)
-		room = b.maxFreeTokens(now)
 	}
 	b.waiting = keep
-	return append(decisions, b.refuseHopeless(now)...)
-}
-
-// maxFreeTokens returns the largest number of free tokens of any usable decode engine with a free slot.
-func (b *Book) maxFreeTokens(now time.Time) int {
-	most := 0
-	for _, e := range b.order {
-		if e.Role == tlendpoint.Decode && e.isUsable(now) && e.running < b.o.Slots {
-			most = max(most, e.freeTokens(b.o))
-		}
-	}
-	return most
+	return decisions
 }
 
 // canDecideAny reports whether any queued request may be placed or has to be refused
-// now. With all engines full neither is usually the case, and the home of a large
-// fleet calls Tick at every report.
-func (b *Book) canDecideAny(now time.Time, room int) bool {
+// now. With all engines full or all prefill engines busy neither is usually the case,
+// and the home of a large fleet calls Tick at every report.
+func (b *Book) canDecideAny(now time.Time, p *pass) bool {
 	if !b.hasDecoder() {
 		return true
 	}
 	for _, r := range b.waiting {
-		if r.tokens(&b.o) <= room || now.After(b.latestStart(r)) {
+		if r.tokens(&b.o) <= p.room && p.mayFindReader(now, r) || now.After(b.latestStart(r)) {
 			return true
 		}
 	}
@@ -103,21 +100,6 @@
 	})
 }
 
-// nextReadDelay returns the time until the next prompt can be read at a prefill
-// engine; 0 where none is usable, since decode engines read it then.
-func (b *Book) nextReadDelay(now time.Time) time.Duration {
-	var next time.Time
-	for _, e := range b.order {
-		if e.Role == tlendpoint.Prefill && e.isUsable(now) && (next.IsZero() || e.freeAt.Before(next)) {
-			next = later(e.freeAt, now)
-		}
-	}
-	if next.IsZero() {
-		return 0
-	}
-	return next.Sub(now)
-}
-
 // lateness returns 0 for a request that can still be on time and 1 for one that can't.
 func (b *Book) lateness(now time.Time, r *Request) int {
 	if now.Add(b.readDelay + b.rates.PrefillTime(r.Prompt) + b.firstDelay).After(r.Due) {
@@ -141,18 +123,18 @@
 	}
 }
 
-// decide places or refuses a request; room is the largest number of free tokens of any engine.
-func (b *Book) decide(now time.Time, r *Request, room int) (Decision, bool) {
+// decide places or refuses a request, unless it has to wait.
+func (b *Book) decide(now time.Time, r *Request, p *pass) (Decision, bool) {
 	if d, impossible := b.refuseImpossible(now, r); impossible {
 		return d, true
 	}
 	if now.After(b.latestStart(r)) {
 		return b.refusal(now, r, WaitTooLong, b.returnTime(r)), true
 	}
-	if r.tokens(&b.o) > room {
+	if !p.mayPlace(now, b, r) {
 		return Decision{}, false
 	}
-	c, ok := b.choose(now, r)
+	c, ok := b.choose(now, r, p.of(now, b, r))
 	if !ok {
 		return Decision{}, false
 	}
