Let only the first home of a service plan its first move

Cause: the first plan of a home moves the whole surplus of prefill engines at once, since engines start in roles that suit no traffic.

Change: a home that owners bring measurements to, or that has followed another home's decisions, isn't the first. The plan is logged with its inputs.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -20,6 +20,8 @@
 	// rates holds what the requests served so far have shown of the engines.
 	rates       tlrate.Rates
 	lastRequest time.Time
+	// hasPredecessor is set once another home of the service is known to have decided.
+	hasPredecessor bool
 	// lateShare is the share of the room given away while late requests were queued
 	// that went to late ones; 1 where none were queued.
 	lateShare tlshare.Share
@@ -261,6 +263,7 @@
 // Follow adds the booking that another home has just made for a request, so that its
 // progress is measured here too.
 func (b *Book) Follow(now time.Time, r Request, d Decision) {
+	b.hasPredecessor = true
 	b.measureRequest(&r)
 	b.Adopt(now, Booking{
 		Request:    r.ID,
@@ -280,6 +283,7 @@
 
 // MergeRates takes in what another instance has measured.
 func (b *Book) MergeRates(r tlrate.Rates) {
+	b.hasPredecessor = b.hasPredecessor || r.Prompt.Samples > 0
 	b.rates.Merge(r)
 }
 
--- a/core/tlplace/role.go
+++ b/core/tlplace/role.go
@@ -17,6 +17,7 @@
 		DecodeWork:  b.rates.DecodeWork(),
 		HasTraffic:  !b.lastRequest.IsZero() && now.Sub(b.lastRequest) < trafficWindow,
 		Waiting:     len(b.waiting),
+		IsFirst:     !b.hasPredecessor,
 	}
 	for _, e := range b.order {
 		s.Engines = append(s.Engines, tlrole.Engine{Endpoint: e.Endpoint, IsBusy: e.prefills+e.running > 0})
--- a/core/tlrole/plan.go
+++ b/core/tlrole/plan.go
@@ -68,7 +68,7 @@
 	SinceChange time.Duration
 	// SinceMove is the time since the last move.
 	SinceMove time.Duration
-	// IsFirst says that the sender of the orders has moved no engine yet.
+	// IsFirst says that no engine of the service has been moved yet, so that their roles suit no traffic.
 	IsFirst bool
 }
 
@@ -83,7 +83,7 @@
 	if s.PrefillWork <= 0 || s.DecodeWork <= 0 {
 		return nil
 	}
-	prefill, decode := s.countByRole()
+	prefill, decode := s.CountByRole()
 	want := PrefillEngines(o, s)
 	switch {
 	case s.SinceChange < o.SettleTime:
@@ -112,14 +112,14 @@
 
 // PrefillEngines returns the number of prefill engines that suits the work.
 func PrefillEngines(o Options, s State) int {
-	readers, decoders := s.countByRole()
+	readers, decoders := s.CountByRole()
 	share := o.Headroom * s.PrefillWork / (s.PrefillWork + s.DecodeWork)
 	n := int(math.Round(share * float64(readers+decoders)))
 	return max(n, o.MinPrefillEngines)
 }
 
-// countByRole counts the engines of each role; a moving engine counts for its new role.
-func (s State) countByRole() (prefill, decode int) {
+// CountByRole returns the numbers of prefill and decode engines; a moving engine counts for its new role.
+func (s State) CountByRole() (prefill, decode int) {
 	for _, e := range s.Engines {
 		if e.IsDraining {
 			continue
--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -147,9 +147,27 @@
 		o.o.Logger.WithFields(logrus.Fields{"Service": service, "Cause": err.Error()}).Info("no fencing number")
 		return
 	}
+	o.logPlan(service, s, moves)
 	o.sendBatch(ctx, service, moves, number)
 }
 
+func (o *Controller) logPlan(service string, s tlrole.State, moves []tlrole.Move) {
+	prefill, decode := s.CountByRole()
+	o.o.Logger.WithFields(logrus.Fields{
+		"Service":     service,
+		"Moves":       len(moves),
+		"Role":        moves[0].Role.String(),
+		"Prefill":     prefill,
+		"Decode":      decode,
+		"Wanted":      tlrole.PrefillEngines(tlrole.DefaultOptions(), s),
+		"PrefillWork": s.PrefillWork,
+		"DecodeWork":  s.DecodeWork,
+		"Utilisation": s.PrefillUtilisation,
+		"Waiting":     s.Waiting,
+		"IsFirst":     s.IsFirst,
+	}).Info("roles planned")
+}
+
 // planState returns the state for a plan, with the smoothed use and the times that only the Controller knows.
 func (o *Controller) planState(service string) tlrole.State {
 	now := o.o.Now()
@@ -157,7 +175,7 @@
 	o.readUse[service] += readUseWeight * (s.PrefillUtilisation - o.readUse[service])
 	s.PrefillUtilisation = o.readUse[service]
 	last, hasMoved := o.lastBatch[service]
-	s.SinceMove, s.IsFirst = now.Sub(last), !hasMoved
+	s.SinceMove, s.IsFirst = now.Sub(last), s.IsFirst && !hasMoved
 	if l := o.engineCounts[service]; l.engines != len(s.Engines) {
 		o.engineCounts[service] = engineCount{len(s.Engines), now}
 	}
