Blame no prefill engine for a caller who leaves

Cause: a request that ended while its prompt was read was reported to the home as a failure of the prefill engine, which then got no prompt for 0.8 s.

The test fails before (the next prompt goes to the decode engine).

--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"trefoillanding/core/tlverdict"
 	"trefoillanding/io/tlgateway"
 	"trefoillanding/platform/tlstand"
 )
@@ -192,3 +193,31 @@
 		t.Fatal("the engine still works on the request")
 	}
 }
+
+// A caller who leaves while its prompt is read says nothing about the engine, which
+// goes on getting prompts.
+func TestCallerWhoLeavesDuringPrefillLeavesTheEngineInUse(t *testing.T) {
+	w := newTestCluster(t)
+	p, _, _ := w.startEngines()
+	reading := make(chan struct{})
+	p.Intercept = onFirstArrival(func(_ http.ResponseWriter, r *http.Request, _ *tlstand.Arrival) bool {
+		close(reading)
+		<-r.Context().Done()
+		return true
+	}, p)
+	i := w.startInstance("a")
+	q, err := streamCall("id-1", tlstand.StreamPath).Request(i.settings.Listen)
+	require.NoError(t, err)
+	q.Host = tlstand.Host
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-reading
+		leave()
+	}()
+	_, err = w.client.Do(q.WithContext(ctx)) //nolint:bodyclose // there is no answer
+	require.ErrorIs(t, err, context.Canceled)
+	w.eventually(func() bool { return i.counters.gateway.Value(string(tlverdict.CallerGone)) > 0 })
+	a := w.call(i, streamCall("id-2", tlstand.StreamPath))
+	assert.Equal(t, threeEvents, a.body)
+	assert.Len(t, p.Arrivals(), 2, "the prompt of the second request is read there")
+}
--- a/io/tlgateway/prefill.go
+++ b/io/tlgateway/prefill.go
@@ -59,10 +59,11 @@
 		g.report(tlbooking.Prefilled, p.prefill.ID)
 		return g.keepSource(p, handle)
 	}
-	g.report(prefillEvent(err), p.prefill.ID)
 	if g.ctx.Err() != nil {
+		// The request has ended, not the engine's time for it: that is no failure of the engine.
 		return tlcall.Source{}, g.finalError(tlverdict.New(tlverdict.WaitTooLong, "the prefill did not finish in time").WithRetryAfter(busyRetryAfter))
 	}
+	g.report(prefillEvent(err), p.prefill.ID)
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.prefill.ID, prefillOutcome(err), took)
 	x.step("prefill failed", logrus.Fields{"Endpoint": p.prefill.ID, "TookMs": took.Milliseconds(), "Cause": err.Error()})
 	x.g.deps.Count(PrefilledAtDecode)
