Say not run of no request that an attempt may have run

Cause: where a second attempt found no room, or no endpoint, the refusal went out as it was made, with the verdict that the request had not run, although the first attempt had reached an engine that may have run it. Found by reading; the stand-in's engine runs the request and breaks the connection, and the test fails before with WaitTooLong and NotRun.

Both refusals now go through finalError, as all others do.

--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -79,7 +79,7 @@
 		"WaitedMs": d.Waited.Milliseconds(),
 	})
 	if d.Refused != tlplace.NotRefused {
-		return placement{}, refusalError(d)
+		return placement{}, g.finalError(refusalError(d))
 	}
 	g.hasReservation = true
 	return g.resolve(d)
@@ -93,7 +93,8 @@
 		if e := x.restRefusal(); e != nil {
 			return placement{}, g.finalError(e)
 		}
-		return placement{}, tlverdict.New(tlverdict.NoEndpoint, "no endpoint of service %s is available", x.service.Name).WithRetryAfter(busyRetryAfter)
+		e := tlverdict.New(tlverdict.NoEndpoint, "no endpoint of service %s is available", x.service.Name)
+		return placement{}, g.finalError(e.WithRetryAfter(busyRetryAfter))
 	}
 	return placement{decode: e}, nil
 }
