Ask the home's successor when the home does not answer

Cause: an owner whose home did not answer within 0.3 s decided by its own book, until gossip named another home 1 to 2 s after the loss.

Change: the owner doubts the home for a second and asks the instance that will be the next home, bringing it its reservations; only where that one is silent too does it decide by itself. tlmember.Successors gives the order in which a purpose moves.

--- a/core/tlmember/home.go
+++ b/core/tlmember/home.go
@@ -110,13 +110,29 @@
 // all instances come from one sequence. A purpose thus moves only when its
 // instance ends, and not back to an instance that has restarted.
 func (v *View) Oldest(purpose string, n int) string {
-	oldest := Member{Name: v.self}
-	for _, m := range v.Largest(purpose, n) {
-		if oldest.Incarnation == 0 || m.Incarnation != 0 && m.Incarnation < oldest.Incarnation {
-			oldest = m
+	for _, name := range v.Successors(purpose, n, 1) {
+		return name
+	}
+	return v.self
+}
+
+// Successors returns up to count instances in the order in which a purpose moves to
+// them: each is the Oldest of those that are left once the ones before it have ended.
+func (v *View) Successors(purpose string, n, count int) []string {
+	left := v.Largest(purpose, n+count-1)
+	var names []string
+	for len(names) < count && len(left) > 0 {
+		oldest := 0
+		for i, m := range left[:min(n, len(left))] {
+			// An unknown incarnation is 0, which becomes the largest.
+			if m.Incarnation-1 < left[oldest].Incarnation-1 {
+				oldest = i
+			}
 		}
+		names = append(names, left[oldest].Name)
+		left = slices.Delete(left, oldest, oldest+1)
 	}
-	return oldest.Name
+	return names
 }
 
 // dataCentreRange returns the half-open range of v.live that lies in a data centre.
--- a/core/tlmember/view_test.go
+++ b/core/tlmember/view_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"trefoillanding/core/tlwire"
@@ -247,3 +248,22 @@
 	v.Suspect(at(1), "d")
 	assert.Equal(t, "a", v.Oldest("p", 3), "small instances serve if no larger one is live")
 }
+
+// Where an instance that does not answer is passed over before it is known to be gone,
+// the one that is asked instead has to be the one that follows it.
+func TestSuccessorIsTheOldestOnceTheFirstIsGone(t *testing.T) {
+	for seed := range uint64(50) {
+		v := New("z", Timeouts{SuspectAfter: time.Second, GoneAfter: time.Second})
+		l := instanceList("a", "b", "c", "d", "e", "f")
+		for i := range l.Instances {
+			l.Instances[i].Incarnation = (seed*7+uint64(i)*5)%13 + 1
+		}
+		v.SetInstances(at(0), l)
+		next := v.Successors("p", 3, 4)
+		require.Len(t, next, 4)
+		for _, name := range next {
+			require.Equal(t, name, v.Oldest("p", 3), "seed %d", seed)
+			v.Suspect(at(1), name)
+		}
+	}
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -25,6 +25,8 @@
 	// homeCandidates is how many instances may be home of a service: with a few, a
 	// rolling restart seldom moves a home, and many services still spread over the fleet.
 	homeCandidates = 3
+	// maxHomes is how many instances may be asked to place a request: the home, and one that stands in for it.
+	maxHomes = 2
 	// shutdownMargin is the part of the grace period that is left for the end of the process.
 	shutdownMargin = 400 * time.Millisecond
 	// retryBudgetFraction is the fraction of the retry budget that is used, since instances see the fleet change at different times.
@@ -74,7 +76,7 @@
 		Self:       i.self,
 		DataCentre: i.settings.DataCentre,
 		Mesh:       i.mesh,
-		Home:       func(service string) string { return i.gossip.Oldest(service, homeCandidates) },
+		Homes:      func(service string) []string { return i.gossip.Successors(service, homeCandidates, maxHomes) },
 		IsGone: func(o tlplace.Owner) bool {
 			return i.gossip.OwnerLiveness(o.Name, o.Incarnation) == tlmember.Gone
 		},
--- a/io/tlbooking/coordinator.go
+++ b/io/tlbooking/coordinator.go
@@ -36,7 +36,7 @@
 	// decides: owners check for a new home every homeCheckInterval, and learn of it by gossip.
 	learnPeriod = 300 * time.Millisecond
 	// maxHomes is the most homes that are asked, one after the other, for one request.
-	maxHomes = 3
+	maxHomes = 2
 	// logEvery is the time between log lines on the reservations of a service at its home.
 	logEvery = 2 * time.Second
 	// homeCheckInterval is the time between checks of which instance is the home of each service.
@@ -51,8 +51,9 @@
 	DataCentre string
 	// Mesh reaches the other instances; New registers handlers with it.
 	Mesh *tlpeer.Mesh
-	// Home returns the name of the instance that is the home of a service.
-	Home func(service string) string
+	// Homes returns the names of the instance that is the home of a service, and of those
+	// that stand in for it, in order; none if no instance is live.
+	Homes func(service string) []string
 	// IsGone reports whether an incarnation of an instance has ended.
 	IsGone func(tlplace.Owner) bool
 	// Post sends a one-way message to another instance without waiting.
@@ -74,10 +75,12 @@
 	// HomeAbandoned counts the times that a request stopped asking a home that did not answer or was no longer the home.
 	HomeAbandoned = "HomeLeft"
 	HomeChanged   = "HomeChanged"
+	// StoodIn counts the times that this instance began to decide for others whose home did not answer.
+	StoodIn = "StoodIn"
 )
 
 // CounterNames lists the counters of a Coordinator.
-var CounterNames = []string{PlacedLocally, PlacedByHome, HomeAbandoned, HomeChanged}
+var CounterNames = []string{PlacedLocally, PlacedByHome, HomeAbandoned, HomeChanged, StoodIn}
 
 // Coordinator reserves places at engines for the requests of an instance.
 type Coordinator struct {
@@ -86,11 +89,13 @@
 
 	mu        sync.Mutex
 	byService map[string]*reservations
+	// doubted holds until when instances are not asked, since they did not answer.
+	doubted map[string]time.Time
 }
 
 // New returns a Coordinator and registers its handlers with the mesh, which must not have been started.
 func New(o Options) *Coordinator {
-	d := &Coordinator{o: o, done: make(chan struct{}), byService: map[string]*reservations{}}
+	d := &Coordinator{o: o, done: make(chan struct{}), byService: map[string]*reservations{}, doubted: map[string]time.Time{}}
 	tlpeer.Handle(o.Mesh, kindPlace, d.handlePlace)
 	tlpeer.Handle(o.Mesh, kindReport, d.handleReport)
 	tlpeer.Handle(o.Mesh, kindHeld, d.handleHeld)
@@ -167,22 +172,33 @@
 		k.dropOwners(now, func(o tlplace.Owner) bool {
 			return o != d.o.Self && d.o.IsGone(o)
 		})
-		home := d.o.Home(service)
+		home := d.home(service)
 		before, changed := k.setHome(home)
 		if changed {
 			d.onHomeChange(now, service, k, before, home)
 		}
+		if home != d.o.Self.Name && k.endStandIn(now) {
+			k.dropOwners(now, d.isOther)
+		}
 	}
 }
 
+func (d *Coordinator) isOther(o tlplace.Owner) bool {
+	return o != d.o.Self
+}
+
 func (d *Coordinator) onHomeChange(now time.Time, service string, k *reservations, before, home string) {
 	d.o.Count(HomeChanged)
 	d.o.Log.WithFields(logrus.Fields{"Service": service, "Before": before, "Home": home}).Info("home changed")
 	if home == d.o.Self.Name {
-		k.deferDecisionsUntil(now.Add(learnPeriod))
+		if !k.hasStoodIn(now, learnPeriod) {
+			k.deferDecisionsUntil(now.Add(learnPeriod))
+		}
 		return
 	}
-	k.dropOwners(now, func(o tlplace.Owner) bool { return o != d.o.Self })
+	if !k.hasStoodIn(now, 0) {
+		k.dropOwners(now, d.isOther)
+	}
 	report := tlwire.HeldReport{Service: service, Held: []tlwire.HeldPlace{}}
 	report.Rates = encodeRates(k.rates())
 	for _, p := range k.held(d.o.Self) {
@@ -196,7 +212,7 @@
 // logSums logs the reservations of the services whose home is this instance.
 func (d *Coordinator) logSums(now time.Time, all map[string]*reservations) {
 	for service, k := range all {
-		if d.o.Home(service) != d.o.Self.Name {
+		if !d.isHome(service) && !k.hasStoodIn(now, 0) {
 			continue
 		}
 		s := k.sums(now)
--- a/io/tlbooking/home.go
+++ b/io/tlbooking/home.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"trefoillanding/core/tlplace"
 	"trefoillanding/core/tlrole"
 	"trefoillanding/core/tlwire"
@@ -20,6 +22,10 @@
 		return tlwire.PlaceAnswer{}, fmt.Errorf("no engine of service %s is known here", c.Service)
 	}
 	now := d.o.Now()
+	if d.home(c.Service) != d.o.Self.Name && k.standIn(now) {
+		d.o.Count(StoodIn)
+		d.o.Log.WithFields(logrus.Fields{"Service": c.Service, "Home": d.home(c.Service), "Asked": from.Name}).Info("stands in for home")
+	}
 	decided := k.submit(now, tlplace.Request{
 		ID:               c.Request,
 		Owner:            tlplace.Owner{Name: from.Name, Incarnation: from.Incarnation},
@@ -93,7 +99,7 @@
 func (d *Coordinator) HomeServices() []string {
 	var list []string
 	for service := range d.services() {
-		if d.o.Home(service) == d.o.Self.Name {
+		if d.isHome(service) {
 			list = append(list, service)
 		}
 	}
--- a/io/tlbooking/place.go
+++ b/io/tlbooking/place.go
@@ -26,12 +26,12 @@
 	return d.decideLocally(ctx, k, r)
 }
 
-// askHomes asks the home of a service and, if that home does not decide and
-// another has taken its place, the new one; it reports whether any decided.
+// askHomes asks the home of a service and, if that home does not decide, the one that
+// has taken its place or stands in for it; it reports whether any decided.
 func (d *Coordinator) askHomes(ctx context.Context, service string, r tlplace.Request) (tlwire.PlaceAnswer, bool) {
 	asked := ""
 	for range maxHomes {
-		home := d.o.Home(service)
+		home := d.home(service)
 		if home == d.o.Self.Name || home == asked {
 			break
 		}
@@ -64,8 +64,11 @@
 
 // askHome asks a home until it decides, fails to answer, or is no longer the home; it reports whether it decided.
 func (d *Coordinator) askHome(ctx context.Context, home, service string, r tlplace.Request) (tlwire.PlaceAnswer, bool) {
-	for ctx.Err() == nil && d.o.Home(service) == home {
+	for ctx.Err() == nil && d.home(service) == home {
 		a, err := d.askOnce(ctx, home, placeCall(service, r, d.o.Now()))
+		if err != nil && ctx.Err() == nil {
+			d.doubt(home, err)
+		}
 		if err != nil {
 			break
 		}
@@ -128,7 +131,7 @@
 	if k := d.reservationsOf(service, nil); k != nil {
 		k.applyEvent(d.o.Now(), request, e, engine)
 	}
-	home := d.o.Home(service)
+	home := d.home(service)
 	if home == d.o.Self.Name {
 		return
 	}
--- a/io/tlbooking/reservations.go
+++ b/io/tlbooking/reservations.go
@@ -18,6 +18,7 @@
 	home    string
 	// decidesFrom is when decisions begin: a new home first learns the existing reservations.
 	decidesFrom time.Time
+	standInTime standInState
 }
 
 // waiter holds the pending decision on one request.
--- a/io/tlpeer/gossip.go
+++ b/io/tlpeer/gossip.go
@@ -151,6 +151,14 @@
 	return g.view.Oldest(purpose, n)
 }
 
+// Successors returns up to count instances in the order in which a purpose moves to
+// them; see tlmember.View.Successors.
+func (g *Gossip) Successors(purpose string, n, count int) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view.Successors(purpose, n, count)
+}
+
 // Largest returns up to n live instances with the most capacity that are chosen
 // for a purpose; see tlmember.View.Largest.
 func (g *Gossip) Largest(purpose string, n int) []tlmember.Member {
