Release the booking that a report is about, not the next one

Cause: reports and questions of an owner overtake each other. A report that the engine of a failed attempt was full, broke the connection or didn't answer released whatever booking the request had by then, which was that of the next attempt. Its engine ran a request that the home knew nothing of, was given more than it had memory for, refused the next one, and so on until all instances had restarted. Memory reports don't show it: they are compared with all that was released within 1.5 s too.

Change: a report ends the booking, or the reading, at the engine that it names, and no other.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -113,9 +113,9 @@
 }
 
 // Prefilled records that a prefill engine has read a request's prompt.
-func (b *Book) Prefilled(now time.Time, id string) {
+func (b *Book) Prefilled(now time.Time, id, engine string) {
 	k := b.bookings[id]
-	if k == nil {
+	if k == nil || k.Prefill != "" && k.Prefill != engine {
 		return
 	}
 	if k.Prefill == "" {
@@ -149,7 +149,7 @@
 	if e := b.engines[engine]; e != nil {
 		e.recordFailure(now, f, b.o)
 	}
-	if k := b.bookings[id]; k != nil && k.Prefill != "" {
+	if k := b.bookings[id]; k != nil && k.Prefill == engine {
 		b.endPrefill(now, k)
 	}
 }
@@ -198,12 +198,20 @@
 	b.Ended(now, id)
 }
 
-// Failed records that an engine failed a request, and releases its booking.
+// Failed records that an engine failed a request, and releases its booking there.
 func (b *Book) Failed(now time.Time, id, engine string, f Failure) {
 	if e := b.engines[engine]; e != nil {
 		e.recordFailure(now, f, b.o)
 	}
-	b.Ended(now, id)
+	b.endedAt(now, id, engine)
+}
+
+// endedAt releases a request's booking at an engine. A report of an attempt that
+// failed may come after the next attempt has got its booking, which stays.
+func (b *Book) endedAt(now time.Time, id, engine string) {
+	if k := b.bookings[id]; k != nil && k.Decode == engine {
+		b.Ended(now, id)
+	}
 }
 
 // Stalled records that a request's answer paused between the engine and the owner for
@@ -227,13 +235,13 @@
 	}
 }
 
-// EngineFull records that an engine had no room for a booked request, and releases the
-// booking; that does not count as a failure of the engine.
+// EngineFull records that an engine had no room for a booked request, and releases its
+// booking there; that does not count as a failure of the engine.
 func (b *Book) EngineFull(now time.Time, id, engine string) {
 	if e := b.engines[engine]; e != nil {
 		e.backoffUntil = later(e.backoffUntil, now.Add(b.o.FullBackoff))
 	}
-	b.Ended(now, id)
+	b.endedAt(now, id, engine)
 }
 
 // DirectPrefillDone records that a decode engine has read a prompt itself.
--- a/core/tlplace/book_test.go
+++ b/core/tlplace/book_test.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// read reports that the prefill engine of a request's booking has read its prompt.
+func (b *Book) read(now time.Time, id string) {
+	if k := b.bookings[id]; k != nil {
+		b.Prefilled(now, id, k.Prefill)
+	}
+}
+
 func engines(readers, decoders int) []tlendpoint.Endpoint {
 	var list []tlendpoint.Endpoint
 	for n := range readers {
@@ -335,7 +342,7 @@
 	}
 	assert.Equal(t, map[string]int{"p0": 1, "p1": 1}, used)
 	assert.Empty(t, b.Submit(start, request("3", 1000, 0)), "both prefill engines are busy for longer than DispatchAhead")
-	b.Prefilled(at(100*time.Millisecond), "0")
+	b.read(at(100*time.Millisecond), "0")
 	d := b.Tick(at(100 * time.Millisecond))
 	require.Len(t, d, 1)
 	assert.NotEmpty(t, d[0].Prefill)
@@ -377,9 +384,9 @@
 		b.engines["p0"].freeAt = at(now)
 		submitOne(t, b, now, request(fmt.Sprint("b", n), 4000, now))
 		now += slow
-		b.Prefilled(at(now), fmt.Sprint("a", n))
+		b.read(at(now), fmt.Sprint("a", n))
 		now += slow
-		b.Prefilled(at(now), fmt.Sprint("b", n))
+		b.read(at(now), fmt.Sprint("b", n))
 		b.Served(at(now), fmt.Sprint("a", n))
 		b.Served(at(now), fmt.Sprint("b", n))
 	}
--- a/core/tlplace/hopeless_test.go
+++ b/core/tlplace/hopeless_test.go
@@ -32,7 +32,7 @@
 				o.retryAfter = append(o.retryAfter, d.RetryAfter)
 				continue
 			}
-			b.Prefilled(at(now), d.Request)
+			b.read(at(now), d.Request)
 			// One to seven seconds, four on average.
 			end := now + time.Duration(1+placed*3%7)*time.Second
 			placed++
--- a/core/tlplace/measured_test.go
+++ b/core/tlplace/measured_test.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		read := now + time.Duration(k.prefill*4000*float64(time.Second))
-		b.Prefilled(at(read), id)
+		b.read(at(read), id)
 		b.Served(at(read+time.Duration(k.token*float64(k.output)*float64(time.Second))), id)
 	}
 	return refused
@@ -76,7 +76,7 @@
 				read := now + time.Duration(k.prefill*4000*float64(time.Second))
 				end := read + time.Duration(k.token*float64(k.output)*float64(time.Second))
 				for _, b := range []*Book{home, other} {
-					b.Prefilled(at(read), r.ID)
+					b.read(at(read), r.ID)
 					b.Served(at(end), r.ID)
 				}
 			}
@@ -95,7 +95,7 @@
 	for n := range 10 {
 		id := fmt.Sprint(n)
 		b.Adopt(start, Booking{Request: id, Owner: owner, Decode: "d0", Tokens: 100})
-		b.Prefilled(at(time.Millisecond), id)
+		b.read(at(time.Millisecond), id)
 		b.Served(at(2*time.Millisecond), id)
 	}
 	assert.Zero(t, b.Rates())
@@ -147,7 +147,7 @@
 			b := newBook(1, 1)
 			for n := range c.running {
 				submitOne(t, b, 0, request(fmt.Sprint("runs", n), 100, 0))
-				b.Prefilled(start, fmt.Sprint("runs", n))
+				b.read(start, fmt.Sprint("runs", n))
 			}
 			b.engines["p0"].freeAt = at(c.queued)
 			r := request("1", c.prompt, 0)
@@ -181,7 +181,7 @@
 	submitOne(t, b, 0, request("full", 9000, 0))
 	require.Empty(t, b.Submit(at(0), request("soon due", 2000, 0)))
 	require.Empty(t, b.Submit(at(500*time.Millisecond), request("fresh", 2000, 500*time.Millisecond)))
-	b.Prefilled(at(100*time.Millisecond), "full")
+	b.read(at(100*time.Millisecond), "full")
 	b.engines["p0"].freeAt = at(900 * time.Millisecond)
 	b.Served(at(600*time.Millisecond), "full")
 	b.readDelay = b.newPass(at(600*time.Millisecond), nil).readDelay
--- a/core/tlplace/pass_test.go
+++ b/core/tlplace/pass_test.go
@@ -20,7 +20,7 @@
 		id := fmt.Sprint("runs", n)
 		b.Submit(start, request(id, 100+r.IntN(4000), 0))
 		if r.IntN(3) > 0 {
-			b.Prefilled(start, id)
+			b.read(start, id)
 		}
 		if r.IntN(4) == 0 {
 			b.Served(start, id)
@@ -82,7 +82,7 @@
 	for n := range 118 {
 		id := fmt.Sprint("runs", n)
 		b.Submit(start, longWaitingRequest(id))
-		b.Prefilled(start, id)
+		b.read(start, id)
 	}
 	for n := range 200 {
 		b.Submit(start, longWaitingRequest(fmt.Sprint("waits", n)))
@@ -97,7 +97,7 @@
 	n := len(b.waiting)
 	require.Greater(t, n, 150)
 	assert.Zero(t, testing.AllocsPerRun(100, func() { b.Tick(start) }))
-	b.Prefilled(at(time.Millisecond), "reads7")
+	b.read(at(time.Millisecond), "reads7")
 	assert.Len(t, b.Tick(at(time.Millisecond)), 1, "a prefill engine is free")
 }
 
--- a/core/tlplace/stalltracker_test.go
+++ b/core/tlplace/stalltracker_test.go
@@ -56,7 +56,7 @@
 		r := request(fmt.Sprint(n), 1000, 0)
 		r.DataCentre = dataCentre
 		require.Equal(t, "d0", submitOne(t, b, 0, r).Decode)
-		b.Prefilled(start, r.ID)
+		b.read(start, r.ID)
 		b.Stalled(start, r.ID)
 	}
 	r := request("next", 1000, 0)
--- a/core/tlplace/tick_test.go
+++ b/core/tlplace/tick_test.go
@@ -16,7 +16,7 @@
 	for n := range 110 {
 		id := fmt.Sprint("full", n)
 		b.Submit(start, request(id, 9000, 0))
-		b.Prefilled(start, id)
+		b.read(start, id)
 	}
 	for n := range 200 {
 		b.Submit(start, longWaitingRequest(fmt.Sprint("waits", n)))
@@ -68,7 +68,7 @@
 		k.Served(start, running[n%110])
 		for _, d := range k.Tick(start) {
 			running[n%110] = d.Request
-			k.Prefilled(start, d.Request)
+			k.read(start, d.Request)
 		}
 		k.Submit(start, longWaitingRequest(fmt.Sprint("more", n)))
 		n++
@@ -83,7 +83,7 @@
 			k := newBook(size/5, size)
 			for n := range size {
 				k.Submit(start, longWaitingRequest(fmt.Sprint("r", n)))
-				k.Prefilled(start, fmt.Sprint("r", n))
+				k.read(start, fmt.Sprint("r", n))
 			}
 			for n := range size {
 				k.Submit(start, longWaitingRequest(fmt.Sprint("q", n)))
@@ -97,7 +97,7 @@
 				k.Served(start, running[n%size])
 				for _, d := range k.Tick(start) {
 					running[n%size] = d.Request
-					k.Prefilled(start, d.Request)
+					k.read(start, d.Request)
 				}
 				k.Submit(start, longWaitingRequest(fmt.Sprint("m", n)))
 			}
--- a/io/tlbooking/reservations.go
+++ b/io/tlbooking/reservations.go
@@ -117,7 +117,7 @@
 	defer k.mu.Unlock()
 	switch e {
 	case Prefilled:
-		k.b.Prefilled(now, request)
+		k.b.Prefilled(now, request, engine)
 	case PrefillFailed:
 		k.b.PrefillFailed(now, request, engine, tlplace.Unresponsive)
 	case PrefillConnectionBroke:
