--- a/core/tlplace/direct.go
+++ b/core/tlplace/direct.go
@@ -10,25 +10,25 @@
 // prefill engine does, by the engines' protocol.
 const directSlowness = 2
 
-// directReading says which decode engines may read a prompt themselves.
-type directReading int
+// readerKind says which decode engines may read a prompt themselves.
+type readerKind int
 
 const (
 	// readsNowhere means that the request had better wait for a prefill engine.
-	readsNowhere directReading = iota
+	readsNowhere readerKind = iota
 	// readsIdle means an engine that generates no answer.
 	readsIdle
 	// readsBeside means any engine; one that generates no answer comes first by its memory.
 	readsBeside
 )
 
-// directReading returns which decode engines may read a request's prompt.
+// directReaders returns which decode engines may read a request's prompt.
 //
 // Reading a prompt delays each answer beside it by the reading time. An engine with
 // no answers reads it where the wait would be long. One with answers reads it
 // only where the request would be late otherwise, and the pause stays within the gap
 // that the answers are allowed.
-func (b *Book) directReading(now time.Time, r *Request, p *pass) directReading {
+func (b *Book) directReaders(now time.Time, r *Request, p *pass) readerKind {
 	wait, ok := p.prefillWait()
 	if !ok {
 		return readsBeside
@@ -50,7 +50,7 @@
 
 // directEngine returns a decode engine to read the prompt itself, or nil.
 func (b *Book) directEngine(now time.Time, r *Request, free []*engine, p *pass) *engine {
-	kind := b.directReading(now, r, p)
+	kind := b.directReaders(now, r, p)
 	if kind == readsNowhere {
 		return nil
 	}
--- a/core/tlplace/pass.go
+++ b/core/tlplace/pass.go
@@ -70,8 +70,8 @@
 	p.queued = queued
 }
 
-// of returns the pass as it is for a request, without the engines that it avoids.
-func (p *pass) of(now time.Time, b *Book, r *Request) *pass {
+// withoutAvoided returns the pass as it is for a request, without the engines that it avoids.
+func (p *pass) withoutAvoided(now time.Time, b *Book, r *Request) *pass {
 	if len(r.Avoid) == 0 {
 		return p
 	}
@@ -104,7 +104,7 @@
 	if p.mayDispatch || r.isPrefillKept(now) || len(r.Avoid) > 0 {
 		return true
 	}
-	switch b.directReading(now, r, p) {
+	switch b.directReaders(now, r, p) {
 	case readsBeside:
 		return tokens <= p.readRoom
 	case readsIdle:
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -134,7 +134,7 @@
 	if !p.mayPlace(now, b, r) {
 		return Decision{}, false
 	}
-	c, ok := b.choose(now, r, p.of(now, b, r))
+	c, ok := b.choose(now, r, p.withoutAvoided(now, b, r))
 	if !ok {
 		return Decision{}, false
 	}
