--- a/core/tlplace/pass_test.go
+++ b/core/tlplace/pass_test.go
@@ -57,7 +57,7 @@
 		b.readDelay, b.firstDelay = p.readDelay, b.firstEventDelay()
 		canDecide := b.canDecideAny(start, &p)
 		for _, r := range b.waiting {
-			_, ok := b.choose(start, r, p.of(start, b, r))
+			_, ok := b.choose(start, r, p.withoutAvoided(start, b, r))
 			if ok {
 				placeable++
 				require.True(t, canDecide, "seed %d, %s", seed, r.ID)
