Say once what the change said twice

Read again as a whole: the number of homes to ask stood in two packages; the condition under which a request needs no direct reader, the error of a prefill that came too late and, in the tests, a caller who leaves were written twice; Oldest returned from a loop; expired doubts about homes stayed in their table for ever and are dropped now when another is noted.

No decision changes, and the tests keep their assertions.

--- a/core/tlmember/home.go
+++ b/core/tlmember/home.go
@@ -110,8 +110,8 @@
 // all instances come from one sequence. A purpose thus moves only when its
 // instance ends, and not back to an instance that has restarted.
 func (v *View) Oldest(purpose string, n int) string {
-	for _, name := range v.Successors(purpose, n, 1) {
-		return name
+	if s := v.Successors(purpose, n, 1); len(s) > 0 {
+		return s[0]
 	}
 	return v.self
 }
--- a/core/tlplace/pass.go
+++ b/core/tlplace/pass.go
@@ -92,7 +92,14 @@
 // mayFindReader reports whether an engine may read a request's prompt now, wherever the
 // request stands in the queue; false is certain.
 func (p *pass) mayFindReader(now time.Time, r *Request) bool {
-	return p.mayDispatch || p.readRoom >= 0 || r.isPrefillKept(now) || len(r.Avoid) > 0
+	return p.readRoom >= 0 || p.mayNeedNoDirectReader(now, r)
+}
+
+// mayNeedNoDirectReader reports whether a request may be placed without a decode engine
+// that reads its prompt; what it avoids is not in the pass, so that a request that
+// avoids engines has to be looked at by itself.
+func (p *pass) mayNeedNoDirectReader(now time.Time, r *Request) bool {
+	return p.mayDispatch || r.isPrefillKept(now) || len(r.Avoid) > 0
 }
 
 // mayPlace reports whether engines for a request may be found; false is certain.
@@ -101,7 +108,7 @@
 	if tokens > p.room {
 		return false
 	}
-	if p.mayDispatch || r.isPrefillKept(now) || len(r.Avoid) > 0 {
+	if p.mayNeedNoDirectReader(now, r) {
 		return true
 	}
 	switch b.directReaders(now, r, p) {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -25,8 +25,6 @@
 	// homeCandidates is how many instances may be home of a service: with a few, a
 	// rolling restart seldom moves a home, and many services still spread over the fleet.
 	homeCandidates = 3
-	// maxHomes is how many instances may be asked to place a request: the home, and one that stands in for it.
-	maxHomes = 2
 	// shutdownMargin is the part of the grace period that is left for the end of the process.
 	shutdownMargin = 400 * time.Millisecond
 	// retryBudgetFraction is the fraction of the retry budget that is used, since instances see the fleet change at different times.
@@ -76,7 +74,7 @@
 		Self:       i.self,
 		DataCentre: i.settings.DataCentre,
 		Mesh:       i.mesh,
-		Homes:      func(service string) []string { return i.gossip.Successors(service, homeCandidates, maxHomes) },
+		Homes:      func(service string) []string { return i.gossip.Successors(service, homeCandidates, tlbooking.MaxHomes) },
 		IsGone: func(o tlplace.Owner) bool {
 			return i.gossip.OwnerLiveness(o.Name, o.Incarnation) == tlmember.Gone
 		},
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -163,6 +163,21 @@
 	assert.Len(t, d2.Arrivals(), 1)
 }
 
+// callAndLeave sends a call whose caller leaves once wait returns, before there is an answer.
+func (w *testCluster) callAndLeave(i *Instance, c tlstand.Call, wait func()) {
+	w.t.Helper()
+	q, err := c.Request(i.settings.Listen)
+	require.NoError(w.t, err)
+	q.Host = tlstand.Host
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		wait()
+		leave()
+	}()
+	_, err = w.client.Do(q.WithContext(ctx)) //nolint:bodyclose // there is no answer
+	require.ErrorIs(w.t, err, context.Canceled)
+}
+
 func TestCallerDisconnectCancelsWorkAtTheEngine(t *testing.T) {
 	w := newTestCluster(t)
 	w.startEngine("p", "prefill")
@@ -175,18 +190,11 @@
 		return true
 	}
 	i := w.startInstance("a")
-	q, err := streamCall("id-1", tlstand.StreamPath).Request(i.settings.Listen)
-	require.NoError(t, err)
-	q.Host = tlstand.Host
-	ctx, leave := context.WithCancel(context.Background())
-	go func() {
+	w.callAndLeave(i, streamCall("id-1", tlstand.StreamPath), func() {
 		for runs("id-1", d) == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		leave()
-	}()
-	_, err = w.client.Do(q.WithContext(ctx)) //nolint:bodyclose // there is no answer
-	require.ErrorIs(t, err, context.Canceled)
+	})
 	select {
 	case <-ended:
 	case <-time.After(testTimeout):
@@ -206,16 +214,7 @@
 		return true
 	}, p)
 	i := w.startInstance("a")
-	q, err := streamCall("id-1", tlstand.StreamPath).Request(i.settings.Listen)
-	require.NoError(t, err)
-	q.Host = tlstand.Host
-	ctx, leave := context.WithCancel(context.Background())
-	go func() {
-		<-reading
-		leave()
-	}()
-	_, err = w.client.Do(q.WithContext(ctx)) //nolint:bodyclose // there is no answer
-	require.ErrorIs(t, err, context.Canceled)
+	w.callAndLeave(i, streamCall("id-1", tlstand.StreamPath), func() { <-reading })
 	w.eventually(func() bool { return i.counters.gateway.Value(string(tlverdict.CallerGone)) > 0 })
 	a := w.call(i, streamCall("id-2", tlstand.StreamPath))
 	assert.Equal(t, threeEvents, a.body)
--- a/io/tlbooking/coordinator.go
+++ b/io/tlbooking/coordinator.go
@@ -35,14 +35,16 @@
 	// learnPeriod is how long a new home collects the owners' reports before it
 	// decides: owners check for a new home every homeCheckInterval, and learn of it by gossip.
 	learnPeriod = 300 * time.Millisecond
-	// maxHomes is the most homes that are asked, one after the other, for one request.
-	maxHomes = 2
 	// logEvery is the time between log lines on the reservations of a service at its home.
 	logEvery = 2 * time.Second
 	// homeCheckInterval is the time between checks of which instance is the home of each service.
 	homeCheckInterval = 100 * time.Millisecond
 )
 
+// MaxHomes is the most homes that are asked, one after the other, for one request: the
+// home, and the one that stands in for it.
+const MaxHomes = 2
+
 // Options holds what a Coordinator depends on.
 type Options struct {
 	// Self is this instance.
--- a/io/tlbooking/place.go
+++ b/io/tlbooking/place.go
@@ -30,7 +30,7 @@
 // has taken its place or stands in for it; it reports whether any decided.
 func (d *Coordinator) askHomes(ctx context.Context, service string, r tlplace.Request) (tlwire.PlaceAnswer, bool) {
 	asked := ""
-	for range maxHomes {
+	for range MaxHomes {
 		home := d.home(service)
 		if home == d.o.Self.Name || home == asked {
 			break
@@ -66,10 +66,10 @@
 func (d *Coordinator) askHome(ctx context.Context, home, service string, r tlplace.Request) (tlwire.PlaceAnswer, bool) {
 	for ctx.Err() == nil && d.home(service) == home {
 		a, err := d.askOnce(ctx, home, placeCall(service, r, d.o.Now()))
-		if err != nil && ctx.Err() == nil {
-			d.doubt(home, err)
-		}
 		if err != nil {
+			if ctx.Err() == nil {
+				d.doubt(home, err)
+			}
 			break
 		}
 		if a.IsDecided {
--- a/io/tlbooking/standin.go
+++ b/io/tlbooking/standin.go
@@ -1,6 +1,7 @@
 package tlbooking
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,6 +43,7 @@
 	now := d.o.Now()
 	d.mu.Lock()
 	wasDoubted := now.Before(d.doubted[home])
+	maps.DeleteFunc(d.doubted, func(_ string, until time.Time) bool { return !now.Before(until) })
 	d.doubted[home] = now.Add(doubtPeriod)
 	d.mu.Unlock()
 	if wasDoubted {
--- a/io/tlgateway/prefill.go
+++ b/io/tlgateway/prefill.go
@@ -61,7 +61,7 @@
 	}
 	if g.ctx.Err() != nil {
 		// The request has ended, not the engine's time for it: that is no failure of the engine.
-		return tlcall.Source{}, g.finalError(tlverdict.New(tlverdict.WaitTooLong, "the prefill did not finish in time").WithRetryAfter(busyRetryAfter))
+		return tlcall.Source{}, g.prefillTooLate()
 	}
 	g.report(prefillEvent(err), p.prefill.ID)
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.prefill.ID, prefillOutcome(err), took)
@@ -78,7 +78,12 @@
 		return s, nil
 	}
 	go g.x.g.release(p, handle)
-	return tlcall.Source{}, g.finalError(tlverdict.New(tlverdict.WaitTooLong, "the prefill did not finish in time").WithRetryAfter(busyRetryAfter))
+	return tlcall.Source{}, g.prefillTooLate()
+}
+
+// prefillTooLate returns the error of a request that ended before its prompt was read.
+func (g *generation) prefillTooLate() *tlverdict.Error {
+	return g.finalError(tlverdict.New(tlverdict.WaitTooLong, "the prefill did not finish in time").WithRetryAfter(busyRetryAfter))
 }
 
 // prefillEvent distinguishes an engine that broke the connection or refused from one that was silent.
