Test that a silence ends no stream that no other engine can take

What callers see: a stream that may be resumed ends cut, with a 502 or with a closed connection and no byte, though its engine was only silent for a while and would have gone on.

Fails on the code before any change, in all five cases: with the retry budget spent after 0.9 to 1.5 s of silence, with no other engine after 3.8 s. The case of a silence between header and first event ends in EOF: neither an answer nor a refusal. TestSilentStreamMovesToAnotherEngine passes and keeps the move that the silence is for.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -34,6 +34,8 @@
 	client *http.Client
 	// usesDeployedTimes keeps the times of the deployment instead of those that make tests short.
 	usesDeployedTimes bool
+	// withoutRetries leaves the retry budget empty.
+	withoutRetries bool
 }
 
 func newTestCluster(t testing.TB) *testCluster {
@@ -88,6 +90,9 @@
 	s.Gateway.ListEvery, s.Gateway.InstancesEvery = 20*time.Millisecond, 50*time.Millisecond
 	// A budget begins empty; this one fills at once.
 	s.Gateway.RetryBurst, s.Gateway.RetryWindow = 1e5, 100*time.Millisecond
+	if w.withoutRetries {
+		s.Gateway.RetryShare, s.Gateway.RetryBurst = 0, 0
+	}
 	s.Gateway.AcceptFor = 50 * time.Millisecond
 	return s
 }
--- /dev/null
+++ b/gateway/silence_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"trefoillanding/platform/tlstand"
+)
+
+const (
+	// silence is above the time after which an instance seeks another engine for a stream.
+	silence = 2 * time.Second
+	// endless is a silence that outlasts the caller.
+	endless = time.Minute
+)
+
+// silentEngine makes the decode engine that gets the first request fall silent after n
+// events, or before its header if n is negative, and go on after a time.
+func silentEngine(n int, d time.Duration, engines ...*tlstand.Endpoint) {
+	for _, e := range engines {
+		e.Intercept = onFirstArrival(func(w http.ResponseWriter, r *http.Request, a *tlstand.Arrival) bool {
+			e.MarkRan(a)
+			if n >= 0 {
+				e.Stream(w, r, a, n)
+				_ = http.NewResponseController(w).Flush()
+			}
+			select {
+			case <-time.After(d):
+			case <-r.Context().Done():
+				return true
+			}
+			rest := *a
+			rest.ResumeAfter = fmt.Sprint(max(n, 0))
+			e.Stream(w, r, &rest, e.Events)
+			return true
+		}, engines...)
+	}
+}
+
+func resumableCall(id string) tlstand.Call {
+	c := streamCall(id, tlstand.ResumablePath)
+	c.Deadline = testTimeout
+	return c
+}
+
+func TestSilenceEndsNoStreamThatNoOtherEngineCanTake(t *testing.T) {
+	cases := []struct {
+		name           string
+		withoutRetries bool
+		// engines is the number of decode engines; with one there is no other.
+		engines int
+		// events is the number of events before the silence; -1 is a silence before the header.
+		events int
+	}{
+		{"1 the retry budget is spent, amid the events", true, 2, 1},
+		{"2 the retry budget is spent, before the first event", true, 2, 0},
+		{"3 the retry budget is spent, before the header", true, 2, -1},
+		{"4 there is no other engine, amid the events", false, 1, 1},
+		{"5 there is no other engine, before the header", false, 1, -1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t)
+			w.withoutRetries = c.withoutRetries
+			w.startEngine("p", "prefill")
+			var engines []*tlstand.Endpoint
+			for n := range c.engines {
+				engines = append(engines, w.startEngine(fmt.Sprint("d", n), "decode"))
+			}
+			silentEngine(c.events, silence, engines...)
+			a := w.call(w.startInstance("a"), resumableCall("id-1"))
+			assert.Equal(t, http.StatusOK, a.status)
+			assert.Equal(t, threeEvents, a.body)
+			assert.True(t, a.isComplete)
+			assert.Equal(t, 1, runs("id-1", engines...))
+		})
+	}
+}
+
+func TestSilentStreamMovesToAnotherEngine(t *testing.T) {
+	for _, events := range []int{-1, 0, 1} {
+		t.Run(fmt.Sprintf("after %d events", events), func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t)
+			_, d1, d2 := w.startEngines()
+			silentEngine(events, endless, d1, d2)
+			a := w.call(w.startInstance("a"), resumableCall("id-1"))
+			assert.Equal(t, threeEvents, a.body)
+			assert.True(t, a.isComplete)
+			assert.Equal(t, 2, runs("id-1", d1, d2))
+		})
+	}
+}
+
+func TestStreamThatSpeaksAgainIsNotMoved(t *testing.T) {
+	w := newTestCluster(t)
+	p, d1, d2 := w.startEngines()
+	silentEngine(1, silence, d1, d2)
+	p.Intercept = func(_ http.ResponseWriter, r *http.Request, _ *tlstand.Arrival) bool {
+		if len(p.Arrivals()) > 1 {
+			// The second prompt is read until after the silence.
+			select {
+			case <-time.After(silence):
+			case <-r.Context().Done():
+			}
+		}
+		return false
+	}
+	a := w.call(w.startInstance("a"), resumableCall("id-1"))
+	assert.Equal(t, threeEvents, a.body)
+	assert.Equal(t, 1, runs("id-1", d1, d2))
+}
