Test that an engine which breaks before its first event leaves an answer

What callers see: a closed connection without a byte, where the engine had sent its header and ended before an event. It says neither that the request failed nor whether it ran.

Fails on the code before any change: EOF where a 502 is due.

--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -220,3 +220,29 @@
 	assert.Equal(t, threeEvents, a.body)
 	assert.Len(t, p.Arrivals(), 2, "the prompt of the second request is read there")
 }
+
+// A failure that is sent as a closed connection tells its caller neither that nor whether the request ran.
+func TestEngineThatBreaksBeforeItsFirstEventLeavesNoCallerWithoutAnAnswer(t *testing.T) {
+	w := newTestCluster(t)
+	_, d1, d2 := w.startEngines()
+	for _, e := range []*tlstand.Endpoint{d1, d2} {
+		e.Intercept = func(w http.ResponseWriter, r *http.Request, a *tlstand.Arrival) bool {
+			e.MarkRan(a)
+			e.Stream(w, r, a, 0)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	i := w.startInstance("a")
+	for _, path := range []string{tlstand.StreamPath, tlstand.ResumablePath} {
+		c := streamCall("id"+path, path)
+		c.Host, c.Deadline = tlstand.Host, testTimeout
+		q, err := c.Request(i.settings.Listen)
+		require.NoError(t, err)
+		r, err := w.client.Do(q)
+		require.NoError(t, err, "the connection was closed without an answer")
+		require.NoError(t, r.Body.Close())
+		assert.Equal(t, http.StatusBadGateway, r.StatusCode)
+		assert.Empty(t, tlstand.Seal(r), "no engine answered with this status")
+	}
+}
