Count handler panics and log their stack

The trace of a request whose handler panics is now written, with the line "panicked" and the stack, and Panicked is counted; the panic goes on as before. An aborted answer (http.ErrAbortHandler) is neither.

--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -20,6 +20,8 @@
 const (
 	// Aborted counts answers cut off after their header was sent.
 	Aborted = "Aborted"
+	// Panicked counts requests whose handler panicked; their connections are closed.
+	Panicked = "Panicked"
 	// Answered counts endpoints' answers that were forwarded.
 	Answered = "Answered"
 	// Retried counts retries of plain requests.
@@ -41,7 +43,7 @@
 )
 
 // CounterNames lists the gateway's counters other than the reasons of refusals.
-var CounterNames = []string{Aborted, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Resumed, EngineSilent, Stalled, ReleaseFailed}
+var CounterNames = []string{Aborted, Panicked, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Resumed, EngineSilent, Stalled, ReleaseFailed}
 
 // Reasons lists the reasons for which the gateway refuses or fails a request.
 var Reasons = []tlverdict.Reason{
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -202,6 +204,21 @@
 	panic(http.ErrAbortHandler)
 }
 
+// recordPanic records a panic other than an aborted answer in the trace; the server
+// then closes the connection and reports nothing.
+func (x *exchange) recordPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		x.failed = true
+		x.g.deps.Count(Panicked)
+		x.step("panicked", logrus.Fields{"Cause": fmt.Sprint(v), "Stack": string(debug.Stack())})
+	}
+	panic(v)
+}
+
 func (x *exchange) end() {
 	x.trace.End(x.failed)
 }
