Send a stream's header with its first event

What callers saw: a closed connection without a byte, where the engine had sent its header and ended, or was given up, before its first event.

Cause: the header counted as sent as soon as the engine's was there, but the server writes it with the first flush, which is that of the first event. A failure in between was taken for one in the midst of an answer, which ends with the connection; the caller had nothing of it.

The header is now sent with the first event. Until then a failure is answered with a 502 that says that the request may have run, and a stream that may be resumed starts anew elsewhere under that engine's own header.

The case of a silence between header and first event gets a 502 now in place of EOF; its fault is not mended by this.

--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -52,17 +52,13 @@
 	g.possibleRuns++
 	g.sourceExpiry = time.Time{}
 	began := x.g.deps.Now()
-	if !g.hasSentHeader {
-		g.hasSentHeader = true
-		x.copyHeader(r)
-		x.w.Header().Del("Content-Length")
-		x.w.WriteHeader(r.Status)
-	} else {
+	if g.hasSentHeader {
 		x.g.deps.Count(Resumed)
 	}
 	err := g.copyEvents(p, r)
 	_ = r.Body.Close()
 	if err == nil {
+		g.sendHeader(r)
 		g.releaseServed()
 		x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, tlhealth.Answered, x.g.deps.Now().Sub(began))
 		x.g.deps.Count(Answered)
@@ -83,6 +79,18 @@
 	return false, g.attemptFailed(p, err)
 }
 
+// sendHeader sends the answer's header once. It goes with the first event, so that an
+// engine that fails before can still be replaced, or its failure be answered.
+func (g *generation) sendHeader(r *tlsend.Reply) {
+	if g.hasSentHeader {
+		return
+	}
+	g.hasSentHeader = true
+	g.x.copyHeader(r)
+	g.x.w.Header().Del("Content-Length")
+	g.x.w.WriteHeader(r.Status)
+}
+
 // copyEvents copies whole events until the stream ends; it fails if the stream ends within one.
 func (g *generation) copyEvents(p placement, r *tlsend.Reply) error {
 	var s tlevent.Splitter
@@ -105,6 +113,7 @@
 				g.noteStall(p, now.Sub(last))
 			}
 			last = now
+			g.sendHeader(r)
 			if err := g.write(c, events, s.LastID()); err != nil {
 				return err
 			}
