Give a silent engine up only once another can take its stream

Cause: the silence itself ended the attempt, by timer: the send after 0.9 s without a header, the stream after 1.5 s without an event. Only then were the retry budget asked and another engine sought; with the budget spent, or no other engine with room, nothing was left to answer with. The class of fault: something that works is given up before its replacement is certain. The same timer ran while the caller itself did not read, and moved its stream without any silence of the engine.

A relocation now seeks the other engine first: a place of its own at the home, the charge, and the prompt read there. Only then does it end the silent send or stream, under the lock that the reader takes before it forwards anything, so that no event comes twice or is lost. An engine that speaks meanwhile keeps its stream, and the search is cancelled. Without a taker the request waits on, the silence is reported to the home once, and the search is repeated. The wait is paused while an event is written.

What remains: the other engine may refuse after the silent one was given up, though it had a place; and a move that came to nothing has cost its retry.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"trefoillanding/platform/tlstand"
 )
@@ -115,3 +119,32 @@
 	assert.Equal(t, threeEvents, a.body)
 	assert.Equal(t, 1, runs("id-1", d1, d2))
 }
+
+func TestCallerThatReadsLateDoesNotMoveItsStream(t *testing.T) {
+	w := newTestCluster(t)
+	_, d1, d2 := w.startEngines()
+	const events = 400
+	data := strings.Repeat("x", 64<<10)
+	for _, e := range []*tlstand.Endpoint{d1, d2} {
+		e.Intercept = func(w http.ResponseWriter, _ *http.Request, a *tlstand.Arrival) bool {
+			e.MarkRan(a)
+			for n := range events {
+				fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, data)
+			}
+			return true
+		}
+	}
+	i := w.startInstance("a")
+	c := resumableCall("id-1")
+	c.Host = tlstand.Host
+	q, err := c.Request(i.settings.Listen)
+	require.NoError(t, err)
+	r, err := w.client.Do(q)
+	require.NoError(t, err)
+	defer r.Body.Close()
+	time.Sleep(silence)
+	b, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	assert.Equal(t, events, bytes.Count(b, []byte("\n\n")))
+	assert.Equal(t, 1, runs("id-1", d1, d2))
+}
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -32,6 +32,8 @@
 	BudgetSpent = "BudgetSpent"
 	// PrefilledAtDecode counts prompts left to the decode engine to read.
 	PrefilledAtDecode = "PrefilledAtDecode"
+	// Moved counts generations that were moved away from a silent engine.
+	Moved = "Moved"
 	// Resumed counts streams that were resumed at another endpoint.
 	Resumed = "Resumed"
 	// EngineSilent counts streams whose engine sent no header within its silence timeout.
@@ -43,7 +45,7 @@
 )
 
 // CounterNames lists the gateway's counters other than the reasons of refusals.
-var CounterNames = []string{Aborted, Panicked, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Resumed, EngineSilent, Stalled, ReleaseFailed}
+var CounterNames = []string{Aborted, Panicked, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Moved, Resumed, EngineSilent, Stalled, ReleaseFailed}
 
 // Reasons lists the reasons for which the gateway refuses or fails a request.
 var Reasons = []tlverdict.Reason{
@@ -82,6 +84,13 @@
 	return bufferedAnswer{reply: r, body: b}, nil
 }
 
+// closeReply closes the body of an answer that nobody reads; r may be nil.
+func closeReply(r *tlsend.Reply) {
+	if r != nil {
+		_ = r.Body.Close()
+	}
+}
+
 func (a bufferedAnswer) close() {
 	if a.rest != nil {
 		_ = a.rest.Close()
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -46,8 +46,10 @@
 	// deadline is when the caller's deadline or the route's timeout ends, less answerMargin.
 	deadline time.Time
 	// sends counts the sends to endpoints, prefills included.
-	sends  int
-	failed bool
+	sends int
+	// successors counts the searches for another engine.
+	successors int
+	failed     bool
 }
 
 func (g *Gateway) begin(w http.ResponseWriter, r *http.Request) *exchange {
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -24,7 +24,7 @@
 	silenceTimeout = 800 * time.Millisecond
 	// silenceTimeoutWithPrefill is the same for an engine that reads the prompt itself, under load.
 	silenceTimeoutWithPrefill = 1200 * time.Millisecond
-	// minHeaderTimeout is the shortest wait for the header of a stream's answer.
+	// minHeaderTimeout is the shortest wait for the header of a stream's answer before another engine is sought.
 	minHeaderTimeout = 900 * time.Millisecond
 )
 
@@ -32,6 +32,12 @@
 type generation struct {
 	x   *exchange
 	ctx context.Context
+	// reservation names the generation to the home of its service.
+	reservation string
+	// prepared is the next send, if it was prepared ahead.
+	prepared *preparation
+	// relocation moves the generation if the engine that it was sent to is silent.
+	relocation *relocation
 	// avoid lists the endpoints that failed or refused the request.
 	avoid []string
 	// decodeSends counts the sends that ask for the answer.
@@ -57,7 +63,7 @@
 func (x *exchange) serveGeneration() {
 	ctx, stop := x.context()
 	defer stop()
-	g := &generation{x: x, ctx: ctx, lastEventID: x.call.ResumeAfter}
+	g := &generation{x: x, ctx: ctx, reservation: x.call.ID, lastEventID: x.call.ResumeAfter}
 	defer g.releaseReservation()
 	for {
 		done, err := g.attempt()
@@ -74,22 +80,33 @@
 // attempt tries to serve the request once. It reports whether the answer is
 // complete, and returns an error if no other attempt can help.
 func (g *generation) attempt() (bool, *tlverdict.Error) {
-	p, err := g.findPlacement()
+	n, err := g.prepare()
 	if err != nil {
 		return false, err
 	}
-	if err := g.chargeRetry(&p); err != nil {
+	r, err := g.decode(n.placement, n.source)
+	if err != nil || r == nil {
 		return false, err
 	}
-	s, err := g.prefill(p)
+	return g.forward(n.placement, r)
+}
+
+// prepare finds engines with room, charges a retry and has the prompt read, unless
+// this was done ahead.
+func (g *generation) prepare() (preparation, *tlverdict.Error) {
+	if n := g.prepared; n != nil {
+		g.prepared = nil
+		return *n, nil
+	}
+	p, err := g.findPlacement()
 	if err != nil {
-		return false, err
+		return preparation{}, err
 	}
-	r, err := g.decode(p, s)
-	if err != nil || r == nil {
-		return false, err
+	if err := g.chargeRetry(&p); err != nil {
+		return preparation{}, err
 	}
-	return g.forward(p, r)
+	s, err := g.prefill(p)
+	return preparation{p, s}, err
 }
 
 // decode sends the request to its decode engine; it returns neither answer nor error if another attempt may help.
@@ -107,17 +124,27 @@
 	})
 	began := x.g.deps.Now()
 	ctx, stop := context.WithCancel(g.ctx)
-	headerTimer := time.AfterFunc(g.headerTimeout(), stop)
+	g.relocation = g.newRelocation(p, stop)
+	g.relocation.await(g.headerTimeout(), g.possibleRuns+1)
 	unwatch := g.watchSilence(p, s)
 	r, err := x.g.deps.Sender.Send(ctx, p.decode, x.request, tlcall.Send{TimeLeft: x.timeLeftForEndpoint(), Source: s, ResumeAfter: g.lastEventID})
-	headerTimer.Stop()
 	unwatch()
+	if err == nil {
+		r.Body = &cancelOnClose{r.Body, stop}
+	}
+	if !g.relocation.progress() {
+		closeReply(r)
+		stop()
+		g.moveTo(g.relocation.stop(), p, began)
+		return nil, nil
+	}
 	if err != nil {
+		g.relocation.stop()
 		stop()
 		return nil, g.sendFailed(p, began, err)
 	}
-	r.Body = &cancelOnClose{r.Body, stop}
 	if r.Answer.NotRun {
+		g.relocation.stop()
 		_ = r.Body.Close()
 		return nil, g.engineRefused(p, r)
 	}
@@ -148,8 +175,8 @@
 	return g.mayResume() && g.possibleRuns+1 < g.x.route.Attempts
 }
 
-// headerTimeout bounds the wait for an answer's header. It leaves time for another
-// engine if the request may be resumed there, else it lasts until the deadline.
+// headerTimeout is the wait for an answer's header after which another engine is
+// sought if the request may be resumed there; else it lasts until the deadline.
 func (g *generation) headerTimeout() time.Duration {
 	if g.mayRetryAfterSilence() {
 		return max(g.x.route.Objective, minHeaderTimeout)
@@ -169,10 +196,6 @@
 	if !errors.As(err, &f) {
 		f = &tlsend.Error{Endpoint: p.decode.ID, MayHaveRun: true, Outcome: tlhealth.Broken, Err: err}
 	}
-	if f.Outcome == tlhealth.CallerGone && !x.isCallerGone() {
-		// The timer of the header and the deadline end the send at the same moment.
-		f.Outcome = tlhealth.TimedOut
-	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, f.Outcome, x.g.deps.Now().Sub(began))
 	x.step("send failed", logrus.Fields{
 		"Endpoint":   p.decode.ID,
@@ -271,6 +294,7 @@
 
 // forwardFailure sends an endpoint's failure to the caller if no other attempt can help.
 func (g *generation) forwardFailure(p placement, r *tlsend.Reply) (bool, *tlverdict.Error) {
+	g.relocation.stop()
 	g.possibleRuns++
 	a, err := bufferAnswer(r)
 	if err != nil {
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -131,7 +131,7 @@
 		giveUp = x.deadline
 	}
 	return tlplace.Request{
-		ID:       x.call.ID,
+		ID:       g.reservation,
 		Prompt:   x.call.PromptTokens,
 		Output:   x.call.ExpectedTokens(),
 		Rank:     r.Rank,
@@ -197,5 +197,5 @@
 }
 
 func (g *generation) report(e tlbooking.Event, engine string) {
-	g.x.g.deps.Reservations.Report(g.x.service.Name, g.x.call.ID, e, engine)
+	g.x.g.deps.Reservations.Report(g.x.service.Name, g.reservation, e, engine)
 }
--- /dev/null
+++ b/io/tlgateway/relocation.go
@@ -0,0 +1,228 @@
+package tlgateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"trefoillanding/core/tlcall"
+	"trefoillanding/core/tlhealth"
+	"trefoillanding/io/tlbooking"
+)
+
+// streamIdleTimeout is the silence after which another engine is sought for a resumable stream.
+const streamIdleTimeout = 1500 * time.Millisecond
+
+var errEngineSilent = errors.New("the engine was silent")
+
+// relocation moves a generation from a silent engine to another one. The silent engine
+// is given up only once the other has a place for the request, the retry is charged and
+// the prompt read; until then the answer may still come. A nil relocation does nothing.
+type relocation struct {
+	g    *generation
+	from placement
+	// giveUp ends the send to the silent engine, or its stream.
+	giveUp context.CancelFunc
+
+	// mu guards the fields below, and those of g while isAwaiting is set.
+	mu         sync.Mutex
+	timer      *time.Timer
+	isAwaiting bool
+	isStopped  bool
+	// hasReported says that the engine's silence was reported.
+	hasReported bool
+	// possibleRuns counts the sends that may have run the request, the one awaited included.
+	possibleRuns int
+	// cancelSearch ends the search under way; nil if there is none.
+	cancelSearch context.CancelFunc
+	// successor continues the generation once the silent engine has been given up.
+	successor *generation
+	searches  sync.WaitGroup
+}
+
+// preparation is where a generation is sent next.
+type preparation struct {
+	placement placement
+	source    tlcall.Source
+}
+
+// newRelocation returns the relocation of a send, or nil if the request may not be moved.
+func (g *generation) newRelocation(from placement, giveUp context.CancelFunc) *relocation {
+	if !g.mayRetryAfterSilence() {
+		return nil
+	}
+	return &relocation{g: g, from: from, giveUp: giveUp}
+}
+
+// await starts to wait for the engine; after a silence of d another one is sought.
+// The generation must not be changed until progress or stop has returned.
+func (m *relocation) await(d time.Duration, possibleRuns int) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.isAwaiting = true
+	m.possibleRuns = possibleRuns
+	if m.timer == nil {
+		m.timer = time.AfterFunc(d, m.search)
+		return
+	}
+	m.timer.Reset(d)
+}
+
+// progress ends the wait, since the engine has sent something. It reports whether the
+// generation stays with that engine; if not, what it sent must be dropped.
+func (m *relocation) progress() bool {
+	if m == nil {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.endWait()
+	return m.successor == nil
+}
+
+// stop ends the wait and any search, and returns the successor if the generation has been moved.
+func (m *relocation) stop() *generation {
+	if m == nil {
+		return nil
+	}
+	m.mu.Lock()
+	m.endWait()
+	m.isStopped = true
+	m.mu.Unlock()
+	m.searches.Wait()
+	return m.successor
+}
+
+// endWait ends the wait and cancels a search; m.mu must be held.
+func (m *relocation) endWait() {
+	m.isAwaiting = false
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	if m.cancelSearch != nil {
+		m.cancelSearch()
+	}
+}
+
+// search seeks another engine, and gives the silent one up if there is one and
+// nothing has come meanwhile. If there is none, it is repeated after a time.
+func (m *relocation) search() {
+	s := m.beginSearch()
+	if s == nil {
+		return
+	}
+	defer m.searches.Done()
+	err := s.prepareAhead()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	isWanted := s.ctx.Err() == nil
+	m.cancelSearch()
+	m.cancelSearch = nil
+	switch {
+	case err == nil && isWanted:
+		s.ctx = m.g.ctx
+		m.successor = s
+		m.isAwaiting = false
+		m.giveUp()
+		return
+	case err == nil:
+		s.discard()
+	default:
+		s.releaseReservation()
+		m.g.x.step("not moved", logrus.Fields{"Endpoint": m.from.decode.ID, "Cause": err.Error()})
+		m.reportSilence()
+	}
+	if m.isAwaiting {
+		m.timer.Reset(streamIdleTimeout)
+	}
+}
+
+// reportSilence reports the engine once to the service's home instance, so that other
+// requests avoid it; this one keeps waiting for it. m.mu must be held.
+func (m *relocation) reportSilence() {
+	if m.hasReported || !m.isAwaiting || !m.g.hasReservation {
+		return
+	}
+	m.hasReported = true
+	m.g.x.g.deps.Count(EngineSilent)
+	m.g.report(tlbooking.DecodeSilent, m.from.decode.ID)
+}
+
+// beginSearch returns the generation that is to continue at another engine; nil if the
+// wait has ended.
+func (m *relocation) beginSearch() *generation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isAwaiting || m.isStopped {
+		return nil
+	}
+	if m.cancelSearch != nil {
+		// A cancelled search is still ending.
+		m.timer.Reset(streamIdleTimeout)
+		return nil
+	}
+	m.searches.Add(1)
+	ctx, cancel := context.WithCancel(m.g.ctx)
+	m.cancelSearch = cancel
+	s := m.g.newSuccessor(ctx, m.from)
+	s.possibleRuns = m.possibleRuns
+	return s
+}
+
+// newSuccessor returns a generation that goes on where g is, at another engine and under a
+// reservation of its own.
+func (g *generation) newSuccessor(ctx context.Context, from placement) *generation {
+	g.x.successors++
+	return &generation{
+		x:             g.x,
+		ctx:           ctx,
+		reservation:   fmt.Sprintf("%s#%d", g.x.call.ID, g.x.successors),
+		avoid:         append(slices.Clone(g.avoid), from.decode.ID),
+		decodeSends:   g.decodeSends,
+		hasSentHeader: g.hasSentHeader,
+		hasStalled:    g.hasStalled,
+		lastEventID:   g.lastEventID,
+		lastFailure:   errEngineSilent,
+	}
+}
+
+// prepareAhead prepares the next send before it is due.
+func (g *generation) prepareAhead() error {
+	p, err := g.prepare()
+	if err != nil {
+		return err
+	}
+	g.prepared = &p
+	return nil
+}
+
+// discard releases what a successor holds that is not needed.
+func (g *generation) discard() {
+	g.releaseReservation()
+	if p := g.prepared; p != nil && p.source.IsSet() {
+		go g.x.g.release(p.placement, p.source.Handle)
+	}
+}
+
+// moveTo continues as another generation after an engine has been silent since began.
+func (g *generation) moveTo(s *generation, from placement, began time.Time) {
+	x := g.x
+	now := x.g.deps.Now()
+	x.g.deps.Directory.Observe(now, from.decode.ID, tlhealth.TimedOut, now.Sub(began))
+	x.g.deps.Count(Moved)
+	x.step("moved", logrus.Fields{
+		"Endpoint": from.decode.ID,
+		"To":       s.prepared.placement.decode.ID,
+		"After":    g.lastEventID,
+	})
+	g.abandonEngine(from.decode.ID, tlbooking.DecodeFailed)
+	*g = *s
+}
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -24,8 +24,6 @@
 	// stallThreshold is the pause between events above which the network path is
 	// suspected: TCP retransmits a lost packet after 200 ms at the earliest.
 	stallThreshold = 200 * time.Millisecond
-	// streamIdleTimeout is the silence after which a resumable stream is resumed elsewhere.
-	streamIdleTimeout = 1500 * time.Millisecond
 )
 
 // cancelOnClose is an answer's body that cancels its request when it is closed.
@@ -44,6 +42,7 @@
 var (
 	errTruncatedEvent = errors.New("the stream ended within an event")
 	errEventTooLarge  = errors.New("the stream has an event without end")
+	errMoved          = errors.New("the stream was moved to another engine")
 )
 
 // forwardEvents sends a stream's events to the caller as they arrive; its results are those of attempt.
@@ -57,6 +56,10 @@
 	}
 	err := g.copyEvents(p, r)
 	_ = r.Body.Close()
+	successor := g.relocation.stop()
+	if successor != nil && (err == nil || x.isCallerGone()) {
+		successor.discard()
+	}
 	if err == nil {
 		g.sendHeader(r)
 		g.releaseServed()
@@ -73,6 +76,10 @@
 	if x.isCallerGone() {
 		return false, g.finalError(nil)
 	}
+	if successor != nil {
+		g.moveTo(successor, p, began)
+		return false, nil
+	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, tlhealth.Broken, 0)
 	x.step("stream broke", logrus.Fields{"Endpoint": p.decode.ID, "Last": g.lastEventID, "Cause": err.Error()})
 	g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
@@ -95,8 +102,7 @@
 func (g *generation) copyEvents(p placement, r *tlsend.Reply) error {
 	var s tlevent.Splitter
 	c := http.NewResponseController(g.x.w)
-	idle := g.watchIdle(r)
-	defer idle.Stop()
+	g.relocation.await(streamIdleTimeout, g.possibleRuns)
 	b := make([]byte, readBufferBytes)
 	first := true
 	last := g.x.g.deps.Now()
@@ -104,7 +110,9 @@
 		n, err := r.Body.Read(b)
 		events := s.Add(b[:n])
 		if len(events) > 0 {
-			g.resetIdleTimer(idle)
+			if !g.relocation.progress() {
+				return errMoved
+			}
 			now := g.x.g.deps.Now()
 			if first {
 				first = false
@@ -117,6 +125,7 @@
 			if err := g.write(c, events, s.LastID()); err != nil {
 				return err
 			}
+			g.relocation.await(streamIdleTimeout, g.possibleRuns)
 		}
 		if s.Pending() > maxEventBytes {
 			return errEventTooLarge
@@ -169,18 +178,3 @@
 		g.report(tlbooking.PrefilledAtDecode, p.decode.ID)
 	}
 }
-
-// watchIdle closes a stream that is idle for streamIdleTimeout if it can be resumed elsewhere.
-func (g *generation) watchIdle(r *tlsend.Reply) *time.Timer {
-	t := time.AfterFunc(streamIdleTimeout, func() { _ = r.Body.Close() })
-	if !g.mayResume() || g.possibleRuns >= g.x.route.Attempts {
-		t.Stop()
-	}
-	return t
-}
-
-func (g *generation) resetIdleTimer(t *time.Timer) {
-	if g.mayResume() && g.possibleRuns < g.x.route.Attempts {
-		t.Reset(streamIdleTimeout)
-	}
-}
