Let a connection outlast the silence of a sound endpoint

What callers would see: a stream that is cut, or a 502, where an endpoint acknowledged nothing for 1.5 to 2 s and then went on.

Cause: the same as of the streams that were moved too early, in the kernel: TCP_USER_TIMEOUT of 1.5 s ended sends that were not acknowledged, and made the first keep-alive probe after it, at 2 s, the last.

The time is 2.5 s: sends outlast 2 s, and a quiet connection is given up at 3 s.

--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -19,8 +19,9 @@
 const (
 	// dialTimeout bounds the opening of a connection; nothing has been sent by then, so another endpoint can still be tried.
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged; longer than one retransmission takes.
-	unackedTimeout = 1500 * time.Millisecond
+	// unackedTimeout is how long sent bytes, or keep-alive probes, may stay
+	// unacknowledged; a sound endpoint may be silent for a second or two.
+	unackedTimeout = 2500 * time.Millisecond
 	// The keep-alive settings detect a connection whose peer stopped responding while an answer is awaited.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
