Tests: a part of a prompt that crashes engines

Nothing here brought that about, so nothing showed what the router does then.

Change: the stand-ins set and read the parts of a prompt, and an engine ends for good on a given one; the test starts it again under a new ID. Requests with the part come at all instances and on both kinds of route, with other parts beside it.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -131,6 +131,14 @@
 }
 
 func (w *testCluster) call(i *Instance, c tlstand.Call) answer {
+	w.t.Helper()
+	a, err := w.send(i, c)
+	require.NoError(w.t, err)
+	return a
+}
+
+// send sends a call; the error says why there is no answer.
+func (w *testCluster) send(i *Instance, c tlstand.Call) (answer, error) {
 	w.t.Helper()
 	if c.Host == "" {
 		c.Host = tlstand.Host
@@ -141,10 +149,12 @@
 	q, err := c.Request(i.settings.Listen)
 	require.NoError(w.t, err)
 	r, err := w.client.Do(q)
-	require.NoError(w.t, err)
+	if err != nil {
+		return answer{}, err
+	}
 	defer r.Body.Close()
 	b, err := io.ReadAll(r.Body)
-	return answer{r.StatusCode, r.Header, string(b), tlstand.Seal(r), err == nil}
+	return answer{r.StatusCode, r.Header, string(b), tlstand.Seal(r), err == nil}, nil
 }
 
 func onceCall(id string) tlstand.Call {
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"trefoillanding/platform"
+	"trefoillanding/platform/tlstand"
+)
+
+const (
+	// crashingPart is the part of a prompt on which the engines of a crashFleet end.
+	crashingPart = "bad0c0de"
+	// sharedPart is a part that requests with and without crashingPart have in common.
+	sharedPart = "5c1e07a2"
+	// crashesBefore is the number of crashes before which nothing is asked of the router.
+	crashesBefore = 5
+	// crashSettleTime is how long after that it may take to act.
+	crashSettleTime = time.Second
+	// maxSentAfter is how many requests may still reach engines then.
+	maxSentAfter = 3
+	// crashInterval is the time between two requests with crashingPart.
+	crashInterval = 250 * time.Millisecond
+	// requestsAfter is how many of them are sent after crashSettleTime.
+	requestsAfter = 12
+)
+
+// crashFleet is instances with engines that crash on crashingPart and come back under new IDs.
+type crashFleet struct {
+	w            *testCluster
+	restartAfter time.Duration
+	all          []*Instance
+	restarts     sync.WaitGroup
+
+	mu      sync.Mutex
+	engines []*tlstand.Endpoint
+	crashes int
+	sent    int
+}
+
+func newCrashFleet(t *testing.T, instances, decoders int, restartAfter time.Duration) *crashFleet {
+	f := &crashFleet{w: newTestCluster(t), restartAfter: restartAfter}
+	t.Cleanup(f.restarts.Wait)
+	for n := range 2 {
+		f.startEngine(fmt.Sprint("p", n), "prefill", n)
+	}
+	for n := range decoders {
+		f.startEngine(fmt.Sprint("d", n), "decode", n)
+	}
+	f.all = f.w.startFleet(instances)
+	return f
+}
+
+// startEngine starts an engine; those with an odd number send the answer's header before they crash.
+func (f *crashFleet) startEngine(id, phase string, n int) {
+	e := tlstand.NewEndpoint(id, phase)
+	e.EventInterval = 15 * time.Millisecond
+	e.Crash = &tlstand.Crash{Part: crashingPart, After: 20 * time.Millisecond, SendsHeader: n%2 == 1, Ended: func() {
+		f.mu.Lock()
+		f.crashes++
+		f.mu.Unlock()
+		f.restarts.Go(func() {
+			time.Sleep(f.restartAfter)
+			f.w.store.Put(platform.TopicEndpoints, id, nil)
+			f.startEngine(id+"r", phase, n+1)
+		})
+	}}
+	f.w.t.Cleanup(e.Close)
+	f.mu.Lock()
+	f.engines = append(f.engines, e)
+	f.mu.Unlock()
+	f.w.store.PutJSON(platform.TopicEndpoints, id, e.Entry(tlstand.ModelService, "ready"))
+}
+
+func (f *crashFleet) crashCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes
+}
+
+// arrivals counts the requests with a part that reached any engine, prefills included.
+func (f *crashFleet) arrivals(part string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.engines {
+		for _, a := range e.Arrivals() {
+			if slices.Contains(a.Parts, part) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// call sends a request with the given shared parts, each time at another instance and by turns on both routes.
+func (f *crashFleet) call(shared ...string) answer {
+	f.mu.Lock()
+	n := f.sent
+	f.sent++
+	f.mu.Unlock()
+	c := streamCall(fmt.Sprint("id-", n), []string{tlstand.StreamPath, tlstand.ResumablePath}[n/len(f.all)%2])
+	c.Parts = append(shared, fmt.Sprintf("e%06x", n))
+	a, _ := f.w.send(f.all[n%len(f.all)], c)
+	return a
+}
+
+// crash sends requests until crashesBefore engines have crashed, or the router has stepped in.
+func (f *crashFleet) crash(parts func(n int) []string) {
+	for n := 0; n < 3*crashesBefore && f.crashCount() < crashesBefore; n++ {
+		f.call(parts(n)...)
+		time.Sleep(crashInterval)
+	}
+	require.NotZero(f.w.t, f.crashCount())
+	time.Sleep(crashSettleTime)
+}
+
+// assertRefused sends further requests and asserts that the router refuses them.
+func (f *crashFleet) assertRefused(parts func(n int) []string, maxSent int) {
+	f.w.t.Helper()
+	before := f.arrivals(crashingPart)
+	refused := 0
+	for n := range requestsAfter {
+		began := time.Now()
+		a := f.call(parts(1000 + n)...)
+		isAtOnce := time.Since(began) < 500*time.Millisecond
+		if a.status == http.StatusServiceUnavailable && a.header.Get("Trefoil-Verdict") == "NotRun" && a.header.Get("Retry-After") != "" && isAtOnce {
+			refused++
+		}
+		time.Sleep(crashInterval / 2)
+	}
+	assert.LessOrEqual(f.w.t, f.arrivals(crashingPart)-before, maxSent, "requests with the part that reached engines")
+	assert.GreaterOrEqual(f.w.t, refused, requestsAfter-maxSent, "requests that were refused at once, as not run")
+}
+
+// crashingSecond returns the parts of a prompt whose second part crashes engines.
+func crashingSecond(n int) []string {
+	return []string{sharedPart, crashingPart, fmt.Sprintf("c%06x", n)}
+}
+
+// crashingFirst returns the parts of a prompt whose first part crashes engines.
+func crashingFirst(n int) []string {
+	return []string{crashingPart, fmt.Sprintf("c%06x", n)}
+}
+
+func TestAPartThatCrashesEnginesGoesOnReachingThem(t *testing.T) {
+	f := newCrashFleet(t, 3, 6, 300*time.Millisecond)
+	f.crash(crashingSecond)
+	f.assertRefused(crashingSecond, maxSentAfter)
+}
+
+func TestAFirstPartThatCrashesEnginesGoesOnReachingThem(t *testing.T) {
+	f := newCrashFleet(t, 3, 6, 300*time.Millisecond)
+	f.crash(crashingFirst)
+	f.assertRefused(crashingFirst, maxSentAfter)
+}
+
+// Sound requests with the same first part suffer for as long as the others come.
+func TestSoundRequestsSufferFromAPartThatCrashesEngines(t *testing.T) {
+	f := newCrashFleet(t, 3, 2, 1500*time.Millisecond)
+	f.crash(crashingSecond)
+	f.w.eventually(func() bool { return f.call(sharedPart, "d00d").body == threeEvents })
+	var calls sync.WaitGroup
+	var served atomic.Int64
+	sent := 8 * requestsAfter
+	for n := range sent {
+		if n%4 == 0 {
+			calls.Go(func() { f.call(crashingSecond(n)...) })
+		}
+		calls.Go(func() {
+			if f.call(sharedPart, fmt.Sprintf("f%06x", n)).body == threeEvents {
+				served.Add(1)
+			}
+		})
+		time.Sleep(crashInterval / 8)
+	}
+	calls.Wait()
+	assert.GreaterOrEqual(t, 2*int(served.Load()), sent, "requests served")
+	assert.Equal(t, threeEvents, f.call(sharedPart, "d00d").body)
+}
+
+func TestAPartThatCrashesEnginesIsForgottenWhenAllInstancesRestart(t *testing.T) {
+	f := newCrashFleet(t, 3, 6, 300*time.Millisecond)
+	f.crash(crashingSecond)
+	for _, i := range f.all {
+		i.Close()
+	}
+	f.all = f.w.startFleet(len(f.all))
+	f.assertRefused(crashingSecond, maxSentAfter)
+}
+
+func TestAPartThatCrashesEnginesIsForgottenWhenTheHomeChanges(t *testing.T) {
+	f := newCrashFleet(t, 3, 6, 300*time.Millisecond)
+	f.crash(crashingSecond)
+	home := f.all[0].gossip.Oldest(tlstand.ModelService, homeCandidates)
+	var rest []*Instance
+	for _, i := range f.all {
+		if i.settings.Name == home {
+			i.Close()
+			continue
+		}
+		rest = append(rest, i)
+	}
+	f.all = rest
+	f.assertRefused(crashingSecond, maxSentAfter)
+}
+
+// A fault of the network cuts many engines off at one moment; no prompt is to blame.
+func TestANetworkFaultPutsNoPartInQuarantine(t *testing.T) {
+	f := newCrashFleet(t, 3, 8, 300*time.Millisecond)
+	for _, e := range f.engines {
+		e.EventInterval = 0
+		e.Intercept = func(_ http.ResponseWriter, r *http.Request, a *tlstand.Arrival) bool {
+			if a.Stage != "" {
+				return false
+			}
+			<-r.Context().Done()
+			return true
+		}
+	}
+	var calls sync.WaitGroup
+	for range 24 {
+		calls.Go(func() { f.call(sharedPart, "ab12") })
+	}
+	f.w.eventually(func() bool { return f.arrivals(sharedPart) >= 24 })
+	time.Sleep(100 * time.Millisecond)
+	for _, e := range f.engines {
+		e.ResetConnections()
+	}
+	calls.Wait()
+	for _, e := range f.engines {
+		f.w.store.Put(platform.TopicEndpoints, e.ID, nil)
+	}
+	for n := range 4 {
+		f.startEngine(fmt.Sprint("n", n), "decode", n)
+	}
+	f.w.eventually(func() bool { return f.call(sharedPart, "ab12").body == threeEvents })
+	for range 12 {
+		assert.Equal(t, threeEvents, f.call(sharedPart, "ab12").body)
+	}
+}
