--- a/core/tlcall/call.go
+++ b/core/tlcall/call.go
@@ -16,6 +16,8 @@
 	OutputHint int
 	// ResumeAfter is the id of the last event that the caller received in an earlier attempt.
 	ResumeAfter string
+	// Parts holds the IDs of the parts of the prompt that other requests may share, in order.
+	Parts []string
 }
 
 // ExpectedTokens returns the expected number of tokens of the answer.
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -247,3 +248,27 @@
 		assert.Equal(t, threeEvents, f.call(sharedPart, "ab12").body)
 	}
 }
+
+func TestTracesDoNotTellWhichPartsAPromptShares(t *testing.T) {
+	w := newTestCluster(t)
+	w.startEngine("p", "prefill")
+	d := w.startEngine("d1", "decode")
+	d.Intercept = func(_ http.ResponseWriter, _ *http.Request, _ *tlstand.Arrival) bool {
+		panic(http.ErrAbortHandler)
+	}
+	i := w.startInstance("a")
+	hook := logtest.NewLocal(i.log.Logger)
+	c := streamCall("id-1", tlstand.StreamPath)
+	c.Parts = []string{sharedPart, crashingPart, "e1"}
+	w.call(i, c)
+	var parts any
+	w.eventually(func() bool {
+		for _, e := range hook.AllEntries() {
+			if e.Message == "routed" {
+				parts = e.Data["Parts"]
+			}
+		}
+		return parts != nil
+	})
+	assert.Equal(t, []string{sharedPart, crashingPart}, parts)
+}
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -85,13 +85,17 @@
 		}
 	}
 	x.deadline = x.deadline.Add(-answerMargin)
-	x.step("routed", logrus.Fields{
+	f := logrus.Fields{
 		"Route":   r.Name,
 		"Service": x.service.Name,
 		"Version": t.Version,
 		"Kind":    r.Kind.String(),
 		"LeftMs":  x.timeLeft().Milliseconds(),
-	})
+	}
+	if len(x.call.Parts) > 0 {
+		f["Parts"] = x.call.Parts
+	}
+	x.step("routed", f)
 }
 
 // timeLeft returns the time until the deadline.
