Test that a lost keep-alive probe ends no connection

Cause: TCP_USER_TIMEOUT replaces the count of keep-alive probes: with 1.5 s, probes after 1 s of silence and 1 s between them, a connection is ended at 2 s where its first probe, or that probe's answer, was lost. keepAliveProbes = 2 has no effect. A peer that acknowledged nothing for 0.2 s in the wrong moment, and says nothing else for 2 s, loses the request: 502 to the caller of a plain call, a stream cut after its first event.

--- a/io/tlsend/silence_test.go
+++ b/io/tlsend/silence_test.go
@@ -149,3 +149,21 @@
 	assert.Equal(t, "ok", readBody(t, r))
 	return nil
 }
+
+// Guards against a connection that is ended since one keep-alive probe was lost.
+func TestLostProbeEndsNoConnection(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name string
+		silence
+	}{
+		{"1 the first probe", silence{before: 900 * ms, deaf: 200 * ms, after: 1500 * ms}},
+		{"2 a second in which nothing is acknowledged", silence{before: 400 * ms, deaf: 1000 * ms, after: 1200 * ms}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			require.NoError(t, sendInto(t, c.silence))
+		})
+	}
+}
