Test that a request sent into a silence of 1.9 s arrives

Cause: TCP_USER_TIMEOUT of 1.5 s ends a connection whose bytes stay unacknowledged that long; a silence of 1.2 s, and one of 1.6 s, is survived, one of 1.9 s isn't. The request counts as one that may have run, so one that runs at most once is lost, though the peer never saw it.

--- a/io/tlsend/silence_test.go
+++ b/io/tlsend/silence_test.go
@@ -167,3 +167,8 @@
 		})
 	}
 }
+
+// Guards against a request that is lost because its first bytes meet a network that is silent for nearly two seconds.
+func TestRequestSentIntoALongerSilenceArrives(t *testing.T) {
+	require.NoError(t, sendToDeafPeer(t, 1900*time.Millisecond))
+}
