Test that a body that its peer reads late arrives

Cause: TCP_USER_TIMEOUT ends a connection also while its peer's window is closed, though the peer answers each probe: an endpoint whose program reads nothing for two seconds loses each request that is larger than the buffers. Tried with bodies of 64 KB, 128 KB, 1 MB and 8 MB: 128 KB and more are lost.

--- a/io/tlsend/silence_test.go
+++ b/io/tlsend/silence_test.go
@@ -172,3 +172,8 @@
 func TestRequestSentIntoALongerSilenceArrives(t *testing.T) {
 	require.NoError(t, sendToDeafPeer(t, 1900*time.Millisecond))
 }
+
+// Guards against a large request that is lost because its peer, which acknowledges all, reads it late.
+func TestBodyReadLateArrives(t *testing.T) {
+	require.NoError(t, sendToLateReader(t, 3*time.Second))
+}
