Test that an idle limit raised by a later configuration holds

Cause: http.Server reads its limits at its start (gateway/listen.go, serveCallers), so that connections are closed by the idle limit of the first configuration, while callers go by the last: a request sent on a connection that counts as open meets a close.

One connection is opened after the change, on the other a request is under way while it comes into force.

--- /dev/null
+++ b/gateway/caller_connection_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"trefoillanding/platform"
+	"trefoillanding/platform/tlstand"
+)
+
+// callerConnection is a connection of a caller that is kept between requests.
+type callerConnection struct {
+	i *Instance
+	c net.Conn
+	r *bufio.Reader
+}
+
+func dialAsCaller(t *testing.T, i *Instance) *callerConnection {
+	t.Helper()
+	c, err := net.Dial("tcp", i.settings.Listen.String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return &callerConnection{i, c, bufio.NewReader(c)}
+}
+
+// begin sends a call and reads the head of its answer.
+func (k *callerConnection) begin(c tlstand.Call) (*http.Response, error) {
+	c.Host = tlstand.Host
+	q, err := c.Request(k.i.settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	if err := k.c.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		return nil, err
+	}
+	if err := q.Write(k.c); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(k.r, q)
+}
+
+// ask sends a call and reads its whole answer.
+func (k *callerConnection) ask(c tlstand.Call) (status int, err error) {
+	r, err := k.begin(c)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Body.Close()
+	_, err = io.Copy(io.Discard, r.Body)
+	return r.StatusCode, err
+}
+
+// putLimits puts a configuration in force that sets other limits than the one before.
+func (w *testCluster) putLimits(i *Instance, version uint64, idle time.Duration, headerBytes int) {
+	w.t.Helper()
+	c := tlstand.Config(version)
+	c.Limits.IdleMs, c.Limits.HeaderBytes = float64(idle.Milliseconds()), headerBytes
+	w.store.PutJSON(platform.TopicConfig, platform.KeyConfig, c)
+	if i != nil {
+		w.eventually(func() bool { return i.version() == version })
+	}
+}
+
+const (
+	shortIdle  = 300 * time.Millisecond
+	longIdle   = 15 * time.Second
+	fewBytes   = 16 << 10
+	idlePeriod = 900 * time.Millisecond
+)
+
+// Guards against connections that are closed by the idle limit of the first configuration, while callers go by the last.
+func TestIdleLimitRaisedByALaterConfigurationHolds(t *testing.T) {
+	cases := []struct {
+		name string
+		// isOpenBefore says that the connection has a request under way when the configuration changes.
+		isOpenBefore bool
+	}{
+		{"1 a connection opened after", false},
+		{"2 a connection opened before", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestCluster(t)
+			e := w.startPlainEndpoint("e1")
+			release := make(chan struct{})
+			holdUntil(release, e)
+			w.putLimits(nil, 2, shortIdle, fewBytes)
+			i := w.startInstance("a")
+			require.EqualValues(t, 2, i.version())
+			k := dialAsCaller(t, i)
+			first := make(chan error, 1)
+			ask := func() {
+				_, err := k.ask(onceCall("id-1"))
+				first <- err
+			}
+			if c.isOpenBefore {
+				go ask()
+				w.eventually(func() bool { return len(e.Arrivals()) == 1 })
+			}
+			w.putLimits(i, 3, longIdle, fewBytes)
+			close(release)
+			if !c.isOpenBefore {
+				ask()
+			}
+			require.NoError(t, <-first)
+			time.Sleep(idlePeriod)
+			status, err := k.ask(onceCall("id-2"))
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, status)
+		})
+	}
+}
