Test that a header limit raised by a later configuration holds

Cause: as with the idle limit, http.Server keeps the header_bytes of the first configuration, and refuses larger headers itself: 431 without a verdict, which no caller sends again.

--- a/gateway/caller_connection_test.go
+++ b/gateway/caller_connection_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,6 +73,7 @@
 	shortIdle  = 300 * time.Millisecond
 	longIdle   = 15 * time.Second
 	fewBytes   = 16 << 10
+	moreBytes  = 64 << 10
 	idlePeriod = 900 * time.Millisecond
 )
 
@@ -117,3 +119,17 @@
 		})
 	}
 }
+
+// Guards against headers that are refused by the limit of the first configuration, while callers go by the last.
+func TestHeaderLimitRaisedByALaterConfigurationHolds(t *testing.T) {
+	w := newTestCluster(t)
+	w.startPlainEndpoint("e1")
+	w.putLimits(nil, 2, longIdle, fewBytes)
+	i := w.startInstance("a")
+	w.putLimits(i, 3, longIdle, moreBytes)
+	c := onceCall("id-1")
+	c.Header = http.Header{"X-Filler": {strings.Repeat("x", 2*fewBytes)}}
+	status, err := dialAsCaller(t, i).ask(c)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, status)
+}
