Test that a panic of the handler is logged, counted and answered

Cause: nothing in the gateway recovers a panic; http.Server closes the connection, and its log is discarded (gateway/listen.go). A request that was read whole and has run ends with a closed connection, and neither a counter nor a line tells of it. The entry of the product's own interface answers 502 with the reason Internal in the same case.

An instance without its histograms panics once an endpoint has answered.

--- a/gateway/caller_connection_test.go
+++ b/gateway/caller_connection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -9,9 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"trefoillanding/core/tlverdict"
+	"trefoillanding/core/tlwire"
 	"trefoillanding/platform"
 	"trefoillanding/platform/tlstand"
 )
@@ -69,6 +74,24 @@
 	}
 }
 
+// newInstance makes an instance that does not run yet.
+func (w *testCluster) newInstance(s tlwire.Settings, l *logrus.Logger) *Instance {
+	w.t.Helper()
+	i, err := New(s, l)
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { closeOnce(i) })
+	return i
+}
+
+// run runs an instance and waits until it is ready.
+func (w *testCluster) run(i *Instance) {
+	w.t.Helper()
+	ctx, stop := context.WithTimeout(context.Background(), testTimeout)
+	w.t.Cleanup(stop)
+	require.NoError(w.t, i.Run(ctx))
+	w.eventually(i.isReady)
+}
+
 const (
 	shortIdle  = 300 * time.Millisecond
 	longIdle   = 15 * time.Second
@@ -133,3 +156,42 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, status)
 }
+
+// Guards against a panic of the handler that closes the caller's connection without a word, in no log and no counter.
+func TestHandlerPanicIsLoggedCountedAndAnswered(t *testing.T) {
+	cases := []struct {
+		name string
+		call tlstand.Call
+		// isAnswered says that nothing of the answer had been sent.
+		isAnswered bool
+	}{
+		{"1 a plain request", onceCall("id-1"), true},
+		{"2 a stream", streamCall("id-1", tlstand.StreamPath), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestCluster(t)
+			w.startPlainEndpoint("e1")
+			w.startEngine("d1", "decode")
+			l, logged := test.NewNullLogger()
+			i := w.newInstance(w.settings("a"), l)
+			// Without its histograms an instance panics once an endpoint has answered.
+			i.counters.latencies = nil
+			w.run(i)
+			status, whole := w.tryCall(i, c.call)
+			if c.isAnswered {
+				assert.Equal(t, http.StatusBadGateway, status)
+			}
+			assert.False(t, whole && status == http.StatusOK)
+			assert.EqualValues(t, 1, i.counters.gateway.Value(string(tlverdict.Internal)))
+			errorLines := 0
+			for _, e := range logged.AllEntries() {
+				if e.Level <= logrus.ErrorLevel {
+					errorLines++
+				}
+			}
+			assert.Equal(t, 1, errorLines)
+			assert.Zero(t, i.open())
+		})
+	}
+}
