Test that a stream goes on whose caller reads late

Cause: the idle timer of resumable streams (watchIdle) runs on while events are written to the caller. Where the caller reads nothing for 1.5 s, and the buffers are full, it closes the engine's body: a silence of the caller is taken for one of the engine, which is doubted, and the stream moves or ends.

--- a/gateway/caller_connection_test.go
+++ b/gateway/caller_connection_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -195,3 +196,36 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut, and an engine that is doubted, since the caller reads late.
+func TestStreamOfACallerWhoReadsLateGoesOn(t *testing.T) {
+	const events, event = 64, "id: %04d\ndata: %s\n\n"
+	piece := strings.Repeat(block, 4)
+	cases := []struct{ name, path string }{
+		{"1 runs once", tlstand.StreamPath},
+		{"2 may be resumed", tlstand.ResumablePath},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestCluster(t)
+			w.startReadingEndpoint("d1", tlstand.ModelService, "decode", func(c net.Conn) {
+				_, err := io.WriteString(c, streamHead)
+				for n := 0; n < events && err == nil; n++ {
+					_, err = fmt.Fprintf(c, event, n, piece)
+				}
+			})
+			i := w.startInstance("a")
+			k := dialAsCaller(t, i)
+			q := streamCall("id-1", c.path)
+			q.Deadline = testTimeout
+			r, err := k.begin(q)
+			require.NoError(t, err)
+			defer r.Body.Close()
+			time.Sleep(2500 * time.Millisecond)
+			n, err := io.Copy(io.Discard, r.Body)
+			require.NoError(t, err)
+			assert.EqualValues(t, events*len(fmt.Sprintf(event, 0, piece)), n)
+			assert.Empty(t, i.directory.Failing())
+		})
+	}
+}
