Test that a silent prefill engine is no reason to refuse

Cause: a prefill that isn't done within its bound (550 ms for short prompts) charges the retry budget before the decode engine reads the prompt itself (io/tlgateway/prefill.go). Where the budget is spent the request is refused with 429 "the retry budget is spent: <nil>", though its decode engine is sound and unasked.

--- a/gateway/caller_connection_test.go
+++ b/gateway/caller_connection_test.go
@@ -229,3 +229,35 @@
 		})
 	}
 }
+
+// Guards against a request that is refused since a prefill engine is silent, though its decode engine could read the prompt.
+func TestSilenceOfAPrefillEngineIsNoReasonToRefuse(t *testing.T) {
+	cases := []struct {
+		name    string
+		silence time.Duration
+	}{
+		{"1 answers at once", 0},
+		{"2 is silent for a second", 1200 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestCluster(t)
+			p, d := w.startEngine("p", "prefill"), w.startEngine("d1", "decode")
+			p.Intercept = func(http.ResponseWriter, *http.Request, *tlstand.Arrival) bool {
+				time.Sleep(c.silence)
+				return false
+			}
+			s := w.settings("a")
+			s.Gateway.RetryBurst, s.Gateway.RetryShare = 0, 0
+			l, _ := test.NewNullLogger()
+			i := w.newInstance(s, l)
+			w.run(i)
+			w.eventually(func() bool { return len(i.directory.Endpoints(tlstand.ModelService)) == 2 })
+			a := w.call(i, streamCall("id-1", tlstand.StreamPath))
+			assert.Equal(t, http.StatusOK, a.status, a.body)
+			assert.Equal(t, threeEvents, a.body)
+			assert.Len(t, p.Arrivals(), 1, "a second prefill would count as an attempt")
+			assert.Equal(t, 1, runs("id-1", d))
+		})
+	}
+}
