--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -45,8 +45,9 @@
 	}
 }
 
-func resumableCall(id string) tlstand.Call {
-	c := streamCall(id, tlstand.ResumablePath)
+// patientCall is a resumable call whose caller waits for longer than any silence here.
+func patientCall(id string) tlstand.Call {
+	c := resumableCall(id)
 	c.Deadline = testTimeout
 	return c
 }
@@ -77,7 +78,7 @@
 				engines = append(engines, w.startEngine(fmt.Sprint("d", n), "decode"))
 			}
 			silentEngine(c.events, silence, engines...)
-			a := w.call(w.startInstance("a"), resumableCall("id-1"))
+			a := w.call(w.startInstance("a"), patientCall("id-1"))
 			assert.Equal(t, http.StatusOK, a.status)
 			assert.Equal(t, threeEvents, a.body)
 			assert.True(t, a.isComplete)
@@ -93,7 +94,7 @@
 			w := newTestCluster(t)
 			_, d1, d2 := w.startEngines()
 			silentEngine(events, endless, d1, d2)
-			a := w.call(w.startInstance("a"), resumableCall("id-1"))
+			a := w.call(w.startInstance("a"), patientCall("id-1"))
 			assert.Equal(t, threeEvents, a.body)
 			assert.True(t, a.isComplete)
 			assert.Equal(t, 2, runs("id-1", d1, d2))
@@ -115,7 +116,7 @@
 		}
 		return false
 	}
-	a := w.call(w.startInstance("a"), resumableCall("id-1"))
+	a := w.call(w.startInstance("a"), patientCall("id-1"))
 	assert.Equal(t, threeEvents, a.body)
 	assert.Equal(t, 1, runs("id-1", d1, d2))
 }
@@ -135,7 +136,7 @@
 		}
 	}
 	i := w.startInstance("a")
-	c := resumableCall("id-1")
+	c := patientCall("id-1")
 	c.Host = tlstand.Host
 	q, err := c.Request(i.settings.Listen)
 	require.NoError(t, err)
