Bound the search for another engine, and report silence in time

What callers would see, found by the review of the move of silent streams and shown by tests that failed before:

- a stream without a prompt length was "moved" to the silent engine itself, where it was the only one (two runs; the directory returns an engine to avoid where there is no other);
- an engine that is late with each event cost a search each time: 5 prefills for one stream of four events, and it was reported as silent;
- a silent engine was reported only when the search had failed, never within 10 s for a stream that waits for room, so that others still went there.

Cause: the relocation repeated its search without counting what it had cost, and reported at its end. Now a search that was charged is the last for its send; the silence is reported 0.3 s into a search, or when it fails, and not where the engine has spoken; a move after such a report does not count as a second lost answer. A successor takes no engine to avoid, and an endpoint that was picked and not used is given back to the directory, also where the budget refuses. A request that has ended is not moved, and frees what its search prepared. No search begins once the request has ended.

The silence in the tests is 1.8 s now, further from the time at which the second prefill is given up, about 2.05 s.

TestSlowStreamIsSearchedAnotherEngineForOnce, TestSilentEngineIsReportedWhileIts- StreamWaitsForAnother and cases 6 and 7 of TestSilenceEndsNoStreamThatNoOther- EngineCanTake failed before and pass.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -12,12 +12,14 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"trefoillanding/io/tlgateway"
+	"trefoillanding/platform"
 	"trefoillanding/platform/tlstand"
 )
 
 const (
 	// silence is above the time after which an instance seeks another engine for a stream.
-	silence = 2 * time.Second
+	silence = 1800 * time.Millisecond
 	// endless is a silence that outlasts the caller.
 	endless = time.Minute
 )
@@ -60,25 +62,35 @@
 		engines int
 		// events is the number of events before the silence; -1 is a silence before the header.
 		events int
+		// withoutLength leaves out the prompt's length, so that no place is reserved.
+		withoutLength bool
 	}{
-		{"1 the retry budget is spent, amid the events", true, 2, 1},
-		{"2 the retry budget is spent, before the first event", true, 2, 0},
-		{"3 the retry budget is spent, before the header", true, 2, -1},
-		{"4 there is no other engine, amid the events", false, 1, 1},
-		{"5 there is no other engine, before the header", false, 1, -1},
+		{"1 the retry budget is spent, amid the events", true, 2, 1, false},
+		{"2 the retry budget is spent, before the first event", true, 2, 0, false},
+		{"3 the retry budget is spent, before the header", true, 2, -1, false},
+		{"4 there is no other engine, amid the events", false, 1, 1, false},
+		{"5 there is no other engine, before the header", false, 1, -1, false},
+		{"6 there is no other engine for a prompt of unknown length, amid the events", false, 1, 1, true},
+		{"7 there is no other engine for a prompt of unknown length, before the header", false, 1, -1, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			w := newTestCluster(t)
 			w.withoutRetries = c.withoutRetries
-			w.startEngine("p", "prefill")
+			if !c.withoutLength {
+				w.startEngine("p", "prefill")
+			}
 			var engines []*tlstand.Endpoint
 			for n := range c.engines {
 				engines = append(engines, w.startEngine(fmt.Sprint("d", n), "decode"))
 			}
 			silentEngine(c.events, silence, engines...)
-			a := w.call(w.startInstance("a"), patientCall("id-1"))
+			q := patientCall("id-1")
+			if c.withoutLength {
+				q.PromptTokens = 0
+			}
+			a := w.call(w.startInstance("a"), q)
 			assert.Equal(t, http.StatusOK, a.status)
 			assert.Equal(t, threeEvents, a.body)
 			assert.True(t, a.isComplete)
@@ -149,3 +161,58 @@
 	assert.Equal(t, events, bytes.Count(b, []byte("\n\n")))
 	assert.Equal(t, 1, runs("id-1", d1, d2))
 }
+
+// An engine that is late with each event must not cost a search, and a prefill, each time.
+func TestSlowStreamIsSearchedAnotherEngineForOnce(t *testing.T) {
+	w := newTestCluster(t)
+	var readers []*tlstand.Endpoint
+	arrivals := func() int {
+		n := 0
+		for _, p := range readers {
+			n += len(p.Arrivals())
+		}
+		return n
+	}
+	for n := range 3 {
+		p := w.startEngine(fmt.Sprint("p", n), "prefill")
+		p.Intercept = func(_ http.ResponseWriter, r *http.Request, _ *tlstand.Arrival) bool {
+			if arrivals() > 1 {
+				select {
+				case <-time.After(400 * time.Millisecond):
+				case <-r.Context().Done():
+				}
+			}
+			return false
+		}
+		readers = append(readers, p)
+	}
+	d1, d2 := w.startEngine("d1", "decode"), w.startEngine("d2", "decode")
+	d1.EventInterval, d2.EventInterval = 1700*time.Millisecond, 1700*time.Millisecond
+	d1.Events, d2.Events = 4, 4
+	c := tlstand.Config(2)
+	for n := range c.Routes {
+		c.Routes[n].TimeoutMs = float64(2 * testTimeout.Milliseconds())
+	}
+	w.store.PutJSON(platform.TopicConfig, platform.KeyConfig, c)
+	i := w.startInstance("a")
+	a := w.call(i, patientCall("id-1"))
+	assert.True(t, a.isComplete)
+	assert.Equal(t, 4, strings.Count(a.body, "\n\n"))
+	assert.Equal(t, 1, runs("id-1", d1, d2))
+	assert.LessOrEqual(t, arrivals(), 2, "prefills")
+	assert.Zero(t, i.counters.gateway.Value(tlgateway.EngineSilent), "it went on each time")
+}
+
+func TestSilentEngineIsReportedWhileItsStreamWaitsForAnother(t *testing.T) {
+	w := newTestCluster(t)
+	w.startEngine("p", "prefill")
+	d := w.startEngine("d1", "decode")
+	silentEngine(-1, 3*time.Second, d)
+	i := w.startInstance("a")
+	began := time.Now()
+	answered := make(chan answer, 1)
+	go func() { answered <- w.call(i, patientCall("id-1")) }()
+	w.eventually(func() bool { return i.counters.gateway.Value(tlgateway.EngineSilent) == 1 })
+	assert.Less(t, time.Since(began), silence)
+	assert.Equal(t, threeEvents, (<-answered).body)
+}
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -38,6 +38,10 @@
 	prepared *preparation
 	// relocation moves the generation if the engine that it was sent to is silent.
 	relocation *relocation
+	// isSuccessor is set while the engine before is only silent, and may still answer.
+	isSuccessor bool
+	// hasCharged says that a retry was charged to the budget.
+	hasCharged bool
 	// avoid lists the endpoints that failed or refused the request.
 	avoid []string
 	// decodeSends counts the sends that ask for the answer.
@@ -103,6 +107,7 @@
 		return preparation{}, err
 	}
 	if err := g.chargeRetry(&p); err != nil {
+		g.unpick(p)
 		return preparation{}, err
 	}
 	s, err := g.prefill(p)
@@ -135,8 +140,7 @@
 	if !g.relocation.progress() {
 		closeReply(r)
 		stop()
-		g.moveTo(g.relocation.stop(), p, began)
-		return nil, nil
+		return nil, g.moved(p, began)
 	}
 	if err != nil {
 		g.relocation.stop()
@@ -151,9 +155,20 @@
 	return r, nil
 }
 
+// moved continues at another engine after the one before sent no header in time.
+func (g *generation) moved(from placement, began time.Time) *tlverdict.Error {
+	s := g.takeSuccessor()
+	if s == nil {
+		g.possibleRuns++
+		return g.finalError(nil)
+	}
+	g.moveTo(s, from, began)
+	return nil
+}
+
 // watchSilence reports an engine that stays silent to the service's home instance,
 // so that other requests avoid it; this one may have run there and keeps waiting.
-// A request that can be retried elsewhere reports the silence when its send fails.
+// For a request that can be moved elsewhere its relocation does that.
 func (g *generation) watchSilence(p placement, s tlcall.Source) (unwatch func() bool) {
 	if !g.hasReservation || g.mayRetryAfterSilence() {
 		return func() bool { return false }
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"trefoillanding/core/tlendpoint"
+	"trefoillanding/core/tlhealth"
 	"trefoillanding/core/tlplace"
 	"trefoillanding/core/tlverdict"
 	"trefoillanding/io/tlbooking"
@@ -27,11 +28,11 @@
 	if g.decodeSends == 0 {
 		return nil
 	}
-	b := g.x.g.deps.Budget
 	if p.reusesPrefill {
 		return g.chargeSend()
 	}
-	if p.isSplit && b.Spend(g.x.service.Name, 2) {
+	if p.isSplit && g.x.g.deps.Budget.Spend(g.x.service.Name, 2) {
+		g.hasCharged = true
 		return nil
 	}
 	p.isSplit = false
@@ -41,6 +42,7 @@
 // chargeSend charges one send to the retry budget.
 func (g *generation) chargeSend() *tlverdict.Error {
 	if g.x.g.deps.Budget.Spend(g.x.service.Name, 1) {
+		g.hasCharged = true
 		return nil
 	}
 	g.x.g.deps.Count(BudgetSpent)
@@ -56,6 +58,8 @@
 	isSplit bool
 	// reusesPrefill says that the prefill of an earlier attempt is used.
 	reusesPrefill bool
+	// isPicked says that the directory picked the endpoint, and counts the request there.
+	isPicked bool
 }
 
 // findPlacement reserves engines with room, or picks an endpoint where none need be reserved.
@@ -93,10 +97,26 @@
 		if e := x.restRefusal(); e != nil {
 			return placement{}, g.finalError(e)
 		}
-		e := tlverdict.New(tlverdict.NoEndpoint, "no endpoint of service %s is available", x.service.Name)
-		return placement{}, g.finalError(e.WithRetryAfter(busyRetryAfter))
+		return placement{}, g.noEndpoint()
+	}
+	p := placement{decode: e, isPicked: true}
+	if g.isSuccessor && slices.Contains(g.avoid, e.ID) {
+		g.unpick(p)
+		return placement{}, g.noEndpoint()
+	}
+	return p, nil
+}
+
+func (g *generation) noEndpoint() *tlverdict.Error {
+	e := tlverdict.New(tlverdict.NoEndpoint, "no endpoint of service %s is available", g.x.service.Name)
+	return g.finalError(e.WithRetryAfter(busyRetryAfter))
+}
+
+// unpick tells the directory that nothing is sent to an endpoint that it picked.
+func (g *generation) unpick(p placement) {
+	if p.isPicked {
+		g.x.g.deps.Directory.Observe(g.x.g.deps.Now(), p.decode.ID, tlhealth.CallerGone, 0)
 	}
-	return placement{decode: e}, nil
 }
 
 // resolve looks up the engines of a decision in this instance's own directory.
--- a/io/tlgateway/relocation.go
+++ b/io/tlgateway/relocation.go
@@ -15,8 +15,13 @@
 	"trefoillanding/io/tlbooking"
 )
 
-// streamIdleTimeout is the silence after which another engine is sought for a resumable stream.
-const streamIdleTimeout = 1500 * time.Millisecond
+const (
+	// streamIdleTimeout is the silence after which another engine is sought for a resumable stream.
+	streamIdleTimeout = 1500 * time.Millisecond
+	// searchReportDelay is the time in a search after which the silent engine is
+	// reported; most streams have been moved by then, which is reported as well.
+	searchReportDelay = 300 * time.Millisecond
+)
 
 var errEngineSilent = errors.New("the engine was silent")
 
@@ -34,6 +39,8 @@
 	timer      *time.Timer
 	isAwaiting bool
 	isStopped  bool
+	// isSpent says that a search was charged to the retry budget; there is no other after it.
+	isSpent bool
 	// hasReported says that the engine's silence was reported.
 	hasReported bool
 	// possibleRuns counts the sends that may have run the request, the one awaited included.
@@ -120,12 +127,42 @@
 		return
 	}
 	defer m.searches.Done()
+	report := time.AfterFunc(searchReportDelay, m.reportSilence)
 	err := s.prepareAhead()
+	report.Stop()
+	m.endSearch(s, err)
+}
+
+// beginSearch returns the generation that is to continue at another engine; nil if the
+// wait has ended or no other search is due.
+func (m *relocation) beginSearch() *generation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isAwaiting || m.isStopped || m.isSpent || m.g.ctx.Err() != nil {
+		return nil
+	}
+	if m.cancelSearch != nil {
+		// A cancelled search is still ending.
+		m.timer.Reset(streamIdleTimeout)
+		return nil
+	}
+	m.searches.Add(1)
+	ctx, cancel := context.WithCancel(m.g.ctx)
+	m.cancelSearch = cancel
+	s := m.g.newSuccessor(ctx, m.from)
+	s.possibleRuns = m.possibleRuns
+	return s
+}
+
+// endSearch moves the generation to the successor, or drops it if it could not be
+// prepared or the wait has ended.
+func (m *relocation) endSearch(s *generation, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	isWanted := s.ctx.Err() == nil
 	m.cancelSearch()
 	m.cancelSearch = nil
+	m.isSpent = m.isSpent || s.hasCharged
 	switch {
 	case err == nil && isWanted:
 		s.ctx = m.g.ctx
@@ -137,17 +174,26 @@
 		s.discard()
 	default:
 		s.releaseReservation()
+	}
+	if isWanted {
 		m.g.x.step("not moved", logrus.Fields{"Endpoint": m.from.decode.ID, "Cause": err.Error()})
-		m.reportSilence()
+		m.report()
 	}
 	if m.isAwaiting {
 		m.timer.Reset(streamIdleTimeout)
 	}
 }
 
-// reportSilence reports the engine once to the service's home instance, so that other
-// requests avoid it; this one keeps waiting for it. m.mu must be held.
+// reportSilence reports the engine while its answer is awaited.
 func (m *relocation) reportSilence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.report()
+}
+
+// report tells the service's home instance once that the engine is silent, so that
+// other requests avoid it; this one keeps waiting for it. m.mu must be held.
+func (m *relocation) report() {
 	if m.hasReported || !m.isAwaiting || !m.g.hasReservation {
 		return
 	}
@@ -156,27 +202,6 @@
 	m.g.report(tlbooking.DecodeSilent, m.from.decode.ID)
 }
 
-// beginSearch returns the generation that is to continue at another engine; nil if the
-// wait has ended.
-func (m *relocation) beginSearch() *generation {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.isAwaiting || m.isStopped {
-		return nil
-	}
-	if m.cancelSearch != nil {
-		// A cancelled search is still ending.
-		m.timer.Reset(streamIdleTimeout)
-		return nil
-	}
-	m.searches.Add(1)
-	ctx, cancel := context.WithCancel(m.g.ctx)
-	m.cancelSearch = cancel
-	s := m.g.newSuccessor(ctx, m.from)
-	s.possibleRuns = m.possibleRuns
-	return s
-}
-
 // newSuccessor returns a generation that goes on where g is, at another engine and under a
 // reservation of its own.
 func (g *generation) newSuccessor(ctx context.Context, from placement) *generation {
@@ -184,6 +209,7 @@
 	return &generation{
 		x:             g.x,
 		ctx:           ctx,
+		isSuccessor:   true,
 		reservation:   fmt.Sprintf("%s#%d", g.x.call.ID, g.x.successors),
 		avoid:         append(slices.Clone(g.avoid), from.decode.ID),
 		decodeSends:   g.decodeSends,
@@ -207,11 +233,24 @@
 // discard releases what a successor holds that is not needed.
 func (g *generation) discard() {
 	g.releaseReservation()
-	if p := g.prepared; p != nil && p.source.IsSet() {
+	p := g.prepared
+	g.unpick(p.placement)
+	if p.source.IsSet() {
 		go g.x.g.release(p.placement, p.source.Handle)
 	}
 }
 
+// takeSuccessor ends the wait for an engine and returns the generation that continues
+// elsewhere; nil if the engine keeps it, or the request has ended.
+func (g *generation) takeSuccessor() *generation {
+	s := g.relocation.stop()
+	if s != nil && g.ctx.Err() != nil {
+		s.discard()
+		return nil
+	}
+	return s
+}
+
 // moveTo continues as another generation after an engine has been silent since began.
 func (g *generation) moveTo(s *generation, from placement, began time.Time) {
 	x := g.x
@@ -223,6 +262,12 @@
 		"To":       s.prepared.placement.decode.ID,
 		"After":    g.lastEventID,
 	})
-	g.abandonEngine(from.decode.ID, tlbooking.DecodeFailed)
+	e := tlbooking.DecodeFailed
+	if g.relocation.hasReported {
+		// One silence must not count as two lost answers.
+		e = tlbooking.DecodeFull
+	}
+	g.abandonEngine(from.decode.ID, e)
+	s.isSuccessor = false
 	*g = *s
 }
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -56,11 +56,11 @@
 	}
 	err := g.copyEvents(p, r)
 	_ = r.Body.Close()
-	successor := g.relocation.stop()
-	if successor != nil && (err == nil || x.isCallerGone()) {
-		successor.discard()
-	}
+	successor := g.takeSuccessor()
 	if err == nil {
+		if successor != nil {
+			successor.discard()
+		}
 		g.sendHeader(r)
 		g.releaseServed()
 		x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, tlhealth.Answered, x.g.deps.Now().Sub(began))
