Decide which parts of prompts crash engines

Cause: a part of a prompt may crash each engine that begins to write an answer on it.

Change: core/tlquarantine keeps the crashes under requests whose answers had not begun. A part that MinCrashes different incarnations ended under, and on which no answer has begun for a time, is to blame; of several the last. Crashes at one moment are one, and those that a part explains count against no other. The book refuses requests with a part in quarantine, new and queued ones, and an answer lifts it.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoillanding/core/tlendpoint"
+	"trefoillanding/core/tlquarantine"
 	"trefoillanding/core/tlrate"
 	"trefoillanding/core/tlshare"
 )
@@ -17,6 +18,8 @@
 	bookings map[string]*Booking
 	waiting  []*Request
 	stalls   stallTracker
+	// quarantine holds the parts of prompts that crash engines.
+	quarantine *tlquarantine.Table
 	// rates holds what the requests served so far have shown of the engines.
 	rates       tlrate.Rates
 	lastRequest time.Time
@@ -44,6 +47,8 @@
 		bookings:  map[string]*Booking{},
 		lateShare: 1,
 		random:    r,
+
+		quarantine: tlquarantine.New(),
 	}
 }
 
@@ -278,6 +283,7 @@
 		Owner:      r.Owner,
 		Decode:     d.Decode,
 		Tokens:     d.Tokens,
+		Parts:      r.Parts,
 		prompt:     r.Prompt,
 		output:     r.Output,
 		isMeasured: true,
@@ -354,46 +360,3 @@
 func (b *Book) IsWaiting() bool {
 	return len(b.waiting) > 0
 }
-
-// Totals sums up the load of a book's engines and its queue.
-type Totals struct {
-	// Readers and Decoders count the usable prefill and decode engines.
-	Readers, Decoders int
-	// Reading counts the unread prompts at prefill engines, Running the bookings at decode engines.
-	Reading, Running int
-	// Booked and Memory are the booked and the total tokens of all usable decode engines.
-	Booked, Memory int
-	// Foreign is the memory there, in tokens, that is in use by requests without a booking in this book.
-	Foreign int
-	// Waiting counts the queued requests.
-	Waiting int
-	// Risky counts the usable decode engines that recently lost too many answers.
-	Risky int
-	// IsStalling is set while answers stall between data centres.
-	IsStalling bool
-}
-
-// Totals returns the current load of the book.
-func (b *Book) Totals(now time.Time) Totals {
-	s := Totals{Waiting: len(b.waiting), IsStalling: b.stalls.isStalling(now)}
-	for _, e := range b.order {
-		if !e.isUsable(now) {
-			continue
-		}
-		switch e.Role {
-		case tlendpoint.Prefill:
-			s.Readers++
-			s.Reading += e.prefills
-		case tlendpoint.Decode:
-			s.Decoders++
-			if e.isRisky() {
-				s.Risky++
-			}
-			s.Running += e.running
-			s.Booked += e.booked
-			s.Foreign += e.untracked
-			s.Memory += b.o.Memory
-		}
-	}
-	return s
-}
--- a/core/tlplace/decision.go
+++ b/core/tlplace/decision.go
@@ -15,12 +15,17 @@
 	TooLarge
 	// WaitTooLong means that the request would get a booking too late for its caller.
 	WaitTooLong
+	// PartQuarantined means that a part of the prompt is in quarantine, since engines crashed on it.
+	PartQuarantined
 )
 
-var reasonNames = []string{"NotRefused", "NoEngines", "TooLarge", "WaitTooLong"}
+var reasonNames = []string{"NotRefused", "NoEngines", "TooLarge", "WaitTooLong", "PartQuarantined"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
+	if r < 0 || int(r) >= len(reasonNames) {
+		return "Unknown"
+	}
 	return reasonNames[r]
 }
 
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -13,9 +13,15 @@
 func (b *Book) Tick(now time.Time) []Decision {
 	b.expire(now)
 	b.decayUntracked(now)
+	quarantined := b.refuseQuarantined(now)
 	if len(b.waiting) == 0 {
-		return nil
+		return quarantined
 	}
+	return append(quarantined, b.decideDue(now)...)
+}
+
+// decideDue places the queued requests that have room and refuses those that are too late.
+func (b *Book) decideDue(now time.Time) []Decision {
 	p := b.newPass(now, nil)
 	b.readDelay, b.firstDelay = p.readDelay, b.firstEventDelay()
 	if !b.canDecideAny(now, &p) {
@@ -147,6 +153,7 @@
 		Owner:   r.Owner,
 		Decode:  c.decode.ID,
 		Tokens:  r.tokens(&b.o),
+		Parts:   r.Parts,
 
 		dataCentre: r.DataCentre,
 
