Refuse requests with a part that crashes engines

Change: a place is asked for with the shared parts of the prompt. Where a connection breaks before the answer has begun, the owner says so to the home, just before the break itself; silence that the owner ends and bytes that are no answer are none. The home quarantines a part by core/tlquarantine, for all owners at once, and refuses with PartQuarantined: 503, not run, the time left. It writes the decision to a topic of its own in the background, until the store accepts it; all instances follow the topic, so that a new home, a stand-in and a restarted instance know it. The home drops the record once it is over, or when an answer of a request in flight lifts it; after the store went back it writes it again. Older homes ignore the new events, and older owners send no parts and so never see the new reason.

TestStatusReports now expects four topics, since there is one more.

--- a/core/tlquarantine/crash.go
+++ b/core/tlquarantine/crash.go
@@ -10,6 +10,8 @@
 	at     time.Time
 	engine string
 	parts  []string
+	// explainedBy is the part that was quarantined for it; empty if none was.
+	explainedBy string
 }
 
 func (c crash) has(part string) bool {
@@ -20,14 +22,18 @@
 // parts before its answer began. It returns the part to blame and the engines that
 // ended under it; false if none is to blame, or is in quarantine already.
 func (t *Table) Crashed(now time.Time, engine string, parts []string) (part string, engines []string, ok bool) {
-	if _, _, isHeld := t.Held(now, parts); isHeld || len(parts) == 0 {
+	if len(parts) == 0 {
 		return "", nil, false
 	}
-	t.dropCrashes(func(c crash) bool { return now.Sub(c.at) >= EvidenceTime })
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return now.Sub(c.at) >= EvidenceTime })
 	if len(t.crashes) == maxCrashes {
 		t.crashes = slices.Delete(t.crashes, 0, 1)
 	}
-	t.crashes = append(t.crashes, crash{now, engine, slices.Clone(parts)})
+	held, _, isHeld := t.Held(now, parts)
+	t.crashes = append(t.crashes, crash{now, engine, slices.Clone(parts), held})
+	if isHeld {
+		return "", nil, false
+	}
 	for _, p := range slices.Backward(parts) {
 		if engines, blamed := t.isToBlame(now, p); blamed {
 			return p, engines, true
@@ -53,7 +59,7 @@
 	var engines []string
 	var last time.Time
 	for _, c := range t.crashes {
-		if !c.has(part) || slices.Contains(engines, c.engine) || len(engines) > 0 && c.at.Sub(last) < momentTime {
+		if c.explainedBy != "" || !c.has(part) || slices.Contains(engines, c.engine) || len(engines) > 0 && c.at.Sub(last) < momentTime {
 			continue
 		}
 		engines = append(engines, c.engine)
@@ -62,6 +68,20 @@
 	return engines
 }
 
-func (t *Table) dropCrashes(f func(crash) bool) {
-	t.crashes = slices.DeleteFunc(t.crashes, f)
+// explain attributes the crashes under a part to it.
+func (t *Table) explain(part string) {
+	for i := range t.crashes {
+		if c := &t.crashes[i]; c.explainedBy == "" && c.has(part) {
+			c.explainedBy = part
+		}
+	}
+}
+
+// unexplain makes the crashes that were attributed to a part evidence against others again.
+func (t *Table) unexplain(part string) {
+	for i := range t.crashes {
+		if c := &t.crashes[i]; c.explainedBy == part {
+			c.explainedBy = ""
+		}
+	}
 }
--- a/core/tlquarantine/doc.go
+++ b/core/tlquarantine/doc.go
@@ -12,7 +12,9 @@
 // share are found beside the one to blame, but answers begin on them. Where more than
 // one part of a crashed request would do, the last is blamed, as the most specific.
 // Crashes at one moment count as one: a fault of the network cuts off many engines at
-// once.
+// once. An answer that begins on a part in quarantine, of a request that was in flight,
+// shows that another is to blame; the part is free again, and what was held against it
+// counts against those beside it.
 //
 // A Table is driven by the home of a service. It is not safe for concurrent use.
 package tlquarantine
--- a/core/tlquarantine/table.go
+++ b/core/tlquarantine/table.go
@@ -35,8 +35,9 @@
 	return &Table{answered: newTimes(), held: newTimes(), expired: newTimes()}
 }
 
-// Quarantine puts a part in quarantine until a time, at most HoldTime from now, and
-// drops the crashes that it explains. It reports whether the part was free before.
+// Quarantine puts a part in quarantine until a time, at most HoldTime from now; the
+// crashes under it are no evidence against others then. It reports whether the part
+// was free before.
 func (t *Table) Quarantine(now, until time.Time, part string) bool {
 	if limit := now.Add(HoldTime); until.After(limit) {
 		until = limit
@@ -47,7 +48,7 @@
 	before, wasHeld := t.held.of(part)
 	t.held.set(part, until)
 	t.expired.remove(part)
-	t.dropCrashes(func(c crash) bool { return c.has(part) })
+	t.explain(part)
 	return !wasHeld || !now.Before(before)
 }
 
@@ -58,6 +59,7 @@
 		return false
 	}
 	t.held.remove(part)
+	t.unexplain(part)
 	return true
 }
 
--- a/core/tlquarantine/table_test.go
+++ b/core/tlquarantine/table_test.go
@@ -72,8 +72,16 @@
 		{"9 crashes that one part explains are no evidence against those beside it", []step{
 			{0, "e1", x(1)}, {s, "e2", x(2)}, {2 * s, "e3", x(3)}, {3 * s, "e4", x(4)}, {4 * s, "e5", []string{"a", "c"}},
 		}, []string{"x"}},
-		{"10 none without parts", []step{{0, "e1", nil}, {s, "e2", nil}, {2 * s, "e3", nil}}, nil},
-		{"11 another part after the first", []step{
+		{"10 another beside it once an answer has cleared the first one blamed", []step{
+			{0, "e1", []string{"x", "a"}},
+			{s, "e2", []string{"x", "a"}},
+			{2 * s, "e3", []string{"x", "a"}},
+			{2 * s, "", []string{"y", "a"}},
+			{3 * s, "e4", []string{"x", "a"}},
+			{4 * s, "e5", []string{"x", "a"}},
+		}, []string{"a", "x"}},
+		{"11 none without parts", []step{{0, "e1", nil}, {s, "e2", nil}, {2 * s, "e3", nil}}, nil},
+		{"12 another part after the first", []step{
 			{0, "e1", x(1)},
 			{s, "e2", x(2)},
 			{2 * s, "e3", x(3)},
--- a/core/tlverdict/error.go
+++ b/core/tlverdict/error.go
@@ -100,6 +100,7 @@
 	UnknownMethod:   notRun(statusMethodNotAllowed),
 	BodyTooLarge:    notRun(statusRequestEntityTooLarge),
 	PromptTooLong:   notRun(statusRequestEntityTooLarge),
+	PartQuarantined: notRun(statusServiceUnavailable),
 	QueueFull:       notRun(statusTooManyRequests),
 	WaitTooLong:     notRun(statusTooManyRequests),
 	PoolBusy:        notRun(statusServiceUnavailable),
--- a/core/tlverdict/reason.go
+++ b/core/tlverdict/reason.go
@@ -25,6 +25,7 @@
 	UnknownMethod   Reason = "UnknownMethod"
 	BodyTooLarge    Reason = "BodyTooLarge"
 	PromptTooLong   Reason = "PromptTooLong"
+	PartQuarantined Reason = "PartQuarantined"
 	QueueFull       Reason = "QueueFull"
 	WaitTooLong     Reason = "WaitTooLong"
 	PoolBusy        Reason = "PoolBusy"
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -46,6 +46,10 @@
 	// Decode is the engine that generates the output.
 	Decode string `json:"Decode" yaml:"Decode" cbor:"Decode"`
 
+	// Parts lists the IDs of the parts of the prompt that other requests may share,
+	// in order.
+	Parts []string `json:"Parts,omitempty" yaml:"Parts,omitempty" cbor:"Parts,omitempty"`
+
 	// Request is the ID of the caller's attempt.
 	Request string `json:"Request" yaml:"Request" cbor:"Request"`
 
@@ -142,6 +146,10 @@
 	// Output is the expected number of output tokens.
 	Output int `json:"Output" yaml:"Output" cbor:"Output"`
 
+	// Parts lists the IDs of the parts of the prompt that other requests may share,
+	// in order.
+	Parts []string `json:"Parts,omitempty" yaml:"Parts,omitempty" cbor:"Parts,omitempty"`
+
 	// Prompt is the number of prompt tokens.
 	Prompt int `json:"Prompt" yaml:"Prompt" cbor:"Prompt"`
 
@@ -177,6 +185,19 @@
 	Service string `json:"Service" yaml:"Service" cbor:"Service"`
 }
 
+// Quarantine is the record that keeps requests with a part of a prompt from all
+// engines of a service.
+type Quarantine struct {
+	// Part is the ID of the part.
+	Part string `json:"Part" yaml:"Part" cbor:"Part"`
+
+	// Service is the name of the service whose engines crashed.
+	Service string `json:"Service" yaml:"Service" cbor:"Service"`
+
+	// Until is when the quarantine ends.
+	Until time.Time `json:"Until" yaml:"Until" cbor:"Until"`
+}
+
 // RecordsAnswer holds the newest record of each key; it is empty if the asking
 // instance has read as far as the answering one.
 type RecordsAnswer struct {
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -25,7 +25,10 @@
 		i.storeWentBackAt.Store(time.Now().UnixNano())
 	case platform.TopicInstances:
 		i.running.Go(func() { i.restoreEntry(i.ctx) })
-		return keepInstances(known, read)
+		return keepKnown(known, read)
+	case platform.TopicQuarantine:
+		i.restoreQuarantines()
+		return keepKnown(known, read)
 	}
 	return read
 }
@@ -52,10 +55,10 @@
 	return newest
 }
 
-// keepInstances returns the entries that were read, and the known ones of instances
-// that are missing there or stand there as before: they write themselves down again,
-// and those that have ended fall silent and are dropped.
-func keepInstances(known, read []tlkeyed.Record) []tlkeyed.Record {
+// keepKnown returns the entries that were read, and the known ones that are missing
+// there or stand there as before: instances write themselves down again, and those
+// that have ended fall silent and are dropped; homes write quarantines down again.
+func keepKnown(known, read []tlkeyed.Record) []tlkeyed.Record {
 	knownByKey := map[string]tlkeyed.Record{}
 	for _, r := range known {
 		knownByKey[r.Key] = r
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	built             atomic.Bool
 	endpoints         endpointEntries
 	instances         instanceEntries
+	quarantines       *quarantines
 	followers         map[string]*tlfollow.Follower
 
 	ctx     context.Context
@@ -97,6 +98,7 @@
 	}, i.sendHooks())
 	i.endpoints = newEndpointEntries()
 	i.instances = newInstanceEntries()
+	i.quarantines = newQuarantines()
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
@@ -135,6 +137,7 @@
 	i.followConfig()
 	i.followEndpoints()
 	i.followInstances()
+	i.followQuarantines()
 	i.handleRecordsCalls()
 	i.handleLeavingReports()
 	i.built.Store(true)
@@ -153,6 +156,7 @@
 	i.running.Go(func() { i.catchUpConfig(i.ctx) })
 	i.running.Go(func() { i.expireEndpoints(i.ctx) })
 	i.running.Go(func() { i.cleanUpEntries(i.ctx) })
+	i.running.Go(func() { i.writeQuarantines(i.ctx) })
 	i.running.Go(func() { i.serveCallers(i.ctx) })
 }
 
--- a/gateway/metrics_test.go
+++ b/gateway/metrics_test.go
@@ -80,5 +80,5 @@
 	assert.Equal(t, uint64(1), s.Version)
 	assert.Equal(t, "i0", s.Homes[tlstand.ModelService])
 	assert.Equal(t, map[string]string{"i0": "Live", "i1": "Live"}, s.Instances)
-	assert.Len(t, s.Topics, 3)
+	assert.Len(t, s.Topics, 4)
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -81,8 +81,12 @@
 		Post:   i.outboxPost,
 		Now:    time.Now,
 		Random: tlrandom.New,
-		Log:    i.log,
-		Count:  i.counters.reservations.Count,
+
+		OnQuarantine: i.onQuarantine,
+		OnLifted:     i.onQuarantineLifted,
+
+		Log:   i.log,
+		Count: i.counters.reservations.Count,
 	}
 }
 
--- a/io/tlbooking/place.go
+++ b/io/tlbooking/place.go
@@ -104,6 +104,7 @@
 		HasBegun:   r.HasBegun,
 		Gap:        r.Gap,
 		Avoid:      r.Avoid,
+		Parts:      r.Parts,
 	}
 }
 
@@ -128,11 +129,13 @@
 
 // Report sends an event of a request to the home and applies it to this instance's own reservations.
 func (d *Coordinator) Report(service, request string, e Event, engine string) {
+	home := d.home(service)
+	isHome := home == d.o.Self.Name
 	if k := d.reservationsOf(service, nil); k != nil {
+		d.noteQuarantine(service, k, request, e, engine, isHome)
 		k.applyEvent(d.o.Now(), request, e, engine)
 	}
-	home := d.home(service)
-	if home == d.o.Self.Name {
+	if isHome {
 		return
 	}
 	d.postReport(home, tlwire.PlaceReport{Service: service, Request: request, Event: int(e), Engine: engine})
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -47,7 +47,7 @@
 var Reasons = []tlverdict.Reason{
 	tlverdict.BadBody, tlverdict.BadHeader, tlverdict.BodyTooLarge, tlverdict.CallerGone,
 	tlverdict.EndpointFailed, tlverdict.EndpointTimeout, tlverdict.Internal, tlverdict.NoConfig,
-	tlverdict.NoEndpoint, tlverdict.PoolBusy, tlverdict.TooManyRequests, tlverdict.UnknownPath,
+	tlverdict.NoEndpoint, tlverdict.PoolBusy, tlverdict.PartQuarantined, tlverdict.TooManyRequests, tlverdict.UnknownPath,
 	tlverdict.WaitTooLong,
 }
 
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -42,6 +42,8 @@
 	hasReservation bool
 	// hasSentHeader says that the caller has been sent the answer's header.
 	hasSentHeader bool
+	// hasBegun says that the present run has sent an event.
+	hasBegun bool
 	// hasStalled says that a stall was already counted.
 	hasStalled bool
 	// lastEventID is the id of the last event sent to the caller.
@@ -116,7 +118,7 @@
 		stop()
 		return nil, g.sendFailed(p, began, err)
 	}
-	r.Body = &cancelOnClose{r.Body, stop}
+	r.Body = &cancelOnClose{ReadCloser: r.Body, stop: stop}
 	if r.Answer.NotRun {
 		_ = r.Body.Close()
 		return nil, g.engineRefused(p, r)
@@ -186,6 +188,7 @@
 	g.sourceExpiry = time.Time{}
 	switch f.Outcome {
 	case tlhealth.Broken:
+		g.reportBreak(p, f.MayHaveRun, false)
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
 	case tlhealth.Refused:
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeFull)
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -142,6 +142,7 @@
 		PrefillKeptUntil: g.sourceExpiry,
 		HasBegun:         g.hasSentHeader,
 		Gap:              r.GapObjective,
+		Parts:            x.call.Parts,
 		Avoid:            append(slices.Clone(g.avoid), x.g.deps.Directory.Unavailable(x.g.deps.Now(), x.service.Name)...),
 	}
 }
@@ -163,6 +164,9 @@
 	case tlplace.NoEngines:
 		return tlverdict.New(tlverdict.NoEndpoint, "no engine is available").WithRetryAfter(d.RetryAfter)
 	}
+	if d.Refused == tlplace.PartQuarantined {
+		return tlverdict.New(tlverdict.PartQuarantined, "engines crashed on a part of the prompt").WithRetryAfter(d.RetryAfter)
+	}
 	return tlverdict.New(tlverdict.WaitTooLong, "no engine has room before the caller leaves").WithRetryAfter(d.RetryAfter)
 }
 
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,10 +33,13 @@
 type cancelOnClose struct {
 	io.ReadCloser
 	stop context.CancelFunc
+	// isClosed says that this side has closed it.
+	isClosed atomic.Bool
 }
 
 // Close closes the body and cancels its request.
 func (c *cancelOnClose) Close() error {
+	c.isClosed.Store(true)
 	err := c.ReadCloser.Close()
 	c.stop()
 	return err
@@ -51,6 +55,7 @@
 	x := g.x
 	g.possibleRuns++
 	g.sourceExpiry = time.Time{}
+	g.hasBegun = false
 	began := x.g.deps.Now()
 	if !g.hasSentHeader {
 		g.hasSentHeader = true
@@ -61,6 +66,7 @@
 		x.g.deps.Count(Resumed)
 	}
 	err := g.copyEvents(p, r)
+	isCrash := g.isEngineCrash(r, err)
 	_ = r.Body.Close()
 	if err == nil {
 		g.releaseServed()
@@ -79,6 +85,7 @@
 	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, tlhealth.Broken, 0)
 	x.step("stream broke", logrus.Fields{"Endpoint": p.decode.ID, "Last": g.lastEventID, "Cause": err.Error()})
+	g.reportBreak(p, isCrash, g.hasBegun)
 	g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
 	return false, g.attemptFailed(p, err)
 }
@@ -150,6 +157,7 @@
 // noteFirstEvent records the time to an engine's first event; an event after the objective marks the trace as failed.
 func (g *generation) noteFirstEvent(p placement) {
 	x := g.x
+	g.hasBegun = true
 	took := x.g.deps.Now().Sub(x.arrived)
 	x.g.deps.ObserveLatency(x.route.Kind, took)
 	x.step("first event", logrus.Fields{"Endpoint": p.decode.ID, "TookMs": took.Milliseconds()})
