Look for parts in quarantine in the queue only when there may be some

Cause: once a part was in quarantine, each Tick of the book looked at all queued requests, and the home of a large fleet calls Tick at every report. Submit never queues such a request; only a new quarantine, or a queue that a new home fills before it decides, can leave one there.

Change: a flag says so.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -20,6 +20,8 @@
 	stalls   stallTracker
 	// quarantine holds the parts of prompts that crash engines.
 	quarantine *tlquarantine.Table
+	// mayQueueQuarantined is set while a queued request may have such a part.
+	mayQueueQuarantined bool
 	// rates holds what the requests served so far have shown of the engines.
 	rates       tlrate.Rates
 	lastRequest time.Time
@@ -104,6 +106,7 @@
 	b.Withdraw(now, r.ID)
 	r.arrived = now
 	b.waiting = append(b.waiting, &r)
+	b.mayQueueQuarantined = true
 }
 
 // Withdraw removes a request, queued or booked, whose caller is gone.
--- a/core/tlplace/quarantine.go
+++ b/core/tlplace/quarantine.go
@@ -31,6 +31,7 @@
 
 // Quarantine refuses all requests with a part until a time; it reports whether that is news.
 func (b *Book) Quarantine(now, until time.Time, part string) bool {
+	b.mayQueueQuarantined = true
 	return b.quarantine.Quarantine(now, until, part)
 }
 
@@ -50,11 +51,13 @@
 	return left, held
 }
 
-// refuseQuarantined refuses the queued requests with a part in quarantine.
+// refuseQuarantined refuses the queued requests with a part in quarantine. Submit queues
+// none, and the home of a large fleet calls Tick at every report.
 func (b *Book) refuseQuarantined(now time.Time) []Decision {
-	if b.quarantine.IsEmpty() {
+	if !b.mayQueueQuarantined {
 		return nil
 	}
+	b.mayQueueQuarantined = false
 	var refused []Decision
 	keep := b.waiting[:0]
 	for _, r := range b.waiting {
--- a/core/tlquarantine/table.go
+++ b/core/tlquarantine/table.go
@@ -77,11 +77,6 @@
 	return "", 0, false
 }
 
-// IsEmpty reports whether no part is in quarantine.
-func (t *Table) IsEmpty() bool {
-	return t.held.isEmpty()
-}
-
 // Expired returns the parts whose time in quarantine has ended since the last call.
 func (t *Table) Expired(now time.Time) []string {
 	var list []string
--- a/core/tlquarantine/table_test.go
+++ b/core/tlquarantine/table_test.go
@@ -108,7 +108,7 @@
 	assert.False(t, ok)
 	assert.Equal(t, []string{"x"}, b.Expired(at(HoldTime)))
 	assert.Empty(t, b.Expired(at(HoldTime)))
-	assert.True(t, b.IsEmpty())
+	assert.True(t, b.held.isEmpty())
 	part, engines, ok := b.Crashed(at(HoldTime+time.Second), "e1", []string{"a", "x", "b"})
 	assert.True(t, ok)
 	assert.Equal(t, "x", part)
