--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -51,7 +51,7 @@
 var Reasons = []tlverdict.Reason{
 	tlverdict.BadBody, tlverdict.BadHeader, tlverdict.BodyTooLarge, tlverdict.CallerGone,
 	tlverdict.EndpointFailed, tlverdict.EndpointTimeout, tlverdict.Internal, tlverdict.NoConfig,
-	tlverdict.NoEndpoint, tlverdict.PoolBusy, tlverdict.TooManyRequests, tlverdict.UnknownPath,
+	tlverdict.NoEndpoint, tlverdict.PoolBusy, tlverdict.PartQuarantined, tlverdict.TooManyRequests, tlverdict.UnknownPath,
 	tlverdict.WaitTooLong,
 }
 
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -52,6 +52,8 @@
 	hasReservation bool
 	// hasSentHeader says that the caller has been sent the answer's header.
 	hasSentHeader bool
+	// hasBegun says that the present run has sent an event.
+	hasBegun bool
 	// hasStalled says that a stall was already counted.
 	hasStalled bool
 	// lastEventID is the id of the last event sent to the caller.
@@ -135,7 +137,7 @@
 	r, err := x.g.deps.Sender.Send(ctx, p.decode, x.request, tlcall.Send{TimeLeft: x.timeLeftForEndpoint(), Source: s, ResumeAfter: g.lastEventID})
 	unwatch()
 	if err == nil {
-		r.Body = &cancelOnClose{r.Body, stop}
+		r.Body = &cancelOnClose{ReadCloser: r.Body, stop: stop}
 	}
 	if !g.relocation.progress() {
 		closeReply(r)
@@ -224,6 +226,7 @@
 	g.sourceExpiry = time.Time{}
 	switch f.Outcome {
 	case tlhealth.Broken:
+		g.reportBreak(p, f.MayHaveRun, false)
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
 	case tlhealth.Refused:
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeFull)
