Refuse nothing for a prefill engine's silence

What callers saw: 429 for a stream whose prefill engine was silent for more than 0.55 s while the retry budget was spent, though the decode engines were idle and could have read the prompt.

The prefill was given up first, and only then the budget asked for the decode engine's, which is refused without it. The users' rule does not count a first prefill as an extra send, so nothing is owed for the send after it.

Now a first prefill that timed out is charged where the budget has room, and the request goes on in any case. One that was turned away is charged as before, since that counts.

--- a/io/tlgateway/prefill.go
+++ b/io/tlgateway/prefill.go
@@ -67,7 +67,18 @@
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.prefill.ID, prefillOutcome(err), took)
 	x.step("prefill failed", logrus.Fields{"Endpoint": p.prefill.ID, "TookMs": took.Milliseconds(), "Cause": err.Error()})
 	x.g.deps.Count(PrefilledAtDecode)
-	return tlcall.Source{}, g.chargeSend()
+	return tlcall.Source{}, g.chargeFailedPrefill(err)
+}
+
+// chargeFailedPrefill charges the decode engine's prefill in place of one that failed.
+// The first prefill is no extra send, so a silent engine must not have the request
+// refused where the budget is spent; a prefill that was turned away is one.
+func (g *generation) chargeFailedPrefill(err error) *tlverdict.Error {
+	if g.decodeSends > 0 || prefillOutcome(err) != tlhealth.TimedOut {
+		return g.chargeSend()
+	}
+	g.x.g.deps.Budget.Spend(g.x.service.Name, 1)
+	return nil
 }
 
 // keepSource stores the source of a prefill, and frees its handle if the request has ended meanwhile.
