Answer a request that panicked, and end no process for it

What callers saw: a closed connection without a byte; and where the panic came in the goroutine of a send, all requests of the instance ended with the process.

Cause: net/http closes the connection of a handler that panics, and panics of other goroutines end the process.

Where no answer has begun, the caller gets a 502 that says that the request may have run. Sends and searches for another engine that panic count as failed ones.

A panic in a goroutine has no test of its own.

--- a/gateway/options.go
+++ b/gateway/options.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlplace"
 	"trefoillanding/core/tlroute"
@@ -115,10 +119,16 @@
 		Random:         rand.Float64,
 		Traces:         tltrace.NewRecorder(i.log, uint64(s.TraceEvery), time.Now, i.counters.traces.Count),
 		Count:          i.counters.gateway.Count,
+		OnPanic:        i.logPanic,
 		ObserveLatency: func(k tlroute.Kind, d time.Duration) { i.counters.latencies[k].Observe(d) },
 	}
 }
 
+func (i *Instance) logPanic(request string, cause any) {
+	i.log.WithFields(logrus.Fields{"Request": request, "Cause": fmt.Sprint(cause), "Stack": string(debug.Stack())}).
+		Error("request met a fault of the gateway")
+}
+
 func (i *Instance) newBudget() *tlgateway.RetryBudget {
 	s := i.settings.Gateway
 	return tlgateway.NewRetryBudget(tlgateway.RetryAllowance{
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -20,8 +20,6 @@
 const (
 	// Aborted counts answers cut off after their header was sent.
 	Aborted = "Aborted"
-	// Panicked counts requests whose handler panicked; their connections are closed.
-	Panicked = "Panicked"
 	// Answered counts endpoints' answers that were forwarded.
 	Answered = "Answered"
 	// Retried counts retries of plain requests.
@@ -45,7 +43,7 @@
 )
 
 // CounterNames lists the gateway's counters other than the reasons of refusals.
-var CounterNames = []string{Aborted, Panicked, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Moved, Resumed, EngineSilent, Stalled, ReleaseFailed}
+var CounterNames = []string{Aborted, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Moved, Resumed, EngineSilent, Stalled, ReleaseFailed}
 
 // Reasons lists the reasons for which the gateway refuses or fails a request.
 var Reasons = []tlverdict.Reason{
@@ -124,6 +122,7 @@
 }
 
 func (x *exchange) copyHeader(r *tlsend.Reply) {
+	x.hasAnswered = true
 	h := x.w.Header()
 	for name, values := range x.g.deps.Wire.CleanAnswer(r.Header) {
 		h[name] = values
--- a/io/tlgateway/deps.go
+++ b/io/tlgateway/deps.go
@@ -60,6 +60,8 @@
 	Traces *tltrace.Recorder
 	// Count increments the counter of a name.
 	Count func(reason string)
+	// OnPanic is called, in the goroutine that panicked, with a panic that a request met.
+	OnPanic func(request string, cause any)
 	// ObserveLatency records the time to an answer, or to the first event of a stream.
 	ObserveLatency func(kind tlroute.Kind, d time.Duration)
 }
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -49,7 +47,9 @@
 	sends int
 	// successors counts the searches for another engine.
 	successors int
-	failed     bool
+	// hasAnswered says that an answer to the caller has begun.
+	hasAnswered bool
+	failed      bool
 }
 
 func (g *Gateway) begin(w http.ResponseWriter, r *http.Request) *exchange {
@@ -192,6 +192,7 @@
 		// If a handler returns without writing anything, the server answers 200.
 		panic(http.ErrAbortHandler)
 	}
+	x.hasAnswered = true
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Trefoil-Verdict", string(e.Verdict))
@@ -210,21 +211,37 @@
 	panic(http.ErrAbortHandler)
 }
 
-// recordPanic records a panic other than an aborted answer in the trace; the server
-// then closes the connection and reports nothing.
-func (x *exchange) recordPanic() {
+// answerPanic answers a request whose handler panicked, or closes its connection if an
+// answer has begun. The server would close it in any case, and report nothing.
+func (x *exchange) answerPanic() {
 	v := recover()
 	if v == nil {
 		return
 	}
-	if v != http.ErrAbortHandler {
-		x.failed = true
-		x.g.deps.Count(Panicked)
-		x.step("panicked", logrus.Fields{"Cause": fmt.Sprint(v), "Stack": string(debug.Stack())})
+	if v == http.ErrAbortHandler {
+		panic(v)
 	}
-	panic(v)
+	x.g.deps.OnPanic(x.call.ID, v)
+	e := tlverdict.New(tlverdict.Internal, "the request met a fault of the gateway")
+	if x.hasAnswered {
+		x.g.deps.Count(string(e.Reason))
+		x.abort(e.Error())
+	}
+	x.refuse(e)
 }
 
+// recovered reports a panic outside of the handler, which must not end the process; v
+// is what recover returned.
+func (x *exchange) recovered(v any) {
+	if v == nil {
+		return
+	}
+	x.g.deps.Count(string(tlverdict.Internal))
+	x.g.deps.OnPanic(x.call.ID, v)
+}
+
+var errPanicked = errors.New("a fault of the gateway")
+
 func (x *exchange) end() {
 	x.trace.End(x.failed)
 }
--- a/io/tlgateway/gateway.go
+++ b/io/tlgateway/gateway.go
@@ -33,7 +33,7 @@
 	}
 	x := g.begin(w, r)
 	defer x.end()
-	defer x.recordPanic()
+	defer x.answerPanic()
 	if err := x.prepare(); err != nil {
 		x.refuse(err)
 		return
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -165,7 +165,12 @@
 	x.sends++
 	x.step("sent", logrus.Fields{"Endpoint": e.ID, "Send": x.sends, "LeftMs": x.timeLeft().Milliseconds()})
 	go func() {
-		c.results <- x.sendPlain(c.ctx, e)
+		s := sendResult{endpoint: e, err: errPanicked}
+		defer func() {
+			x.recovered(recover())
+			c.results <- s
+		}()
+		s = x.sendPlain(c.ctx, e)
 	}()
 	return true
 }
--- a/io/tlgateway/relocation.go
+++ b/io/tlgateway/relocation.go
@@ -128,9 +128,13 @@
 	}
 	defer m.searches.Done()
 	report := time.AfterFunc(searchReportDelay, m.reportSilence)
-	err := s.prepareAhead()
-	report.Stop()
-	m.endSearch(s, err)
+	err := errPanicked
+	defer func() {
+		m.g.x.recovered(recover())
+		report.Stop()
+		m.endSearch(s, err)
+	}()
+	err = s.prepareAhead()
 }
 
 // beginSearch returns the generation that is to continue at another engine; nil if the
