Close idle connections by the limit in force

What callers saw: beside a change of the configuration that raises the idle limit, connections that they may still use were closed by the old one. A request that crosses such a close gets neither an answer nor a refusal.

Cause: http.Server reads its idle limit at its start only, which is that of the first configuration, and callers go by the last.

The callers' connections now set the deadline of an idle connection by the limit in force, in place of the server's. That a crossing request was what the users saw is suspected, not shown.

--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -54,6 +54,7 @@
 	i.servers.callers = &http.Server{
 		Handler:                      http.HandlerFunc(i.serve),
 		DisableGeneralOptionsHandler: true,
+		ConnState:                    noteState,
 		ErrorLog:                     log.New(io.Discard, "", 0),
 	}
 	g := i.settings.Gateway
@@ -68,12 +69,12 @@
 		}
 		i.servers.lookupListeners = append(i.servers.lookupListeners, l)
 	}
-	l, err := net.Listen("tcp", i.settings.Listen.String())
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(i.settings.Listen))
 	if err != nil {
 		i.servers.close()
 		return fmt.Errorf("field Listen: %w", err)
 	}
-	i.servers.callerListener = l
+	i.servers.callerListener = idleListener{l, i.idleLimit}
 	return nil
 }
 
@@ -98,8 +99,17 @@
 	i.log.WithFields(logrus.Fields{"Address": l.Addr().String(), "Cause": err.Error()}).Error("address no longer served")
 }
 
-// serveCallers serves callers under the limits of the first configuration, since
-// http.Server reads its limits only at its start.
+// idleLimit returns the idle limit of the configuration in force; 0 before the first.
+func (i *Instance) idleLimit() time.Duration {
+	t := i.table.Load()
+	if t == nil {
+		return 0
+	}
+	return t.Limits.IdleTimeout
+}
+
+// serveCallers serves callers under the limits of the first configuration, the idle
+// limit excepted, since http.Server reads its limits only at its start.
 func (i *Instance) serveCallers(ctx context.Context) {
 	began := time.Now()
 	for i.table.Load() == nil && time.Since(began) < limitsTimeout {
