Charge no retry after a send that reached no engine

What callers saw: a stream was moved from a silent engine to one that could not be reached either, and ended there, since another retry was charged and the budget was spent.

Cause: a send whose connection could not be opened reaches no engine, so it is no extra arrival; it was charged like one.

The retry after such a send is free, but for a prefill that comes with it.

--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -62,6 +62,8 @@
 	// is used again if the decode engine had no room.
 	source       tlcall.Source
 	sourceExpiry time.Time
+	// isUnreached says that the last send reached no engine, so that the next is no extra one.
+	isUnreached bool
 	// lastFailure is how the last send failed.
 	lastFailure error
 }
@@ -223,6 +225,7 @@
 	if f.MayHaveRun {
 		g.possibleRuns++
 	}
+	g.isUnreached = f.Outcome == tlhealth.ConnectFailed
 	g.sourceExpiry = time.Time{}
 	switch f.Outcome {
 	case tlhealth.Broken:
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -24,10 +24,16 @@
 
 // chargeRetry charges an attempt after the first to the retry budget: one send if
 // no prefill is sent, two with a prefill. A budget for only one skips the prefill.
+// A send that reached no engine stands in for the next one.
 func (g *generation) chargeRetry(p *placement) *tlverdict.Error {
 	if g.decodeSends == 0 {
 		return nil
 	}
+	if g.isUnreached {
+		g.isUnreached = false
+		p.isSplit = p.isSplit && g.x.g.deps.Budget.Spend(g.x.service.Name, 1)
+		return nil
+	}
 	if p.reusesPrefill {
 		return g.chargeSend()
 	}
