Take no stream for complete that ends with its connection before any event

What callers would see: a complete and empty answer, with the engine's seal, where the engine had ended after its header.

Cause: the end of such an answer is the end of its connection, which a process that dies closes too. Whole events make up for it, as a stream that breaks off ends within one; a stream without any event has none.

Such a stream is now a broken one: a 502, or another engine. An empty body whose end is told by a length or chunks, or one after the last event that the caller has, is complete as before. Case 1 of the new test failed before (200) and passes.

--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -269,3 +269,33 @@
 		})
 	}
 }
+
+func TestStreamThatEndsWithItsConnectionBeforeAnyEventIsNotComplete(t *testing.T) {
+	cases := []struct {
+		name string
+		// framing is the header that tells where the body ends, and end what ends it.
+		framing, end string
+		resumeAfter  string
+		status       int
+	}{
+		{"1 neither length nor chunks", "", "", "", http.StatusBadGateway},
+		{"2 an empty body of known length", "Content-Length: 0\r\n", "", "", http.StatusOK},
+		{"3 an empty body in chunks", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n", "", http.StatusOK},
+		{"4 nothing after the last event that the caller has", "", "", "3", http.StatusOK},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestCluster(t)
+			w.startReadingEndpoint("e", tlstand.ModelService, "decode", func(k net.Conn) {
+				_, _ = io.WriteString(k, "HTTP/1.1 200 OK\r\n"+tlstand.SealHeaderLine+c.framing+"\r\n"+c.end)
+			})
+			q := plainStreamCall("id-1")
+			if c.resumeAfter != "" {
+				q.Header = http.Header{"Last-Event-Id": {c.resumeAfter}}
+			}
+			a := w.call(w.startInstance("a"), q)
+			assert.Equal(t, c.status, a.status)
+			assert.Equal(t, c.status == http.StatusOK, a.seal != "")
+		})
+	}
+}
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -45,6 +45,7 @@
 
 var (
 	errTruncatedEvent = errors.New("the stream ended within an event")
+	errNoEvent        = errors.New("the stream ended without an event")
 	errEventTooLarge  = errors.New("the stream has an event without end")
 	errMoved          = errors.New("the stream was moved to another engine")
 )
@@ -105,7 +106,8 @@
 	g.x.w.WriteHeader(r.Status)
 }
 
-// copyEvents copies whole events until the stream ends; it fails if the stream ends within one.
+// copyEvents copies whole events until the stream ends. It fails if the stream ends
+// within one, or with its connection before the first: that is the end of the engine.
 func (g *generation) copyEvents(p placement, r *tlsend.Reply) error {
 	var s tlevent.Splitter
 	c := http.NewResponseController(g.x.w)
@@ -137,6 +139,9 @@
 		if s.Pending() > maxEventBytes {
 			return errEventTooLarge
 		}
+		if errors.Is(err, io.EOF) && r.EndsWithConnection && first && g.lastEventID == "" {
+			return errNoEvent
+		}
 		if errors.Is(err, io.EOF) && s.IsEmpty() {
 			return nil
 		}
--- a/io/tlsend/request.go
+++ b/io/tlsend/request.go
@@ -32,6 +32,8 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
+	// EndsWithConnection says that the body has neither a length nor chunks.
+	EndsWithConnection bool
 }
 
 // nonReplayableReader hides that a body could be read again; otherwise the
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -132,6 +132,8 @@
 		Answer: s.codec.DecodeAnswer(a.StatusCode, a.Header),
 		Body:   a.Body,
 		Length: a.ContentLength,
+
+		EndsWithConnection: a.ContentLength < 0 && len(a.TransferEncoding) == 0,
 	}
 	if reply.Answer.IsLeaving || reply.Answer.RestFor > 0 {
 		s.hooks.OnNotice(e, reply.Answer)
