Bring about silence at several engines in the test of it

Cause: in TestSilentEnginesPutNoPartInQuarantine each call ended at its deadline and at one engine, so the test passed also where silence counted as a crash.

Change: six calls at different moments on as many engines, whose streams are each closed here after 1.5 s of silence.

Measured: with the guard in isEngineCrash taken out the test fails, with it it passes.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -255,7 +255,7 @@
 // Silence is no crash: an engine that has sent no event for long may only be slow.
 func TestSilentEnginesPutNoPartInQuarantine(t *testing.T) {
 	f := newCrashFleet(t, 1, 0, 0)
-	for n := range 4 {
+	for n := range 6 {
 		e := f.w.startEngine(fmt.Sprint("s", n), "decode")
 		e.Intercept = func(rw http.ResponseWriter, r *http.Request, _ *tlstand.Arrival) bool {
 			tlstand.RespondSealed(rw, http.StatusOK, "seal")
@@ -264,12 +264,15 @@
 			return true
 		}
 	}
-	f.w.eventually(func() bool { return len(f.all[0].directory.Endpoints(tlstand.ModelService)) == 6 })
-	for n := range 3 {
+	f.w.eventually(func() bool { return len(f.all[0].directory.Endpoints(tlstand.ModelService)) == 8 })
+	var calls sync.WaitGroup
+	for n := range 6 {
 		c := streamCall(fmt.Sprint("id-", n), tlstand.ResumablePath)
-		c.Parts, c.Deadline = []string{sharedPart, "e1"}, 4*time.Second
-		_, _ = f.w.send(f.all[0], c)
+		c.Parts, c.Deadline = []string{sharedPart, "e1"}, 3*time.Second
+		calls.Go(func() { _, _ = f.w.send(f.all[0], c) })
+		time.Sleep(crashInterval)
 	}
+	calls.Wait()
 	assert.GreaterOrEqual(t, f.all[0].counters.reservations.Value(tlbooking.PlacedLocally), int64(6))
 	assert.Zero(t, f.all[0].counters.reservations.Value(tlbooking.Quarantined))
 }
