Notice a store that went back while the quarantine topic is read

Cause: a read of the quarantine topic waited 2 s for records, so an instance could see up to 2 s late that the store had gone back.

Change: the read waits 0.4 s.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -18,8 +18,9 @@
 const (
 	// quarantineCheckInterval is the time between checks for records whose time is over.
 	quarantineCheckInterval = time.Second
-	// quarantineWait is how long a read waits for the next record.
-	quarantineWait = 2 * time.Second
+	// quarantineWait is how long a read waits for the next record; a store that goes back
+	// while a read waits may be noticed so much later.
+	quarantineWait = 400 * time.Millisecond
 	// maxKeyBytes is the longest key of a record in the store.
 	maxKeyBytes = 255
 )
