Clear a part of a prompt only by complete answers

Cause: a break after the first event counted as an answer on the parts of the prompt, which protects them for five minutes. An engine that crashes soon after it has begun to write would have cleared the very part that crashed it.

Only complete answers clear parts now, and the report of a break midway goes. The tests of the quarantine pass; this change has no test of its own.

--- a/core/tlplace/quarantine.go
+++ b/core/tlplace/quarantine.go
@@ -20,9 +20,9 @@
 	return b.quarantine.Crashed(now, incarnation, k.Parts)
 }
 
-// Begun records that a request's answer has begun. It returns the parts of its prompt
-// that were in quarantine and are no more.
-func (b *Book) Begun(now time.Time, id string) (lifted []string) {
+// Completed records that a request's answer is complete. It returns the parts of its
+// prompt that were in quarantine and are no more.
+func (b *Book) Completed(now time.Time, id string) (lifted []string) {
 	if k := b.bookings[id]; k != nil {
 		return b.quarantine.Answered(now, k.Parts)
 	}
--- a/core/tlplace/quarantine_test.go
+++ b/core/tlplace/quarantine_test.go
@@ -44,7 +44,7 @@
 		assert.Empty(t, crash(b, at(time.Duration(n)*time.Second), fmt.Sprint("c", n), "a", "x", fmt.Sprint("b", n)))
 	}
 	b.Submit(at(2*time.Second), withParts("sound", "a", "y"))
-	b.Begun(at(2*time.Second), "sound")
+	b.Completed(at(2*time.Second), "sound")
 	assert.Equal(t, "x", crash(b, at(3*time.Second), "last", "a", "x", "b"))
 	d := b.Submit(at(4*time.Second), withParts("new", "a", "x", "c"))[0]
 	assert.Equal(t, PartQuarantined, d.Refused)
@@ -71,7 +71,7 @@
 	b := newBook(1, 2)
 	b.Submit(start, withParts("in flight", "x"))
 	b.Quarantine(start, at(time.Minute), "x")
-	assert.Equal(t, []string{"x"}, b.Begun(at(time.Second), "in flight"))
+	assert.Equal(t, []string{"x"}, b.Completed(at(time.Second), "in flight"))
 	assert.Equal(t, NotRefused, b.Submit(at(time.Second), withParts("new", "x"))[0].Refused)
 }
 
--- a/core/tlquarantine/doc.go
+++ b/core/tlquarantine/doc.go
@@ -8,8 +8,9 @@
 //
 // The evidence is crashes under requests whose answers had not begun. A part is to
 // blame once MinCrashes different incarnations of engines have ended under requests
-// with it, and no answer on it has begun for a time: sound parts that many requests
-// share are found beside the one to blame, but answers begin on them. Where more than
+// with it, and no answer on it was completed for a time: sound parts that many requests
+// share are found beside the one to blame, but answers on them are. An answer that has
+// only begun proves nothing, since an engine may crash soon after. Where more than
 // one part of a crashed request would do, the last is blamed, as the most specific.
 // Crashes at one moment count as one: a fault of the network cuts off many engines at
 // once. An answer that begins on a part in quarantine, of a request that was in flight,
--- a/core/tlquarantine/table.go
+++ b/core/tlquarantine/table.go
@@ -13,7 +13,7 @@
 	EvidenceTime = 5 * time.Minute
 	// momentTime is the time within which crashes count as one.
 	momentTime = 200 * time.Millisecond
-	// maxParts bounds the parts that are held, and those on which answers have begun.
+	// maxParts bounds the parts that are held, and those on which answers were completed.
 	maxParts = 20_000
 	// maxCrashes bounds the crashes that are kept; the oldest are dropped.
 	maxCrashes = 256
@@ -22,7 +22,7 @@
 // Table holds the parts in quarantine and the evidence against others.
 type Table struct {
 	crashes []crash
-	// answered holds when an answer last began on a part.
+	// answered holds when an answer on a part was last completed.
 	answered *times
 	// held holds until when parts are in quarantine.
 	held *times
@@ -93,7 +93,7 @@
 	return list
 }
 
-// Answered records that an answer has begun on a prompt with the parts, which clears
+// Answered records that an answer on a prompt with the parts is complete, which clears
 // them of all suspicion. It returns those that were in quarantine.
 func (t *Table) Answered(now time.Time, parts []string) (lifted []string) {
 	for _, p := range parts {
--- a/io/tlbooking/event.go
+++ b/io/tlbooking/event.go
@@ -30,13 +30,11 @@
 	// BrokeUnbegun means that the connection to the decode engine broke before the answer
 	// had begun; a report of the break itself follows.
 	BrokeUnbegun
-	// BrokeMidway means that it broke after the answer had begun; a report of the break itself follows.
-	BrokeMidway
 )
 
 var eventNames = []string{
 	"None", "Prefilled", "PrefillFailed", "PrefillBroke", "Begun", "Served", "Failed", "Broke", "Muted", "Stalled", "Full", "Ended",
-	"BrokeUnbegun", "BrokeMidway",
+	"BrokeUnbegun",
 }
 
 // String returns the event's name.
--- a/io/tlbooking/quarantine.go
+++ b/io/tlbooking/quarantine.go
@@ -24,14 +24,14 @@
 		d.logQuarantine(service, part).WithFields(logrus.Fields{"Engines": engines, "Until": until, "Request": request}).
 			Warn("part of prompts quarantined")
 		d.o.OnQuarantine(service, part, until)
-	case BrokeMidway, PrefilledAtDecode, Completed:
-		for _, part := range k.begun(now, request) {
+	case Completed:
+		for _, part := range k.completed(now, request) {
 			if !decides {
 				continue
 			}
 			d.forgetQuarantine(service, part)
 			d.o.Count(QuarantineLifted)
-			d.logQuarantine(service, part).WithField("Request", request).Warn("quarantine lifted, since an answer has begun")
+			d.logQuarantine(service, part).WithField("Request", request).Warn("quarantine lifted, since an engine has written an answer")
 			d.o.OnLifted(service, part)
 		}
 	}
@@ -91,10 +91,10 @@
 	return part, engines, true
 }
 
-func (k *reservations) begun(now time.Time, request string) []string {
+func (k *reservations) completed(now time.Time, request string) []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.b.Begun(now, request)
+	return k.b.Completed(now, request)
 }
 
 func (k *reservations) quarantine(now, until time.Time, part string) bool {
--- a/io/tlgateway/crash.go
+++ b/io/tlgateway/crash.go
@@ -18,17 +18,10 @@
 	return !ok || !c.isClosed.Load()
 }
 
-// reportBreak reports whether a run had begun when the connection to its engine broke,
-// ahead of the break itself; isCrash says that the engine may have ended.
-func (g *generation) reportBreak(p placement, isCrash, hasBegun bool) {
-	if !g.hasReservation {
-		return
-	}
-	if hasBegun {
-		g.report(tlbooking.BrokeMidway, p.decode.ID)
-		return
-	}
-	if isCrash {
+// reportCrash reports, ahead of the break itself, that the connection to an engine
+// broke before the answer had begun; isCrash says that the engine may have ended.
+func (g *generation) reportCrash(p placement, isCrash bool) {
+	if isCrash && g.hasReservation && !g.hasBegun {
 		g.report(tlbooking.BrokeUnbegun, p.decode.ID)
 	}
 }
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -229,7 +229,7 @@
 	g.sourceExpiry = time.Time{}
 	switch f.Outcome {
 	case tlhealth.Broken:
-		g.reportBreak(p, f.MayHaveRun, false)
+		g.reportCrash(p, f.MayHaveRun)
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
 	case tlhealth.Refused:
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeFull)
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -89,7 +89,7 @@
 	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, tlhealth.Broken, 0)
 	x.step("stream broke", logrus.Fields{"Endpoint": p.decode.ID, "Last": g.lastEventID, "Cause": err.Error()})
-	g.reportBreak(p, isCrash, g.hasBegun)
+	g.reportCrash(p, isCrash)
 	g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
 	return false, g.attemptFailed(p, err)
 }
