--- a/io/tlbooking/coordinator.go
+++ b/io/tlbooking/coordinator.go
@@ -84,7 +84,7 @@
 	// StoodIn counts the times that this instance began to decide for others whose home did not answer.
 	StoodIn = "StoodIn"
 	// Quarantined counts the parts of prompts that this instance put in quarantine, and
-	// QuarantineLifted those that it took out of it since an answer had begun.
+	// QuarantineLifted those that it took out of it since an engine had completed an answer.
 	Quarantined      = "Quarantined"
 	QuarantineLifted = "QuarantineLifted"
 )
