--- a/io/tlbooking/quarantine_test.go
+++ b/io/tlbooking/quarantine_test.go
@@ -108,3 +108,27 @@
 		assert.Equal(t, want, d.Refused, part)
 	}
 }
+
+// An engine may crash soon after its first event: a begun answer must not clear a part.
+func TestPartIsClearedThoughItsEngineCrashedAfterTheFirstEvent(t *testing.T) {
+	cases := []struct {
+		name  string
+		event Event
+		want  []string
+	}{
+		{"1 broken after the first event", DecodeConnectionBroke, []string{"other quarantines x"}},
+		{"2 begun at an engine that read the prompt itself", PrefilledAtDecode, []string{"other quarantines x"}},
+		{"3 complete", Completed, []string{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestFleet(t, 0, 6, "other")
+			var d decisions
+			d.watch("other", f.coordinators["other"])
+			p := f.placeWith(t, "other", "first", "a", "x")
+			f.coordinators["other"].Report(testService, "first", c.event, p.Decode)
+			f.crash(t, "other", tlquarantine.MinCrashes)
+			assert.Equal(t, c.want, d.all())
+		})
+	}
+}
