--- a/io/tlgateway/gateway_test.go
+++ b/io/tlgateway/gateway_test.go
@@ -1,6 +1,7 @@
 package tlgateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -8,10 +9,13 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"trefoillanding/core/tlcall"
+	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlroute"
 	"trefoillanding/core/tlverdict"
+	"trefoillanding/io/tldirectory"
 	"trefoillanding/io/tltrace"
 )
 
@@ -52,3 +56,35 @@
 		})
 	}
 }
+
+func TestPanicOfASendEndsItsRequestOnly(t *testing.T) {
+	table, err := tlroute.New(1, []tlroute.Route{{Name: "r", Host: "a.example", Prefix: "/", Kind: tlroute.Idempotent, Attempts: 1, Targets: []tlroute.Target{{Service: "desk", Weight: 1}}}}, []tlroute.Service{{Name: "desk"}}, tlroute.Limits{})
+	require.NoError(t, err)
+	d := tldirectory.New(rand.New(rand.NewPCG(1, 1)), func(string, bool, bool) {})
+	d.Set(time.Now(), []tlendpoint.Endpoint{{ID: "e1", Service: "desk", Slots: 1}})
+	var reported []any
+	counts := map[string]int{}
+	g := New(Deps{
+		Wire: Wire{
+			DecodeCall:   func(http.Header) tlcall.Call { return tlcall.Call{ID: "id-1", Timeout: time.Second} },
+			CleanRequest: http.Header.Clone,
+		},
+		Table:      func() *tlroute.Table { return table },
+		Directory:  d,
+		Budget:     NewRetryBudget(RetryAllowance{Window: time.Second}, func() int { return 1 }, time.Now),
+		IsDraining: func() bool { return false },
+		Now:        time.Now,
+		Random:     func() float64 { return 0 },
+		Traces:     tltrace.NewRecorder(logrus.NewEntry(logrus.New()), 1000, time.Now, func(string) {}),
+		Count:      func(reason string) { counts[reason]++ },
+		OnPanic:    func(_ string, cause any) { reported = append(reported, cause) },
+	})
+	// Without a sender each send panics.
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	r.Host = "a.example"
+	g.ServeHTTP(w, r)
+	assert.Equal(t, http.StatusBadGateway, w.Code)
+	assert.Len(t, reported, 1)
+	assert.Equal(t, 1, counts[string(tlverdict.Internal)])
+}
