--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -30,6 +30,9 @@
 	maxRequestTime = 10 * time.Minute
 )
 
+// errPanicked is the failure of a send or a search that panicked.
+var errPanicked = errors.New("a fault of the gateway")
+
 // exchange is one request and its answer.
 type exchange struct {
 	g       *Gateway
@@ -240,8 +243,6 @@
 	x.g.deps.OnPanic(x.call.ID, v)
 }
 
-var errPanicked = errors.New("a fault of the gateway")
-
 func (x *exchange) end() {
 	x.trace.End(x.failed)
 }
