Let the test of a full outage wait until the outage was noticed

It waits until its follower is not fresh, which it is not before its first step has been recorded either, though the instance is ready by then. Under load the test then began and ended its outage before any call failed, so that the instance rightly dropped the entry.

The wait has one condition more and none less, and the assertions stay.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -188,7 +188,8 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return true
 	})
-	w.eventually(func() bool { return !i.followers[platform.TopicEndpoints].IsFresh() })
+	f := i.followers[platform.TopicEndpoints]
+	w.eventually(func() bool { return !f.IsFresh() && !f.FailedAt().IsZero() })
 	assert.Equal(t, http.StatusOK, w.call(i, onceCall("id-1")).status)
 	w.store.Put(platform.TopicEndpoints, "e1", nil)
 	e2 := w.startPlainEndpoint("e2")
