Count the crash of the second engine of a stream

Cause: a crash is evidence against the parts of a prompt only where the answer had not begun. Since this was asked of a field that was reset when an engine's header came, so that of a stream that is sent again, and whose second engine ends before its header, the events of the first engine counted as a begun answer.

The field is reset with each send.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -395,3 +395,33 @@
 	})
 	assert.Equal(t, []string{sharedPart, crashingPart}, parts)
 }
+
+// A stream that is sent again has begun at the engine before; the next one may crash on it all the same.
+func TestCrashOfTheSecondEngineOfAStreamIsNotCounted(t *testing.T) {
+	f := newCrashFleet(t, 1, 0, 0)
+	var mu sync.Mutex
+	seen := map[string]int{}
+	for n := range 6 {
+		e := f.w.startEngine(fmt.Sprint("e", n), "decode")
+		e.Intercept = func(w http.ResponseWriter, r *http.Request, a *tlstand.Arrival) bool {
+			mu.Lock()
+			seen[a.ID]++
+			isFirst := seen[a.ID] == 1
+			mu.Unlock()
+			if isFirst {
+				e.Stream(w, r, a, 1)
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+	i := f.all[0]
+	f.w.eventually(func() bool { return len(i.directory.Endpoints(tlstand.ModelService)) == 8 })
+	quarantined := func() bool { return i.counters.reservations.Value(tlbooking.Quarantined) > 0 }
+	for n := 0; n < 20 && !quarantined(); n++ {
+		c := streamCall(fmt.Sprint("id-", n), tlstand.ResumablePath)
+		c.Parts = []string{crashingPart, "e1"}
+		_, _ = f.w.send(i, c)
+		time.Sleep(crashInterval)
+	}
+	assert.True(t, quarantined())
+}
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -52,7 +52,7 @@
 	hasReservation bool
 	// hasSentHeader says that the caller has been sent the answer's header.
 	hasSentHeader bool
-	// hasBegun says that the present run has sent an event.
+	// hasBegun says that the last send has brought an event.
 	hasBegun bool
 	// hasStalled says that a stall was already counted.
 	hasStalled bool
@@ -122,6 +122,7 @@
 func (g *generation) decode(p placement, s tlcall.Source) (*tlsend.Reply, *tlverdict.Error) {
 	x := g.x
 	g.decodeSends++
+	g.hasBegun = false
 	x.sends++
 	x.step("sent", logrus.Fields{
 		"Endpoint":    p.decode.ID,
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -55,7 +55,6 @@
 	x := g.x
 	g.possibleRuns++
 	g.sourceExpiry = time.Time{}
-	g.hasBegun = false
 	began := x.g.deps.Now()
 	if g.hasSentHeader {
 		x.g.deps.Count(Resumed)
