Drop what the streams' code kept twice

No change of behaviour but one narrow case, named last.

- cancelOnClose.isClosed: only the idle timer that is gone closed a body from elsewhere; what this side ends shows in the error or the context.
- relocation.isStopped: after stop nothing is awaited, which says the same.
- the first event of a run was tracked in a local variable beside hasBegun.
- a stream whose move was decided, and whose request ended at that moment, could count as a crash of its engine; errMoved is no crash.

--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -82,13 +82,6 @@
 	return bufferedAnswer{reply: r, body: b}, nil
 }
 
-// closeReply closes the body of an answer that nobody reads; r may be nil.
-func closeReply(r *tlsend.Reply) {
-	if r != nil {
-		_ = r.Body.Close()
-	}
-}
-
 func (a bufferedAnswer) close() {
 	if a.rest != nil {
 		_ = a.rest.Close()
--- a/io/tlgateway/crash.go
+++ b/io/tlgateway/crash.go
@@ -5,17 +5,13 @@
 	"errors"
 
 	"trefoillanding/io/tlbooking"
-	"trefoillanding/io/tlsend"
 )
 
-// isEngineCrash reports whether a stream may have ended with its engine: not where
-// this side ended or closed it, nor where the engine sent bytes that are no answer.
-func (g *generation) isEngineCrash(r *tlsend.Reply, err error) bool {
-	if g.ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, errEventTooLarge) {
-		return false
-	}
-	c, ok := r.Body.(*cancelOnClose)
-	return !ok || !c.isClosed.Load()
+// isEngineCrash reports whether a stream that broke with err may have ended with its
+// engine: not where this side ended it, nor where the engine sent bytes that are no answer.
+func (g *generation) isEngineCrash(err error) bool {
+	isOwnEnd := g.ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, errMoved)
+	return !isOwnEnd && !errors.Is(err, errEventTooLarge)
 }
 
 // reportCrash reports, ahead of the break itself, that the connection to an engine
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -140,24 +140,24 @@
 	r, err := x.g.deps.Sender.Send(ctx, p.decode, x.request, tlcall.Send{TimeLeft: x.timeLeftForEndpoint(), Source: s, ResumeAfter: g.lastEventID})
 	unwatch()
 	if err == nil {
-		r.Body = &cancelOnClose{ReadCloser: r.Body, stop: stop}
+		r.Body = &cancelOnClose{r.Body, stop}
 	}
 	if !g.relocation.progress() {
-		closeReply(r)
-		stop()
+		if err == nil {
+			_ = r.Body.Close()
+		}
 		return nil, g.moved(p, began)
 	}
+	if err == nil && !r.Answer.NotRun {
+		return r, nil
+	}
+	g.relocation.stop()
 	if err != nil {
-		g.relocation.stop()
 		stop()
 		return nil, g.sendFailed(p, began, err)
 	}
-	if r.Answer.NotRun {
-		g.relocation.stop()
-		_ = r.Body.Close()
-		return nil, g.engineRefused(p, r)
-	}
-	return r, nil
+	_ = r.Body.Close()
+	return nil, g.engineRefused(p, r)
 }
 
 // moved continues at another engine after the one before sent no header in time.
--- a/io/tlgateway/relocation.go
+++ b/io/tlgateway/relocation.go
@@ -38,7 +38,6 @@
 	mu         sync.Mutex
 	timer      *time.Timer
 	isAwaiting bool
-	isStopped  bool
 	// isSpent says that a search was charged to the retry budget; there is no other after it.
 	isSpent bool
 	// hasReported says that the engine's silence was reported.
@@ -102,7 +101,6 @@
 	}
 	m.mu.Lock()
 	m.endWait()
-	m.isStopped = true
 	m.mu.Unlock()
 	m.searches.Wait()
 	return m.successor
@@ -142,7 +140,7 @@
 func (m *relocation) beginSearch() *generation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.isAwaiting || m.isStopped || m.isSpent || m.g.ctx.Err() != nil {
+	if !m.isAwaiting || m.isSpent || m.g.ctx.Err() != nil {
 		return nil
 	}
 	if m.cancelSearch != nil {
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,13 +30,10 @@
 type cancelOnClose struct {
 	io.ReadCloser
 	stop context.CancelFunc
-	// isClosed says that this side has closed it.
-	isClosed atomic.Bool
 }
 
 // Close closes the body and cancels its request.
 func (c *cancelOnClose) Close() error {
-	c.isClosed.Store(true)
 	err := c.ReadCloser.Close()
 	c.stop()
 	return err
@@ -60,7 +56,6 @@
 		x.g.deps.Count(Resumed)
 	}
 	err := g.copyEvents(p, r)
-	isCrash := g.isEngineCrash(r, err)
 	_ = r.Body.Close()
 	successor := g.takeSuccessor()
 	if err == nil {
@@ -88,7 +83,7 @@
 	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, tlhealth.Broken, 0)
 	x.step("stream broke", logrus.Fields{"Endpoint": p.decode.ID, "Last": g.lastEventID, "Cause": err.Error()})
-	g.reportCrash(p, isCrash)
+	g.reportCrash(p, g.isEngineCrash(err))
 	g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
 	return false, g.attemptFailed(p, err)
 }
@@ -112,7 +107,6 @@
 	c := http.NewResponseController(g.x.w)
 	g.relocation.await(streamIdleTimeout, g.possibleRuns)
 	b := make([]byte, readBufferBytes)
-	first := true
 	last := g.x.g.deps.Now()
 	for {
 		n, err := r.Body.Read(b)
@@ -122,8 +116,7 @@
 				return errMoved
 			}
 			now := g.x.g.deps.Now()
-			if first {
-				first = false
+			if !g.hasBegun {
 				g.noteFirstEvent(p)
 			} else if now.Sub(last) > stallThreshold {
 				g.noteStall(p, now.Sub(last))
@@ -138,7 +131,7 @@
 		if s.Pending() > maxEventBytes {
 			return errEventTooLarge
 		}
-		if errors.Is(err, io.EOF) && r.EndsWithConnection && first && g.lastEventID == "" {
+		if errors.Is(err, io.EOF) && r.EndsWithConnection && !g.hasBegun && g.lastEventID == "" {
 			return errNoEvent
 		}
 		if errors.Is(err, io.EOF) && s.IsEmpty() {
