Build each refusal of a book in one place

The quarantine's refusal was a copy of refusal without the bounds and the drawn part of its time. Both call Request.refused now. The tests of core/tlplace and io/tlbooking pass under the race detector.

--- a/core/tlplace/quarantine.go
+++ b/core/tlplace/quarantine.go
@@ -62,7 +62,7 @@
 	keep := b.waiting[:0]
 	for _, r := range b.waiting {
 		if left, held := b.heldFor(now, r); held {
-			refused = append(refused, quarantineRefusal(now, r, left))
+			refused = append(refused, r.refused(now, PartQuarantined, left))
 			continue
 		}
 		keep = append(keep, r)
@@ -70,15 +70,3 @@
 	b.waiting = keep
 	return refused
 }
-
-// quarantineRefusal refuses a request for the time left of a quarantine: to come back
-// sooner would be in vain.
-func quarantineRefusal(now time.Time, r *Request, left time.Duration) Decision {
-	return Decision{
-		Request:    r.ID,
-		Owner:      r.Owner,
-		Refused:    PartQuarantined,
-		RetryAfter: left,
-		Waited:     now.Sub(r.arrived),
-	}
-}
--- a/core/tlplace/refuse.go
+++ b/core/tlplace/refuse.go
@@ -29,7 +29,7 @@
 // refuseEarly refuses a request on arrival if memory is not expected to be free before its latest start.
 func (b *Book) refuseEarly(now time.Time, r *Request) (Decision, bool) {
 	if left, held := b.heldFor(now, r); held {
-		return quarantineRefusal(now, r, left), true
+		return r.refused(now, PartQuarantined, left), true
 	}
 	if d, impossible := b.refuseImpossible(now, r); impossible {
 		return d, true
@@ -100,14 +100,21 @@
 	return w
 }
 
+// refusal refuses a request with a time to return that is bounded and drawn, so that
+// callers don't return together.
 func (b *Book) refusal(now time.Time, r *Request, why Reason, wait time.Duration) Decision {
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	wait += time.Duration(b.o.RetryJitter * b.random.Float64() * float64(wait))
+	return r.refused(now, why, wait)
+}
+
+// refused returns the decision that refuses a request until a time has passed.
+func (r *Request) refused(now time.Time, why Reason, retryAfter time.Duration) Decision {
 	return Decision{
 		Request:    r.ID,
 		Owner:      r.Owner,
 		Refused:    why,
-		RetryAfter: wait,
+		RetryAfter: retryAfter,
 		Waited:     now.Sub(r.arrived),
 	}
 }
