Keep the callers' idle limit in one place

The server was still given the first configuration's idle limit, which the listener's connections replace each time by the one in force. Both tests of the raised limit and those of idle connections pass three times under the race detector.

--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// idleListener gives callers' idle connections the idle limit in force: http.Server
-// reads its own only at its start, and callers go by that of the last configuration.
+// idleListener gives callers' idle connections the idle limit in force: http.Server,
+// which is left without one, would read it only at its start, and callers go by that
+// of the last configuration.
 type idleListener struct {
 	*net.TCPListener
 	// limit returns the idle limit in force; 0 if there is none.
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -108,8 +108,8 @@
 	return t.Limits.IdleTimeout
 }
 
-// serveCallers serves callers under the limits of the first configuration, the idle
-// limit excepted, since http.Server reads its limits only at its start.
+// serveCallers serves callers under the limits of the first configuration, since
+// http.Server reads its limits only at its start; idleListener sees to the idle limit.
 func (i *Instance) serveCallers(ctx context.Context) {
 	began := time.Now()
 	for i.table.Load() == nil && time.Since(began) < limitsTimeout {
@@ -121,7 +121,6 @@
 	if t := i.table.Load(); t != nil {
 		s.MaxHeaderBytes = max(t.Limits.HeaderBytes, 1)
 		s.ReadHeaderTimeout = t.Limits.HeaderTimeout
-		s.IdleTimeout = t.Limits.IdleTimeout
 	}
 	i.logServeError(i.servers.callerListener, s.Serve(i.servers.callerListener))
 }
