Share the test cluster's instances and raw endpoints

Three copies become calls: the accept loop of the endpoints that speak by hand (serveConnections), the start of an instance (startInstance is newInstance and run, which stand beside it now), and the empty retry budget (withoutRetries).

--- a/gateway/caller_connection_test.go
+++ b/gateway/caller_connection_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -17,7 +16,6 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoillanding/core/tlverdict"
-	"trefoillanding/core/tlwire"
 	"trefoillanding/platform"
 	"trefoillanding/platform/tlstand"
 )
@@ -75,24 +73,6 @@
 	}
 }
 
-// newInstance makes an instance that does not run yet.
-func (w *testCluster) newInstance(s tlwire.Settings, l *logrus.Logger) *Instance {
-	w.t.Helper()
-	i, err := New(s, l)
-	require.NoError(w.t, err)
-	w.t.Cleanup(func() { closeOnce(i) })
-	return i
-}
-
-// run runs an instance and waits until it is ready.
-func (w *testCluster) run(i *Instance) {
-	w.t.Helper()
-	ctx, stop := context.WithTimeout(context.Background(), testTimeout)
-	w.t.Cleanup(stop)
-	require.NoError(w.t, i.Run(ctx))
-	w.eventually(i.isReady)
-}
-
 const (
 	shortIdle  = 300 * time.Millisecond
 	longIdle   = 15 * time.Second
@@ -247,11 +227,8 @@
 				time.Sleep(c.silence)
 				return false
 			}
-			s := w.settings("a")
-			s.Gateway.RetryBurst, s.Gateway.RetryShare = 0, 0
-			l, _ := test.NewNullLogger()
-			i := w.newInstance(s, l)
-			w.run(i)
+			w.withoutRetries = true
+			i := w.startInstance("a")
 			w.eventually(func() bool { return len(i.directory.Endpoints(tlstand.ModelService)) == 2 })
 			a := w.call(i, streamCall("id-1", tlstand.StreamPath))
 			assert.Equal(t, http.StatusOK, a.status, a.body)
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -102,14 +102,27 @@
 	w.t.Helper()
 	l := logrus.New()
 	l.SetOutput(io.Discard)
-	i, err := New(w.settings(name), l)
+	i := w.newInstance(w.settings(name), l)
+	w.run(i)
+	return i
+}
+
+// newInstance makes an instance that does not run yet.
+func (w *testCluster) newInstance(s tlwire.Settings, l *logrus.Logger) *Instance {
+	w.t.Helper()
+	i, err := New(s, l)
 	require.NoError(w.t, err)
+	w.t.Cleanup(func() { closeOnce(i) })
+	return i
+}
+
+// run runs an instance and waits until it is ready.
+func (w *testCluster) run(i *Instance) {
+	w.t.Helper()
 	ctx, stop := context.WithTimeout(context.Background(), testTimeout)
 	w.t.Cleanup(stop)
-	w.t.Cleanup(func() { closeOnce(i) })
 	require.NoError(w.t, i.Run(ctx))
 	w.eventually(i.isReady)
-	return i
 }
 
 func closeOnce(i *Instance) {
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -23,14 +23,12 @@
 // maxHeapGrowth is how much the heap may grow while an endpoint sends without end.
 const maxHeapGrowth = 32 << 20
 
-// startRawEndpoint starts an endpoint that reads the head of each request and then
-// calls serve, which writes what it likes; closed receives when the caller has closed.
-func (w *testCluster) startRawEndpoint(id, service, phase string, serve func(net.Conn)) (closed chan struct{}) {
+// serveConnections lists an endpoint that passes each of its connections to serve, then closes it.
+func (w *testCluster) serveConnections(id, service, phase string, serve func(net.Conn)) {
 	w.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(w.t, err)
 	w.t.Cleanup(func() { _ = l.Close() })
-	closed = make(chan struct{}, 100)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -39,17 +37,28 @@
 			}
 			go func() {
 				defer c.Close()
-				if readHead(c) {
-					serve(c)
-					select {
-					case closed <- struct{}{}:
-					default:
-					}
-				}
+				serve(c)
 			}()
 		}
 	}()
 	w.putRawEntry(id, service, phase, l.Addr(), 1)
+}
+
+// startRawEndpoint starts an endpoint that reads the head of each request and then
+// calls serve, which writes what it likes; closed receives when the caller has closed.
+func (w *testCluster) startRawEndpoint(id, service, phase string, serve func(net.Conn)) (closed chan struct{}) {
+	w.t.Helper()
+	closed = make(chan struct{}, 100)
+	w.serveConnections(id, service, phase, func(c net.Conn) {
+		if !readHead(c) {
+			return
+		}
+		serve(c)
+		select {
+		case closed <- struct{}{}:
+		default:
+		}
+	})
 	return closed
 }
 
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -60,28 +60,15 @@
 // startReadingEndpoint starts an endpoint that reads each whole request, so that its close is no reset, and calls serve.
 func (w *testCluster) startReadingEndpoint(id, service, phase string, serve func(net.Conn)) {
 	w.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(w.t, err)
-	w.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				q, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, q.Body); err == nil {
-					serve(c)
-				}
-			}()
+	w.serveConnections(id, service, phase, func(c net.Conn) {
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err == nil {
+			serve(c)
 		}
-	}()
-	w.putRawEntry(id, service, phase, l.Addr(), 1)
+	})
 }
 
 // startOnlyEndpoint starts the only endpoint that a call can reach.
