Hold headers to the limit of the configuration in force

Cause: http.Server reads MaxHeaderBytes at its start, so a header of 32 KB was refused with 431 though a later configuration allows 64 KB. Change: callers' connections count the bytes of a header themselves and answer 431 beyond the limit in force, as they already do for the idle limit; kept connections go by it too, raised or lowered.

--- a/gateway/caller_connection_test.go
+++ b/gateway/caller_connection_test.go
@@ -138,6 +138,56 @@
 	assert.Equal(t, http.StatusOK, status)
 }
 
+// Guards against headers that a kept connection takes by the limit in force when it was opened.
+func TestHeaderLimitHoldsOnAKeptConnection(t *testing.T) {
+	cases := []struct {
+		name          string
+		before, after int
+		status        int
+	}{
+		{"1 raised", fewBytes, moreBytes, http.StatusOK},
+		{"2 lowered", moreBytes, fewBytes, http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestCluster(t)
+			w.startPlainEndpoint("e1")
+			w.putLimits(nil, 2, longIdle, c.before)
+			i := w.startInstance("a")
+			k := dialAsCaller(t, i)
+			status, err := k.ask(onceCall("id-1"))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			w.putLimits(i, 3, longIdle, c.after)
+			q := onceCall("id-2")
+			q.Header = http.Header{"X-Filler": {strings.Repeat("x", 2*fewBytes)}}
+			status, err = k.ask(q)
+			require.NoError(t, err)
+			assert.Equal(t, c.status, status)
+			if c.status == http.StatusOK {
+				return
+			}
+			_, err = k.r.ReadByte()
+			assert.ErrorIs(t, err, io.EOF)
+		})
+	}
+}
+
+// Guards against a body that counts as part of the header before it.
+func TestBodyBeyondTheHeaderLimitIsTaken(t *testing.T) {
+	w := newTestCluster(t)
+	w.startPlainEndpoint("e1")
+	w.putLimits(nil, 2, longIdle, fewBytes)
+	k := dialAsCaller(t, w.startInstance("a"))
+	for n := range 2 {
+		c := onceCall(fmt.Sprint("id-", n))
+		c.Body = strings.Repeat("x", 3*fewBytes)
+		status, err := k.ask(c)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, status)
+	}
+}
+
 // Guards against a panic of the handler that closes the caller's connection without a word, in no log and no counter.
 func TestHandlerPanicIsLoggedCountedAndAnswered(t *testing.T) {
 	cases := []struct {
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -55,7 +56,10 @@
 		Handler:                      http.HandlerFunc(i.serve),
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    noteState,
-		ErrorLog:                     log.New(io.Discard, "", 0),
+		ConnContext:                  withCallerConn,
+		// callerConn sees to the limit in force.
+		MaxHeaderBytes: math.MaxInt32,
+		ErrorLog:       log.New(io.Discard, "", 0),
 	}
 	g := i.settings.Gateway
 	for _, a := range []netip.AddrPort{g.Readiness, g.Lookup, g.Metrics} {
@@ -74,11 +78,12 @@
 		i.servers.close()
 		return fmt.Errorf("field Listen: %w", err)
 	}
-	i.servers.callerListener = idleListener{l, i.idleLimit}
+	i.servers.callerListener = callerListener{l, callerLimits{idle: i.idleLimit, headerBytes: i.headerLimit}}
 	return nil
 }
 
 func (i *Instance) serve(w http.ResponseWriter, r *http.Request) {
+	headerRead(r)
 	i.gateway.ServeHTTP(w, r)
 }
 
@@ -108,18 +113,26 @@
 	return t.Limits.IdleTimeout
 }
 
-// serveCallers serves callers under the limits of the first configuration, since
-// http.Server reads its limits only at its start; idleListener sees to the idle limit.
+// headerLimit returns the limit of headers, in bytes, of the configuration in force, or
+// of the settings before the first.
+func (i *Instance) headerLimit() int {
+	t := i.table.Load()
+	if t == nil {
+		return i.settings.Limits.HeaderBytes
+	}
+	return max(t.Limits.HeaderBytes, 1)
+}
+
+// serveCallers serves callers. The time for a header is that of the first configuration,
+// since http.Server reads it only at its start; callerListener sees to the other limits.
 func (i *Instance) serveCallers(ctx context.Context) {
 	began := time.Now()
 	for i.table.Load() == nil && time.Since(began) < limitsTimeout {
 		wait(ctx, limitsPollInterval)
 	}
 	s := i.servers.callers
-	s.MaxHeaderBytes = i.settings.Limits.HeaderBytes
 	s.ReadHeaderTimeout = i.settings.Limits.HeaderTimeout
 	if t := i.table.Load(); t != nil {
-		s.MaxHeaderBytes = max(t.Limits.HeaderBytes, 1)
 		s.ReadHeaderTimeout = t.Limits.HeaderTimeout
 	}
 	i.logServeError(i.servers.callerListener, s.Serve(i.servers.callerListener))
