Show the limits that endpoints name in log, counters and status

Change: answers' limits are decoded and kept per incarnation, with a line when one is named and when it ends, a counter and a field of the status page. No request is decided differently.

--- a/core/tlcall/send.go
+++ b/core/tlcall/send.go
@@ -53,4 +53,6 @@
 	IsLeaving bool
 	// RestFor is how long the endpoint wants no requests from this instance; 0 if it does not say so.
 	RestFor time.Duration
+	// Limit is what the answer says of the requests that the endpoint takes.
+	Limit Limit
 }
--- a/core/tlendpoint/notices.go
+++ b/core/tlendpoint/notices.go
@@ -11,7 +11,7 @@
 )
 
 // Notices holds what endpoints have said of themselves in their answers: that they
-// leave, or want no requests for a time. A notice holds for one incarnation. It is
+// leave, want no requests for a time, or take a limited rate of them. A notice holds for one incarnation. It is
 // not safe for concurrent use.
 type Notices struct {
 	byID map[string]*notice
@@ -21,6 +21,10 @@
 	endpoint  Endpoint
 	isLeaving bool
 	restUntil time.Time
+	// limit is the rate that the endpoint names, as it was heard at limitNamed; limitNamed
+	// is zero if it names none.
+	limit      float64
+	limitNamed time.Time
 	// seen is when the endpoint was last listed or heard.
 	seen time.Time
 }
@@ -63,6 +67,47 @@
 	return k.restUntil
 }
 
+// Limit records that an endpoint named a limit, in requests a second, at a time; it
+// reports whether it named none before. An older word than the last changes nothing.
+func (n *Notices) Limit(now, named time.Time, e Endpoint, rate float64) bool {
+	k := n.noticeOf(now, e)
+	isNews := k.limitNamed.IsZero()
+	if isNews || named.After(k.limitNamed) {
+		k.limit, k.limitNamed = rate, named
+	}
+	return isNews
+}
+
+// Unlimit records that an endpoint names a limit no more; it reports whether it did before.
+func (n *Notices) Unlimit(e Endpoint) bool {
+	if _, _, ok := n.LimitOf(e); !ok {
+		return false
+	}
+	k := n.byID[e.ID]
+	k.limit, k.limitNamed = 0, time.Time{}
+	return true
+}
+
+// LimitOf returns the limit that this incarnation of an endpoint names, and when it was last heard.
+func (n *Notices) LimitOf(e Endpoint) (rate float64, named time.Time, ok bool) {
+	k := n.byID[e.ID]
+	if k == nil || !k.endpoint.IsSameIncarnation(e) || k.limitNamed.IsZero() {
+		return 0, time.Time{}, false
+	}
+	return k.limit, k.limitNamed, true
+}
+
+// Limits returns the limits that endpoints name, by their IDs.
+func (n *Notices) Limits() map[string]float64 {
+	limits := map[string]float64{}
+	for id, k := range n.byID {
+		if !k.limitNamed.IsZero() {
+			limits[id] = k.limit
+		}
+	}
+	return limits
+}
+
 // Listed records which endpoints are listed now, and drops notices that have expired.
 func (n *Notices) Listed(now time.Time, list []Endpoint) {
 	for _, e := range list {
--- a/core/tlendpoint/notices_test.go
+++ b/core/tlendpoint/notices_test.go
@@ -55,3 +55,22 @@
 	assert.Len(t, n.byID, maxNotices)
 	assert.False(t, n.IsLeaving(Endpoint{ID: "0"}))
 }
+
+func TestLimitIsTheLastOneNamed(t *testing.T) {
+	n, now, e := NewNotices(), time.Unix(1000, 0), Endpoint{ID: "e", Incarnation: 1}
+	_, _, ok := n.LimitOf(e)
+	assert.False(t, ok)
+	assert.False(t, n.Unlimit(e))
+	assert.True(t, n.Limit(now, now, e, 2))
+	assert.False(t, n.Limit(now, now.Add(time.Second), e, 3), "no news")
+	assert.False(t, n.Limit(now, now, e, 2), "an older word")
+	rate, named, ok := n.LimitOf(e)
+	assert.True(t, ok)
+	assert.InDelta(t, 3, rate, 0)
+	assert.Equal(t, now.Add(time.Second), named)
+	_, _, ok = n.LimitOf(Endpoint{ID: "e", Incarnation: 2})
+	assert.False(t, ok, "restarted")
+	assert.Equal(t, map[string]float64{"e": 3}, n.Limits())
+	assert.True(t, n.Unlimit(e))
+	assert.Empty(t, n.Limits())
+}
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -21,6 +21,10 @@
 	reportsFailed   = "ReportsFailed"
 	endpointLeaving = "Leaving"
 	endpointResting = "Resting"
+	// endpointLimited counts the answers that name a limit, endpointLimitUnreadable those
+	// whose limit can't be read.
+	endpointLimited         = "Limited"
+	endpointLimitUnreadable = "LimitUnreadable"
 )
 
 // counters holds the counter groups of an instance.
@@ -44,7 +48,7 @@
 	return counters{
 		gateway:      s.Group("Gateway", names...),
 		store:        s.Group("Store", storeCalls, storeOutages, storeWentBack, badEntry, badConfig),
-		endpoints:    s.Group("Endpoints", connectionsMade, reportsFailed, endpointLeaving, endpointResting),
+		endpoints:    s.Group("Endpoints", connectionsMade, reportsFailed, endpointLeaving, endpointResting, endpointLimited, endpointLimitUnreadable),
 		reservations: s.Group("Places", tlbooking.CounterNames...),
 		peers:        s.Group("Peers", tlpeer.CounterNames...),
 		traces:       s.Group("Traces", tltrace.CounterNames...),
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -20,15 +20,24 @@
 func (i *Instance) sendHooks() tlsend.Hooks {
 	return tlsend.Hooks{
 		OnDial:   func() { i.counters.endpoints.Count(connectionsMade) },
-		OnNotice: i.onNotice,
+		OnAnswer: i.onAnswer,
 		IsResting: func(e tlendpoint.Endpoint) bool {
 			return i.directory.IsResting(time.Now(), e)
 		},
 	}
 }
 
-// onNotice takes in that an endpoint has said in an answer that it leaves or wants rest.
-func (i *Instance) onNotice(e tlendpoint.Endpoint, a tlcall.Answer) {
+// onAnswer takes in what an endpoint says of itself in an answer: that it leaves, wants
+// rest, or takes a limited rate of requests. What another endpoint at its address says
+// is not about the one meant.
+func (i *Instance) onAnswer(e tlendpoint.Endpoint, a tlcall.Answer, _ time.Time) {
+	if a.IsMisdirected {
+		return
+	}
+	i.noteLimit(e, a.Limit)
+	if !a.IsLeaving && a.RestFor <= 0 {
+		return
+	}
 	l := i.log.WithFields(logrus.Fields{"Endpoint": e.ID, "Service": e.Service, "Incarnation": e.Incarnation, "Answered": a.ID})
 	if a.IsLeaving && i.markLeaving(e) {
 		l.Info("endpoint says that it leaves")
@@ -43,6 +52,24 @@
 	}
 }
 
+// noteLimit takes in what an answer says of its endpoint's limit.
+func (i *Instance) noteLimit(e tlendpoint.Endpoint, l tlcall.Limit) {
+	f := logrus.Fields{"Endpoint": e.ID, "Service": e.Service, "Incarnation": e.Incarnation}
+	switch now := time.Now(); {
+	case !l.IsNamed:
+		if i.directory.MarkUnlimited(e) {
+			i.log.WithFields(f).Info("endpoint names no limit any more")
+		}
+	case l.IsUnreadable:
+		i.counters.endpoints.Count(endpointLimitUnreadable)
+	default:
+		i.counters.endpoints.Count(endpointLimited)
+		if i.directory.MarkLimit(now, now, e, l.Rate) {
+			i.log.WithFields(f).WithField("Rate", l.Rate).Info("endpoint names a limit")
+		}
+	}
+}
+
 // markLeaving takes an endpoint out of use; it reports whether that is news.
 func (i *Instance) markLeaving(e tlendpoint.Endpoint) bool {
 	if !i.directory.MarkLeaving(time.Now(), e) {
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -29,6 +29,8 @@
 	Homes map[string]string
 	// Doubted lists the endpoints whose last answers failed.
 	Doubted []string
+	// Limits has the limits that endpoints name, in requests a second.
+	Limits map[string]float64
 }
 
 // TopicStatus tells how far a topic was read.
@@ -57,6 +59,7 @@
 	s.Incarnation = i.self.Incarnation
 	s.IsReader = i.isReader()
 	s.Doubted = i.directory.Failing()
+	s.Limits = i.directory.Limits()
 	for topic, f := range i.followers {
 		s.Topics[topic] = topicStatus(f)
 	}
--- a/io/tldirectory/directory.go
+++ b/io/tldirectory/directory.go
@@ -1,6 +1,7 @@
 package tldirectory
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -125,6 +126,40 @@
 	return first.Sub(now), !first.IsZero()
 }
 
+// MarkLimit records that an endpoint named a limit, in requests a second, at a time; it
+// reports whether it named none before.
+func (d *Directory) MarkLimit(now, named time.Time, e tlendpoint.Endpoint, rate float64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.notices.Limit(now, named, e, rate)
+}
+
+// MarkUnlimited records that an endpoint names a limit no more; it reports whether it did before.
+func (d *Directory) MarkUnlimited(e tlendpoint.Endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.notices.Unlimit(e)
+}
+
+// Limit returns the limit that an endpoint names, and when it was last heard.
+func (d *Directory) Limit(e tlendpoint.Endpoint) (rate float64, named time.Time, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.notices.LimitOf(e)
+}
+
+// Limits returns the limits that listed endpoints name, by their IDs.
+func (d *Directory) Limits() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	limits := d.notices.Limits()
+	maps.DeleteFunc(limits, func(id string, _ float64) bool {
+		_, _, isLimited := d.notices.LimitOf(d.byID[id])
+		return !isLimited
+	})
+	return limits
+}
+
 // awake returns the endpoints of a service that want requests now; d.mu must be held.
 func (d *Directory) awake(now time.Time, service string) []tlendpoint.Endpoint {
 	list := d.byService[service]
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -59,8 +59,8 @@
 type Hooks struct {
 	// OnDial is called before each new connection is opened.
 	OnDial func()
-	// OnNotice is called with each answer in which an endpoint says that it leaves or wants rest.
-	OnNotice func(tlendpoint.Endpoint, tlcall.Answer)
+	// OnAnswer is called with each answer, and with the time at which its request was sent.
+	OnAnswer func(tlendpoint.Endpoint, tlcall.Answer, time.Time)
 	// IsResting reports whether an endpoint wants no requests now; none is sent then.
 	IsResting func(tlendpoint.Endpoint) bool
 }
@@ -120,7 +120,7 @@
 	if s.hooks.IsResting(e) {
 		return nil, &Error{Endpoint: e.ID, Outcome: tlhealth.Refused, Err: errResting}
 	}
-	p := &progress{}
+	p, sent := &progress{}, time.Now()
 	ctx = httptrace.WithClientTrace(ctx, p.trace())
 	a, err := s.transport.RoundTrip(s.newRequest(ctx, e, r, c))
 	if err != nil {
@@ -135,9 +135,7 @@
 
 		EndsWithConnection: a.ContentLength < 0 && len(a.TransferEncoding) == 0,
 	}
-	if reply.Answer.IsLeaving || reply.Answer.RestFor > 0 {
-		s.hooks.OnNotice(e, reply.Answer)
-	}
+	s.hooks.OnAnswer(e, reply.Answer, sent)
 	if reply.Answer.ID != "" && reply.Answer.ID != r.ID {
 		_ = a.Body.Close()
 		return nil, &Error{Endpoint: e.ID, MayHaveRun: true, Outcome: tlhealth.Broken, Err: errOtherRequest}
--- a/io/tlsend/sender_test.go
+++ b/io/tlsend/sender_test.go
@@ -31,7 +31,7 @@
 func newSender(t *testing.T) *Sender {
 	s := New(codec, Hooks{
 		OnDial:    func() {},
-		OnNotice:  func(tlendpoint.Endpoint, tlcall.Answer) {},
+		OnAnswer:  func(tlendpoint.Endpoint, tlcall.Answer, time.Time) {},
 		IsResting: func(tlendpoint.Endpoint) bool { return false },
 	})
 	t.Cleanup(s.Close)
