Show in traces which requests are repetitions of each other

Cause: second1's log cannot tell which of the requests that broke were the same, so that a request which crashes endpoints could not be told from endpoints that end under any. Change: a request has two IDs made of digests, without and with its query and authorization; traces have them as step identified. Nothing is decided by them.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -396,6 +396,33 @@
 	assert.Equal(t, []string{sharedPart, crashingPart}, parts)
 }
 
+func TestTracesDoNotTellWhichRequestsAreTheSame(t *testing.T) {
+	w := newTestCluster(t)
+	e := w.startPlainEndpoint("e1")
+	e.Intercept = func(_ http.ResponseWriter, _ *http.Request, _ *tlstand.Arrival) bool {
+		panic(http.ErrAbortHandler)
+	}
+	i := w.startInstance("a")
+	hook := logtest.NewLocal(i.log.Logger)
+	for n, path := range []string{"same", "same", "other"} {
+		c := repeatableCall(fmt.Sprint("id-", n))
+		c.Path = tlstand.IdempotentPath + path
+		w.call(i, c)
+	}
+	var marks []string
+	w.eventually(func() bool {
+		marks = nil
+		for _, e := range hook.AllEntries() {
+			if e.Message == "identified" {
+				marks = append(marks, fmt.Sprint(e.Data["RequestParts"]))
+			}
+		}
+		return len(marks) == 3
+	})
+	assert.Equal(t, marks[0], marks[1])
+	assert.NotEqual(t, marks[0], marks[2])
+}
+
 // A stream that is sent again has begun at the engine before; the next one may crash on it all the same.
 func TestCrashOfTheSecondEngineOfAStreamIsNotCounted(t *testing.T) {
 	f := newCrashFleet(t, 1, 0, 0)
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"trefoillanding/core/tlcall"
+	"trefoillanding/core/tlquarantine"
 	"trefoillanding/core/tlroute"
 	"trefoillanding/core/tlverdict"
 	"trefoillanding/core/tlwire"
@@ -42,6 +44,8 @@
 	route   tlroute.Route
 	service tlroute.Service
 	request tlsend.Request
+	// parts holds the parts of the prompt that other requests may share, and the request itself.
+	parts []string
 	trace   *tltrace.Trace
 	arrived time.Time
 	// deadline is when the caller's deadline or the route's timeout ends, less answerMargin.
@@ -129,6 +133,21 @@
 	x.trace.Step(event, f)
 }
 
+// identify sets the parts of the request, which its repetitions share.
+func (x *exchange) identify() {
+	path, query, _ := strings.Cut(x.target(), "?")
+	q := tlquarantine.Request{
+		Method:        x.r.Method,
+		Host:          x.r.Host,
+		Path:          path,
+		Query:         query,
+		Authorization: x.r.Header.Get("Authorization"),
+		Body:          x.request.Body,
+	}.Parts()
+	x.parts = append(slices.Clone(x.call.Parts), q...)
+	x.step("identified", logrus.Fields{"RequestParts": q})
+}
+
 // readBody reads the whole body, so that it can be sent to more than one endpoint.
 func (x *exchange) readBody(limit int64) *tlverdict.Error {
 	x.request = tlsend.Request{
--- a/io/tlgateway/gateway.go
+++ b/io/tlgateway/gateway.go
@@ -63,5 +63,9 @@
 		return tlverdict.New(tlverdict.WaitTooLong, "too little time left before the deadline")
 	}
 	x.g.deps.Budget.Earn(x.service.Name)
-	return x.readBody(t.Limits.BodyBytes)
+	if err := x.readBody(t.Limits.BodyBytes); err != nil {
+		return err
+	}
+	x.identify()
+	return nil
 }
