--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -45,7 +45,7 @@
 	service tlroute.Service
 	request tlsend.Request
 	// parts holds the parts of the prompt that other requests may share, and the request itself.
-	parts []string
+	parts   []string
 	trace   *tltrace.Trace
 	arrived time.Time
 	// deadline is when the caller's deadline or the route's timeout ends, less answerMargin.
