Keep requests that crash endpoints from all endpoints of a service

Cause: crashes were counted for shared parts of prompts only, in the book of a service of engines; a plain request has neither parts nor a home. Each repetition was taken for a new request, at each instance and each new endpoint. Class of fault: a failure that follows the request is booked against who served it. Change: a request is a part of itself, by digests of what stays the same when it is repeated, and is counted by the same tlquarantine. The quarantine moves from the engines' book to io/tlguard, which serves all services: owners tell the home of a service of endpoints that ended, the home tells all instances what to refuse, and the store's record outlasts it as before. A break counts only if the endpoint takes no connections any more, and is taken back if it answers; a time-out never counts. Owners tell a new home of what they have seen. Requests that wait for room end as soon as they are in quarantine. Tests: those of the quarantine in tlplace and tlbooking move to tlguard with the code, each with the same demand; the queue's is now one of the gateway. TestCrashOfTheSecondEngineOfAStreamIsNotCounted had engines break off and live on, which is no crash any more; its engines now end.

--- a/core/tlcall/call.go
+++ b/core/tlcall/call.go
@@ -16,6 +16,9 @@
 	OutputHint int
 	// ResumeAfter is the id of the last event that the caller received in an earlier attempt.
 	ResumeAfter string
+	// Prompt lists all parts of the prompt as the caller wrote them, those that no other
+	// request shares included.
+	Prompt string
 	// Parts holds the IDs of the parts of the prompt that other requests may share, in order.
 	Parts []string
 }
--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"trefoillanding/core/tlendpoint"
-	"trefoillanding/core/tlquarantine"
 	"trefoillanding/core/tlrate"
 	"trefoillanding/core/tlshare"
 )
@@ -18,10 +17,6 @@
 	bookings map[string]*Booking
 	waiting  []*Request
 	stalls   stallTracker
-	// quarantine holds the parts of prompts that crash engines.
-	quarantine *tlquarantine.Table
-	// mayQueueQuarantined is set while a queued request may have such a part.
-	mayQueueQuarantined bool
 	// rates holds what the requests served so far have shown of the engines.
 	rates       tlrate.Rates
 	lastRequest time.Time
@@ -49,8 +44,6 @@
 		bookings:  map[string]*Booking{},
 		lateShare: 1,
 		random:    r,
-
-		quarantine: tlquarantine.New(),
 	}
 }
 
@@ -106,7 +99,6 @@
 	b.Withdraw(now, r.ID)
 	r.arrived = now
 	b.waiting = append(b.waiting, &r)
-	b.mayQueueQuarantined = true
 }
 
 // Withdraw removes a request, queued or booked, whose caller is gone.
@@ -286,7 +278,6 @@
 		Owner:      r.Owner,
 		Decode:     d.Decode,
 		Tokens:     d.Tokens,
-		Parts:      r.Parts,
 		prompt:     r.Prompt,
 		output:     r.Output,
 		isMeasured: true,
--- a/core/tlplace/booking.go
+++ b/core/tlplace/booking.go
@@ -12,8 +12,6 @@
 	Decode string
 	// Tokens is the memory booked at the decode engine.
 	Tokens int
-	// Parts holds the IDs of the parts of the prompt that other requests may share.
-	Parts []string
 	// IsDirect is set while the decode engine itself reads the prompt.
 	IsDirect bool
 
--- a/core/tlplace/decision.go
+++ b/core/tlplace/decision.go
@@ -15,11 +15,9 @@
 	TooLarge
 	// WaitTooLong means that the request would get a booking too late for its caller.
 	WaitTooLong
-	// PartQuarantined means that a part of the prompt is in quarantine, since engines crashed on it.
-	PartQuarantined
 )
 
-var reasonNames = []string{"NotRefused", "NoEngines", "TooLarge", "WaitTooLong", "PartQuarantined"}
+var reasonNames = []string{"NotRefused", "NoEngines", "TooLarge", "WaitTooLong"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
--- a/core/tlplace/refuse.go
+++ b/core/tlplace/refuse.go
@@ -28,9 +28,6 @@
 
 // refuseEarly refuses a request on arrival if memory is not expected to be free before its latest start.
 func (b *Book) refuseEarly(now time.Time, r *Request) (Decision, bool) {
-	if left, held := b.heldFor(now, r); held {
-		return r.refused(now, PartQuarantined, left), true
-	}
 	if d, impossible := b.refuseImpossible(now, r); impossible {
 		return d, true
 	}
--- a/core/tlplace/request.go
+++ b/core/tlplace/request.go
@@ -34,8 +34,6 @@
 	PrefillKeptUntil time.Time
 	// HasBegun is set once the caller has received events and waits for the next.
 	HasBegun bool
-	// Parts holds the IDs of the parts of the prompt that other requests may share, in order.
-	Parts []string
 	// Avoid lists the IDs of engines that failed the request, leave, or want rest.
 	Avoid []string
 
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -13,11 +13,10 @@
 func (b *Book) Tick(now time.Time) []Decision {
 	b.expire(now)
 	b.decayUntracked(now)
-	quarantined := b.refuseQuarantined(now)
 	if len(b.waiting) == 0 {
-		return quarantined
+		return nil
 	}
-	return append(quarantined, b.decideDue(now)...)
+	return b.decideDue(now)
 }
 
 // decideDue places the queued requests that have room and refuses those that are too late.
@@ -153,7 +152,6 @@
 		Owner:   r.Owner,
 		Decode:  c.decode.ID,
 		Tokens:  r.tokens(&b.o),
-		Parts:   r.Parts,
 
 		dataCentre: r.DataCentre,
 
--- a/core/tlquarantine/doc.go
+++ b/core/tlquarantine/doc.go
@@ -1,19 +1,23 @@
-// Package tlquarantine decides which parts of prompts no engine may be given, since
-// engines crash when they begin to write an answer on them.
+// Package tlquarantine decides which requests no endpoint of a service may be given,
+// since endpoints crash when they begin to run them.
 //
-// The load that it answers: one part of a prompt, which many requests share, crashes
-// each engine that begins an answer on it. The requests come at all instances and are
-// repeated, so that each of them takes another engine, or two, until none is left for
+// The load that it answers: a request, or one part of a prompt that many requests share,
+// crashes each endpoint that begins on it. The requests come at all instances and are
+// repeated, so that each of them takes another endpoint, or two, until none is left for
 // the sound requests of the service.
 //
-// The evidence is crashes under requests whose answers had not begun. A part is to
-// blame once MinCrashes different incarnations of engines have ended under requests
-// with it, and no answer on it was completed for a time: sound parts that many requests
-// share are found beside the one to blame, but answers on them are. An answer that has
-// only begun proves nothing, since an engine may crash soon after. Where more than
-// one part of a crashed request would do, the last is blamed, as the most specific.
-// Crashes at one moment count as one: a fault of the network cuts off many engines at
-// once. An answer that begins on a part in quarantine, of a request that was in flight,
+// What requests have in common are their parts: those of their prompts, and the request
+// itself, without and with what may change when it is repeated. The evidence is crashes
+// under requests whose answers had not begun. A part is to blame once MinCrashes
+// different incarnations of endpoints have ended under requests with it, and no answer on
+// it was completed for a time: sound parts that many requests share are found beside the
+// one to blame, but answers on them are. An answer that has only begun proves nothing,
+// since an engine may crash soon after. Where more than one part of a crashed request
+// would do, the last is blamed, as the most specific. Crashes at one moment count as one
+// against a part of a prompt: a fault of the network cuts off many endpoints at once. An
+// endpoint that answers afterwards did not crash.
+//
+// An answer that is completed on a part in quarantine, of a request that was in flight,
 // shows that another is to blame; the part is free again, and what was held against it
 // counts against those beside it.
 //
--- a/core/tlquarantine/request.go
+++ b/core/tlquarantine/request.go
@@ -17,6 +17,8 @@
 // Request is what tells a request from others, and is the same each time it is repeated.
 type Request struct {
 	Method, Host, Path string
+	// Prompt lists the parts of the prompt, in case that the body does not tell them.
+	Prompt string
 	// Query and Authorization may change from one repetition to the next.
 	Query, Authorization string
 	Body                 []byte
@@ -26,7 +28,7 @@
 // then with what may change.
 func (r Request) Parts() []string {
 	body := sha256.Sum256(r.Body)
-	same := digest(r.Method, r.Host, r.Path, string(body[:]))
+	same := digest(r.Method, r.Host, r.Path, r.Prompt, string(body[:]))
 	return []string{requestPrefix + same, requestPrefix + digest(same, r.Query, r.Authorization)}
 }
 
--- a/core/tlquarantine/table.go
+++ b/core/tlquarantine/table.go
@@ -15,24 +15,42 @@
 	momentTime = 200 * time.Millisecond
 	// maxParts bounds the parts that are held, and those on which answers were completed.
 	maxParts = 20_000
+	// maxRequests bounds the requests whose completed answers are remembered: hardly any
+	// comes again.
+	maxRequests = 4_000
 	// maxCrashes bounds the crashes that are kept; the oldest are dropped.
 	maxCrashes = 256
 )
 
 // Table holds the parts in quarantine and the evidence against others.
 type Table struct {
+	// crashes are in the order of their times.
 	crashes []crash
-	// answered holds when an answer on a part was last completed.
-	answered *times
-	// held holds until when parts are in quarantine.
-	held *times
+	// answered holds when an answer on a part was last completed; requests that no other
+	// is like must not push out the parts that many share.
+	answered         *bounded[time.Time]
+	answeredRequests *bounded[time.Time]
+	// held holds the parts in quarantine.
+	held *bounded[hold]
 	// expired holds until when a part was in quarantine whose HoldTime has ended since.
-	expired *times
+	expired *bounded[time.Time]
+}
+
+// hold is the quarantine of a part.
+type hold struct {
+	until time.Time
+	// crashes is how many crashes it rests on; 0 if another table knows them.
+	crashes int
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{answered: newTimes(), held: newTimes(), expired: newTimes()}
+	return &Table{
+		answered:         newBounded[time.Time](maxParts),
+		answeredRequests: newBounded[time.Time](maxRequests),
+		held:             newBounded[hold](maxParts),
+		expired:          newBounded[time.Time](maxParts),
+	}
 }
 
 // Quarantine puts a part in quarantine until a time, at most HoldTime from now; the
@@ -46,16 +64,20 @@
 		return false
 	}
 	before, wasHeld := t.held.of(part)
-	t.held.set(part, until)
+	h := hold{until: until, crashes: before.crashes}
+	if endpoints, ok := t.isToBlame(now, part); ok {
+		h.crashes = min(len(endpoints), MinCrashes)
+	}
+	t.held.set(part, h)
 	t.expired.remove(part)
 	t.explain(part)
-	return !wasHeld || !now.Before(before)
+	return !wasHeld || !now.Before(before.until)
 }
 
 // Lift ends the quarantine of a part; it reports whether it was in force.
 func (t *Table) Lift(now time.Time, part string) bool {
-	until, ok := t.held.of(part)
-	if !ok || !now.Before(until) {
+	h, ok := t.held.of(part)
+	if !ok || !now.Before(h.until) {
 		return false
 	}
 	t.held.remove(part)
@@ -63,15 +85,15 @@
 	return true
 }
 
-// Held returns the first part of a prompt that is in quarantine and the time left
+// Held returns the first part of a request that is in quarantine and the time left
 // until its end; false if none is.
 func (t *Table) Held(now time.Time, parts []string) (part string, left time.Duration, ok bool) {
 	if t.held.isEmpty() {
 		return "", 0, false
 	}
 	for _, p := range parts {
-		if until, ok := t.held.of(p); ok && now.Before(until) {
-			return p, until.Sub(now), true
+		if h, ok := t.held.of(p); ok && now.Before(h.until) {
+			return p, h.until.Sub(now), true
 		}
 	}
 	return "", 0, false
@@ -80,24 +102,24 @@
 // Expired returns the parts whose time in quarantine has ended since the last call.
 func (t *Table) Expired(now time.Time) []string {
 	var list []string
-	for part, until := range t.held.all() {
-		if !now.Before(until) {
+	for part, h := range t.held.all() {
+		if !now.Before(h.until) {
 			list = append(list, part)
 		}
 	}
 	for _, part := range list {
-		until, _ := t.held.of(part)
+		h, _ := t.held.of(part)
 		t.held.remove(part)
-		t.expired.set(part, until)
+		t.expired.set(part, h.until)
 	}
 	return list
 }
 
-// Answered records that an answer on a prompt with the parts is complete, which clears
+// Answered records that an answer to a request with the parts is complete, which clears
 // them of all suspicion. It returns those that were in quarantine.
 func (t *Table) Answered(now time.Time, parts []string) (lifted []string) {
 	for _, p := range parts {
-		t.answered.set(p, now)
+		t.answeredOf(p).set(p, now)
 		t.expired.remove(p)
 		if t.Lift(now, p) {
 			lifted = append(lifted, p)
@@ -105,3 +127,16 @@
 	}
 	return lifted
 }
+
+// IsCleared reports whether an answer on a part was completed lately.
+func (t *Table) IsCleared(now time.Time, part string) bool {
+	answered, ok := t.answeredOf(part).of(part)
+	return ok && now.Sub(answered) < EvidenceTime
+}
+
+func (t *Table) answeredOf(part string) *bounded[time.Time] {
+	if isRequest(part) {
+		return t.answeredRequests
+	}
+	return t.answered
+}
--- a/core/tlquarantine/table_test.go
+++ b/core/tlquarantine/table_test.go
@@ -142,3 +142,107 @@
 	_, _, ok := b.Held(start, []string{fmt.Sprint("x", 2*maxParts-1)})
 	assert.True(t, ok, "the oldest yield")
 }
+
+func request(text string) []string {
+	return Request{Path: text}.Parts()
+}
+
+func TestRequestThatComesAgainIsBlamed(t *testing.T) {
+	x, y := request("x"), request("y")
+	crash := func(t *Table, n int, parts []string) (string, bool) {
+		part, _, ok := t.Crashed(at(time.Duration(n)*10*time.Millisecond), fmt.Sprint("e", n), parts)
+		return part, ok
+	}
+	cases := []struct {
+		name  string
+		parts func(n int) []string
+		want  string
+	}{
+		{"1 the same each time, within a moment", func(int) []string { return x }, x[1]},
+		{"2 with another query each time", func(n int) []string {
+			return Request{Path: "x", Query: fmt.Sprint(n)}.Parts()
+		}, x[0]},
+		{"3 another each time", func(n int) []string { return request(fmt.Sprint(n)) }, ""},
+		{"4 beside a shared part of its prompt", func(int) []string { return append([]string{"a"}, x...) }, x[1]},
+		{"5 every other time", func(n int) []string { return [][]string{x, y}[n%2] }, x[1]},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, blamed := New(), ""
+			for n := range 2*MinCrashes - 1 {
+				if part, ok := crash(b, n, c.parts(n)); ok && blamed == "" {
+					blamed = part
+				}
+			}
+			assert.Equal(t, c.want, blamed)
+		})
+	}
+}
+
+func TestEndpointThatLivesOnDidNotCrash(t *testing.T) {
+	b, x := New(), request("x")
+	play := func() (string, bool) {
+		var part string
+		var ok bool
+		for n := range MinCrashes {
+			part, _, ok = b.Crashed(at(time.Duration(n)*time.Second), fmt.Sprint("e", n), x)
+		}
+		return part, ok
+	}
+	part, ok := play()
+	assert.True(t, ok)
+	b.Quarantine(at(2*time.Second), at(time.Minute), part)
+	assert.Empty(t, b.Alive(at(3*time.Second), start, "e0"), "a request sent before")
+	assert.Empty(t, b.Alive(at(3*time.Second), at(3*time.Second), "another"))
+	assert.Equal(t, []string{x[1]}, b.Alive(at(3*time.Second), at(3*time.Second), "e0"))
+	_, _, held := b.Held(at(3*time.Second), x)
+	assert.False(t, held)
+	part, _, ok = b.Crashed(at(4*time.Second), "e4", x)
+	assert.True(t, ok, "the other crashes still count")
+	assert.Equal(t, x[1], part)
+}
+
+// A quarantine that another instance has decided on is not judged by what is known here.
+func TestQuarantineByRecordOutlastsCrashesThatWereNone(t *testing.T) {
+	b, x := New(), request("x")
+	b.Crashed(start, "e0", x)
+	b.Quarantine(start, at(time.Minute), x[1])
+	assert.Empty(t, b.Alive(at(time.Second), at(time.Second), "e0"))
+}
+
+func TestCrashThatIsToldAgainCountsOnce(t *testing.T) {
+	b, x := New(), request("x")
+	b.Crashed(at(2*time.Second), "e2", x)
+	b.Crashed(at(2*time.Second), "e2", x)
+	_, _, ok := b.Crashed(at(time.Second), "e1", x)
+	assert.False(t, ok)
+	part, endpoints, ok := b.Crashed(start, "e0", x)
+	assert.True(t, ok, "an older one, told late")
+	assert.Equal(t, x[1], part)
+	assert.Equal(t, []string{"e0", "e1", "e2"}, endpoints)
+}
+
+func TestAnotherPartIsBlamedOnceAnAnswerHasClearedTheFirst(t *testing.T) {
+	b := New()
+	for n := range MinCrashes {
+		b.Crashed(at(time.Duration(n)*time.Second), fmt.Sprint("e", n), []string{"x", "a"})
+	}
+	b.Quarantine(at(3*time.Second), at(time.Minute), "a")
+	_, _, ok := b.Reassess(at(3 * time.Second))
+	assert.False(t, ok)
+	assert.Equal(t, []string{"a"}, b.Answered(at(4*time.Second), []string{"a"}))
+	part, _, ok := b.Reassess(at(4 * time.Second))
+	assert.True(t, ok)
+	assert.Equal(t, "x", part)
+}
+
+// Requests that never come again must not push out the answers on parts that many share.
+func TestFloodOfRequestsClearsNoSharedPartOfItsAnswers(t *testing.T) {
+	b := New()
+	b.Answered(start, []string{"a"})
+	for n := range 2 * maxParts {
+		b.Answered(at(time.Second), request(fmt.Sprint(n)))
+	}
+	assert.True(t, b.IsCleared(at(time.Second), "a"))
+	assert.Len(t, b.answeredRequests.byPart, maxRequests)
+}
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -4,6 +4,29 @@
 
 import "time"
 
+// CrashReport tells the home of a service that an endpoint seems to have ended
+// under a request, or has answered since.
+type CrashReport struct {
+	// Age is how long ago the endpoint ended, or the request was sent that it has
+	// answered.
+	Age time.Duration `json:"Age" yaml:"Age" cbor:"Age"`
+
+	// Endpoint is the ID of the endpoint.
+	Endpoint string `json:"Endpoint" yaml:"Endpoint" cbor:"Endpoint"`
+
+	// Incarnation is the endpoint's incarnation.
+	Incarnation int64 `json:"Incarnation" yaml:"Incarnation" cbor:"Incarnation"`
+
+	// IsAlive says that the endpoint has answered; Parts is empty then.
+	IsAlive bool `json:"IsAlive" yaml:"IsAlive" cbor:"IsAlive"`
+
+	// Parts lists the parts of the request.
+	Parts []string `json:"Parts" yaml:"Parts" cbor:"Parts"`
+
+	// Service is the name of the endpoint's service.
+	Service string `json:"Service" yaml:"Service" cbor:"Service"`
+}
+
 // EngineRate is a moving average of measurements.
 type EngineRate struct {
 	// Average is the moving average.
@@ -46,10 +69,6 @@
 	// Decode is the engine that generates the output.
 	Decode string `json:"Decode" yaml:"Decode" cbor:"Decode"`
 
-	// Parts lists the IDs of the parts of the prompt that other requests may share,
-	// in order.
-	Parts []string `json:"Parts,omitempty" yaml:"Parts,omitempty" cbor:"Parts,omitempty"`
-
 	// Request is the ID of the caller's attempt.
 	Request string `json:"Request" yaml:"Request" cbor:"Request"`
 
@@ -113,6 +132,16 @@
 	Service string `json:"Service" yaml:"Service" cbor:"Service"`
 }
 
+// PartsAnswered tells the home of a service that a request with parts in
+// quarantine has been answered.
+type PartsAnswered struct {
+	// Parts lists the parts of the request.
+	Parts []string `json:"Parts" yaml:"Parts" cbor:"Parts"`
+
+	// Service is the name of the service.
+	Service string `json:"Service" yaml:"Service" cbor:"Service"`
+}
+
 // PermitAnswer answers a PermitCall.
 type PermitAnswer struct {
 	// IsGranted says that the request may be sent.
@@ -199,10 +228,6 @@
 	// Output is the expected number of output tokens.
 	Output int `json:"Output" yaml:"Output" cbor:"Output"`
 
-	// Parts lists the IDs of the parts of the prompt that other requests may share,
-	// in order.
-	Parts []string `json:"Parts,omitempty" yaml:"Parts,omitempty" cbor:"Parts,omitempty"`
-
 	// Prompt is the number of prompt tokens.
 	Prompt int `json:"Prompt" yaml:"Prompt" cbor:"Prompt"`
 
@@ -238,19 +263,35 @@
 	Service string `json:"Service" yaml:"Service" cbor:"Service"`
 }
 
-// Quarantine is the record that keeps requests with a part of a prompt from all
-// engines of a service.
+// Quarantine is the record that keeps requests with a part from all endpoints of a
+// service.
 type Quarantine struct {
 	// Part is the ID of the part.
 	Part string `json:"Part" yaml:"Part" cbor:"Part"`
 
-	// Service is the name of the service whose engines crashed.
+	// Service is the name of the service whose endpoints crashed.
 	Service string `json:"Service" yaml:"Service" cbor:"Service"`
 
 	// Until is when the quarantine ends.
 	Until time.Time `json:"Until" yaml:"Until" cbor:"Until"`
 }
 
+// QuarantineNotice tells all instances that the home of a service has put a part
+// in quarantine, or has ended its quarantine.
+type QuarantineNotice struct {
+	// IsLifted says that the quarantine has ended.
+	IsLifted bool `json:"IsLifted" yaml:"IsLifted" cbor:"IsLifted"`
+
+	// Left is the time until the quarantine ends.
+	Left time.Duration `json:"Left" yaml:"Left" cbor:"Left"`
+
+	// Part is the ID of the part.
+	Part string `json:"Part" yaml:"Part" cbor:"Part"`
+
+	// Service is the name of the service.
+	Service string `json:"Service" yaml:"Service" cbor:"Service"`
+}
+
 // RecordsAnswer holds the newest record of each key; it is empty if the asking
 // instance has read as far as the answering one.
 type RecordsAnswer struct {
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -4,6 +4,7 @@
 	"trefoillanding/core/tlroute"
 	"trefoillanding/io/tlbooking"
 	"trefoillanding/io/tlgateway"
+	"trefoillanding/io/tlguard"
 	"trefoillanding/io/tllimiter"
 	"trefoillanding/io/tlmetric"
 	"trefoillanding/io/tlorder"
@@ -34,6 +35,7 @@
 	traces       *tlmetric.Group
 	orders       *tlmetric.Group
 	limits       *tlmetric.Group
+	guard        *tlmetric.Group
 	// latencies has, for each kind of route, the time to the answer, or to the first event of a stream.
 	latencies map[tlroute.Kind]*tlmetric.Histogram
 }
@@ -52,6 +54,7 @@
 		traces:       s.Group("Traces", tltrace.CounterNames...),
 		orders:       s.Group("Orders", tlorder.CounterNames...),
 		limits:       s.Group("Limits", tllimiter.CounterNames...),
+		guard:        s.Group("Guard", tlguard.CounterNames...),
 		latencies: map[tlroute.Kind]*tlmetric.Histogram{
 			tlroute.AtMostOnce: s.Histogram("OnceTime"),
 			tlroute.Idempotent: s.Histogram("IdempotentTime"),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"trefoillanding/io/tldirectory"
 	"trefoillanding/io/tlfollow"
 	"trefoillanding/io/tlgateway"
+	"trefoillanding/io/tlguard"
 	"trefoillanding/io/tllimiter"
 	"trefoillanding/io/tlmetric"
 	"trefoillanding/io/tlorder"
@@ -48,6 +49,7 @@
 	outbox         *tloutbox.Outbox
 	coordinator    *tlbooking.Coordinator
 	limiter        *tllimiter.Limiter
+	guard          *tlguard.Guard
 	gateway        *tlgateway.Gateway
 	roleController *tlorder.Controller
 	budget         *tlgateway.RetryBudget
@@ -134,6 +136,7 @@
 	i.gossip = tlpeer.NewGossip(i.mesh, i.gossipOptions())
 	i.coordinator = tlbooking.New(i.coordinatorOptions())
 	i.limiter = tllimiter.New(i.limiterOptions())
+	i.guard = tlguard.New(i.guardOptions())
 	i.budget = i.newBudget()
 	i.gateway = tlgateway.New(i.gatewayDeps())
 	i.roleController = tlorder.New(i.roleControllerOptions())
@@ -151,6 +154,7 @@
 	i.mesh.Start()
 	i.gossip.Start()
 	i.running.Go(func() { i.coordinator.Run(i.ctx) })
+	i.running.Go(func() { i.guard.Run(i.ctx) })
 	i.running.Go(func() { i.roleController.Run(i.ctx) })
 	i.running.Go(func() { i.pollEngineLoads(i.ctx) })
 	for _, f := range i.followers {
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -35,6 +35,7 @@
 		return
 	}
 	i.limiter.Observe(e, a.Limit, sent)
+	i.guard.Alive(e, sent)
 	if !a.IsLeaving && a.RestFor <= 0 {
 		return
 	}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -14,6 +14,7 @@
 	"trefoillanding/core/tlroute"
 	"trefoillanding/io/tlbooking"
 	"trefoillanding/io/tlgateway"
+	"trefoillanding/io/tlguard"
 	"trefoillanding/io/tllimiter"
 	"trefoillanding/io/tloutbox"
 	"trefoillanding/io/tlpeer"
@@ -87,20 +88,38 @@
 		Now:    time.Now,
 		Random: tlrandom.New,
 
-		OnQuarantine: i.onQuarantine,
-		OnLifted:     i.onQuarantineLifted,
-
 		Log:   i.log,
 		Count: i.counters.reservations.Count,
 	}
 }
 
+func (i *Instance) guardOptions() tlguard.Options {
+	return tlguard.Options{
+		Self:         i.settings.Name,
+		Mesh:         i.mesh,
+		Home:         i.homeOf,
+		Others:       i.otherInstances,
+		Post:         i.outboxPost,
+		IsListening:  i.sender.IsListening,
+		Now:          time.Now,
+		OnQuarantine: i.onQuarantine,
+		OnLifted:     i.onQuarantineLifted,
+		Log:          i.log,
+		Count:        i.counters.guard.Count,
+	}
+}
+
+// homeOf returns the instance that is the home of a service.
+func (i *Instance) homeOf(service string) string {
+	return i.gossip.Oldest(service, homeCandidates)
+}
+
 func (i *Instance) limiterOptions() tllimiter.Options {
 	return tllimiter.Options{
 		Self:      i.settings.Name,
 		Mesh:      i.mesh,
 		Directory: i.directory,
-		Home:      func(service string) string { return i.gossip.Oldest(service, homeCandidates) },
+		Home:      i.homeOf,
 		Others:    i.otherInstances,
 		Fleet:     i.fleetInTouch,
 		Post:      i.outboxPost,
@@ -155,6 +174,7 @@
 		Directory:      i.directory,
 		Sender:         i.sender,
 		Reservations:   tlgateway.Reservations{Reserve: i.coordinator.Place, Report: i.coordinator.Report},
+		Guard:          i.guard,
 		Budget:         i.budget,
 		IsDraining:     i.draining.Load,
 		Now:            time.Now,
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -25,7 +24,7 @@
 	maxKeyBytes = 255
 )
 
-// quarantines holds the records of parts of prompts that crash engines: what the store
+// quarantines holds the records of parts of requests that crash endpoints: what the store
 // is known to have, and what it does not have yet.
 type quarantines struct {
 	mu    sync.Mutex
@@ -100,9 +99,9 @@
 }
 
 // of returns the known records of some services.
-func (q *quarantines) of(services []string) map[string]tlwire.Quarantine {
+func (q *quarantines) of(isOne func(service string) bool) map[string]tlwire.Quarantine {
 	list := q.all()
-	maps.DeleteFunc(list, func(_ string, e tlwire.Quarantine) bool { return !slices.Contains(services, e.Service) })
+	maps.DeleteFunc(list, func(_ string, e tlwire.Quarantine) bool { return !isOne(e.Service) })
 	return list
 }
 
@@ -110,7 +109,7 @@
 	return service + "/" + part
 }
 
-// onQuarantine writes down that this instance has put a part of prompts in quarantine.
+// onQuarantine writes down that this instance has put a part in quarantine.
 func (i *Instance) onQuarantine(service, part string, until time.Time) {
 	key, e := quarantineKey(service, part), tlwire.Quarantine{Service: service, Part: part, Until: until}
 	value, err := tlcodec.Encode(e)
@@ -148,9 +147,14 @@
 	}
 }
 
+// isHomeOf reports whether this instance is the home of a service; it is of none while it drains.
+func (i *Instance) isHomeOf(service string) bool {
+	return !i.draining.Load() && i.homeOf(service) == i.settings.Name
+}
+
 func (i *Instance) dropExpiredQuarantines() {
 	now := time.Now()
-	for key, e := range i.quarantines.of(i.homeServices()) {
+	for key, e := range i.quarantines.of(i.isHomeOf) {
 		if now.After(e.Until) {
 			i.quarantines.remove(key)
 			i.quarantines.queue(key, nil)
@@ -207,21 +211,21 @@
 			i.log.WithFields(logrus.Fields{"Key": r.Key, "Offset": r.Offset}).Warn("quarantine ignored: cannot be decoded or differs from its key")
 			continue
 		}
-		i.coordinator.SetQuarantine(e.Service, e.Part, e.Until)
+		i.guard.SetQuarantine(e.Service, e.Part, e.Until)
 		i.quarantines.set(r.Key, e)
 	}
 }
 
 func (i *Instance) applyQuarantineEnd(key string) {
 	if e, ok := i.quarantines.remove(key); ok {
-		i.coordinator.LiftQuarantine(e.Service, e.Part)
+		i.guard.LiftQuarantine(e.Service, e.Part)
 	}
 }
 
 // restoreQuarantines has the records of the services whose home this instance is
 // written again, after the store went back.
 func (i *Instance) restoreQuarantines() {
-	for key, e := range i.quarantines.of(i.homeServices()) {
+	for key, e := range i.quarantines.of(i.isHomeOf) {
 		if value, err := tlcodec.Encode(e); err == nil {
 			i.quarantines.queue(key, value)
 		}
--- a/io/tlbooking/coordinator.go
+++ b/io/tlbooking/coordinator.go
@@ -64,10 +64,6 @@
 	Now func() time.Time
 	// Random returns the source of random numbers for one service's reservations.
 	Random func() *rand.Rand
-	// OnQuarantine is called when this instance has put a part of prompts in quarantine until a
-	// time, and OnLifted when it has ended one early; they must not wait.
-	OnQuarantine func(service, part string, until time.Time)
-	OnLifted     func(service, part string)
 	// Log receives changes of home and the state of the reservations.
 	Log *logrus.Entry
 	// Count adds one to a counter of CounterNames.
@@ -83,14 +79,10 @@
 	HomeChanged   = "HomeChanged"
 	// StoodIn counts the times that this instance began to decide for others whose home did not answer.
 	StoodIn = "StoodIn"
-	// Quarantined counts the parts of prompts that this instance put in quarantine, and
-	// QuarantineLifted those that it took out of it since an engine had completed an answer.
-	Quarantined      = "Quarantined"
-	QuarantineLifted = "QuarantineLifted"
 )
 
 // CounterNames lists the counters of a Coordinator.
-var CounterNames = []string{PlacedLocally, PlacedByHome, HomeAbandoned, HomeChanged, StoodIn, Quarantined, QuarantineLifted}
+var CounterNames = []string{PlacedLocally, PlacedByHome, HomeAbandoned, HomeChanged, StoodIn}
 
 // Coordinator reserves places at engines for the requests of an instance.
 type Coordinator struct {
@@ -101,19 +93,15 @@
 	byService map[string]*reservations
 	// doubted holds until when instances are not asked, since they did not answer.
 	doubted map[string]time.Time
-	// quarantined holds until when parts are in quarantine by other instances' word, by
-	// service: the record of one may come before its engines are known.
-	quarantined map[string]map[string]time.Time
 }
 
 // New returns a Coordinator and registers its handlers with the mesh, which must not have been started.
 func New(o Options) *Coordinator {
 	d := &Coordinator{
-		o:           o,
-		done:        make(chan struct{}),
-		byService:   map[string]*reservations{},
-		doubted:     map[string]time.Time{},
-		quarantined: map[string]map[string]time.Time{},
+		o:         o,
+		done:      make(chan struct{}),
+		byService: map[string]*reservations{},
+		doubted:   map[string]time.Time{},
 	}
 	tlpeer.Handle(o.Mesh, kindPlace, d.handlePlace)
 	tlpeer.Handle(o.Mesh, kindReport, d.handleReport)
@@ -139,10 +127,6 @@
 			b:       tlplace.New(tlplace.DefaultOptions(e.Memory, e.Slots, e.Stride), d.o.Random()),
 			waiters: map[string]*waiter{},
 		}
-		now := d.o.Now()
-		for part, until := range d.quarantined[service] {
-			k.b.Quarantine(now, until, part)
-		}
 		d.byService[service] = k
 	}
 	return k
@@ -195,7 +179,6 @@
 		k.dropOwners(now, func(o tlplace.Owner) bool {
 			return o != d.o.Self && d.o.IsGone(o)
 		})
-		d.noteExpired(now, service, k)
 		home := d.home(service)
 		before, changed := k.setHome(home)
 		if changed {
@@ -226,7 +209,7 @@
 	report := tlwire.HeldReport{Service: service, Held: []tlwire.HeldPlace{}}
 	report.Rates = encodeRates(k.rates())
 	for _, p := range k.held(d.o.Self) {
-		report.Held = append(report.Held, tlwire.HeldPlace{Request: p.Request, Decode: p.Decode, Tokens: p.Tokens, Parts: p.Parts})
+		report.Held = append(report.Held, tlwire.HeldPlace{Request: p.Request, Decode: p.Decode, Tokens: p.Tokens})
 	}
 	d.o.Post(home, kindHeld, func(ctx context.Context) error {
 		return tlpeer.Send(ctx, d.o.Mesh, home, kindHeld, report)
--- a/io/tlbooking/event.go
+++ b/io/tlbooking/event.go
@@ -27,14 +27,10 @@
 	DecodeFull
 	// Ended means that the request ended for any other reason.
 	Ended
-	// BrokeUnbegun means that the connection to the decode engine broke before the answer
-	// had begun; a report of the break itself follows.
-	BrokeUnbegun
 )
 
 var eventNames = []string{
 	"None", "Prefilled", "PrefillFailed", "PrefillBroke", "Begun", "Served", "Failed", "Broke", "Muted", "Stalled", "Full", "Ended",
-	"BrokeUnbegun",
 }
 
 // String returns the event's name.
--- a/io/tlbooking/home.go
+++ b/io/tlbooking/home.go
@@ -40,7 +40,6 @@
 		Gap:              c.Gap,
 		HasBegun:         c.HasBegun,
 		Avoid:            c.Avoid,
-		Parts:            c.Parts,
 	})
 	hold := time.NewTimer(longPollTimeout)
 	defer hold.Stop()
@@ -77,7 +76,6 @@
 		k.withdraw(d.o.Now(), r.Request)
 		return tlpeer.Empty{}, nil
 	}
-	d.noteQuarantine(r.Service, k, r.Request, Event(r.Event), r.Engine, true)
 	k.applyEvent(d.o.Now(), r.Request, Event(r.Event), r.Engine)
 	return tlpeer.Empty{}, nil
 }
@@ -90,7 +88,7 @@
 	owner := tlplace.Owner{Name: from.Name, Incarnation: from.Incarnation}
 	list := make([]tlplace.Booking, 0, len(r.Held))
 	for _, h := range r.Held {
-		list = append(list, tlplace.Booking{Request: h.Request, Owner: owner, Decode: h.Decode, Tokens: h.Tokens, Parts: h.Parts})
+		list = append(list, tlplace.Booking{Request: h.Request, Owner: owner, Decode: h.Decode, Tokens: h.Tokens})
 	}
 	k.mergeRates(decodeRates(r.Rates))
 	k.adopt(d.o.Now(), list)
--- a/io/tlbooking/place.go
+++ b/io/tlbooking/place.go
@@ -104,7 +104,6 @@
 		HasBegun:   r.HasBegun,
 		Gap:        r.Gap,
 		Avoid:      r.Avoid,
-		Parts:      r.Parts,
 	}
 }
 
@@ -132,7 +131,6 @@
 	home := d.home(service)
 	isHome := home == d.o.Self.Name
 	if k := d.reservationsOf(service, nil); k != nil {
-		d.noteQuarantine(service, k, request, e, engine, isHome)
 		k.applyEvent(d.o.Now(), request, e, engine)
 	}
 	if isHome {
--- a/io/tlgateway/crash.go
+++ b/io/tlgateway/crash.go
@@ -3,21 +3,40 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"syscall"
 
-	"trefoillanding/io/tlbooking"
+	"trefoillanding/core/tlendpoint"
+	"trefoillanding/core/tlverdict"
 )
 
+// isCrash reports whether a connection that broke with err may have ended with its
+// endpoint: a time-out may be a cut of the network or a freeze as well.
+func isCrash(err error) bool {
+	var n net.Error
+	isTimeout := errors.As(err, &n) && n.Timeout()
+	isUnreachable := errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+	return err != nil && !isTimeout && !isUnreachable && !errors.Is(err, context.Canceled)
+}
+
 // isEngineCrash reports whether a stream that broke with err may have ended with its
 // engine: not where this side ended it, nor where the engine sent bytes that are no answer.
 func (g *generation) isEngineCrash(err error) bool {
-	isOwnEnd := g.ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, errMoved)
-	return !isOwnEnd && !errors.Is(err, errEventTooLarge)
+	isOwnEnd := g.ctx.Err() != nil || errors.Is(err, errMoved)
+	return !isOwnEnd && isCrash(err) && !errors.Is(err, errEventTooLarge)
+}
+
+// reportBreak reports that an endpoint may have ended under the request.
+func (x *exchange) reportBreak(e tlendpoint.Endpoint) {
+	x.g.deps.Guard.Broke(e, x.parts)
 }
 
-// reportCrash reports, ahead of the break itself, that the connection to an engine
-// broke before the answer had begun; isCrash says that the engine may have ended.
-func (g *generation) reportCrash(p placement, isCrash bool) {
-	if isCrash && g.hasReservation && !g.hasBegun {
-		g.report(tlbooking.BrokeUnbegun, p.decode.ID)
+// quarantineRefusal returns the error of a request that is kept from all endpoints, since
+// those that it reached have crashed; nil if it is not.
+func (x *exchange) quarantineRefusal() *tlverdict.Error {
+	left, held := x.g.deps.Guard.Held(x.service.Name, x.parts)
+	if !held {
+		return nil
 	}
+	return tlverdict.New(tlverdict.PartQuarantined, "endpoints crashed on the request, or on a part of its prompt").WithRetryAfter(left)
 }
--- a/io/tlgateway/deps.go
+++ b/io/tlgateway/deps.go
@@ -10,6 +10,7 @@
 	"trefoillanding/core/tlroute"
 	"trefoillanding/io/tlbooking"
 	"trefoillanding/io/tldirectory"
+	"trefoillanding/io/tlguard"
 	"trefoillanding/io/tlsend"
 	"trefoillanding/io/tltrace"
 )
@@ -48,6 +49,8 @@
 	Sender *tlsend.Sender
 	// Reservations reserves memory for generations.
 	Reservations Reservations
+	// Guard knows which requests are kept from endpoints, since they crash them.
+	Guard *tlguard.Guard
 	// Budget limits retries and hedged requests.
 	Budget *RetryBudget
 	// IsDraining reports whether the instance is draining.
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -140,6 +140,7 @@
 		Method:        x.r.Method,
 		Host:          x.r.Host,
 		Path:          path,
+		Prompt:        x.call.Prompt,
 		Query:         query,
 		Authorization: x.r.Header.Get("Authorization"),
 		Body:          x.request.Body,
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -235,7 +235,9 @@
 	g.sourceExpiry = time.Time{}
 	switch f.Outcome {
 	case tlhealth.Broken:
-		g.reportCrash(p, f.MayHaveRun)
+		if f.MayHaveRun && isCrash(f.Err) {
+			x.reportBreak(p.decode)
+		}
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
 	case tlhealth.Refused:
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeFull)
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -118,7 +118,14 @@
 	if e := x.restRefusal(); e != nil {
 		return placement{}, g.finalError(e)
 	}
-	d, err := x.g.deps.Reservations.Reserve(g.ctx, x.service.Name, g.reservationRequest())
+	ctx, stop := x.g.deps.Guard.Watch(g.ctx, x.service.Name, x.parts)
+	defer stop()
+	d, err := x.g.deps.Reservations.Reserve(ctx, x.service.Name, g.reservationRequest())
+	if e := x.quarantineRefusal(); e != nil {
+		g.hasReservation = err == nil && d.Refused == tlplace.NotRefused
+		g.releaseReservation()
+		return placement{}, g.finalError(e)
+	}
 	if err != nil {
 		return placement{}, g.finalError(tlverdict.Of(err))
 	}
@@ -209,7 +216,6 @@
 		PrefillKeptUntil: g.sourceExpiry,
 		HasBegun:         g.hasSentHeader,
 		Gap:              r.GapObjective,
-		Parts:            x.call.Parts,
 		Avoid:            append(slices.Clone(g.avoid), x.g.deps.Directory.Unavailable(x.g.deps.Now(), x.service.Name)...),
 	}
 }
@@ -231,9 +237,6 @@
 	case tlplace.NoEngines:
 		return tlverdict.New(tlverdict.NoEndpoint, "no engine is available").WithRetryAfter(d.RetryAfter)
 	}
-	if d.Refused == tlplace.PartQuarantined {
-		return tlverdict.New(tlverdict.PartQuarantined, "engines crashed on a part of the prompt").WithRetryAfter(d.RetryAfter)
-	}
 	return tlverdict.New(tlverdict.WaitTooLong, "no engine has room before the caller leaves").WithRetryAfter(d.RetryAfter)
 }
 
@@ -253,6 +256,7 @@
 
 // releaseServed releases the reservation of a complete answer.
 func (g *generation) releaseServed() {
+	g.x.g.deps.Guard.Answered(g.x.service.Name, g.x.parts)
 	if g.hasReservation {
 		g.hasReservation = false
 		g.report(tlbooking.Completed, "")
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -172,9 +172,13 @@
 	c.sendNext()
 }
 
-// sendNext sends the request to the best remaining endpoint and reports whether there was one.
+// sendNext sends the request to the best remaining endpoint and reports whether there was
+// one. Others may have shown meanwhile that the request crashes endpoints.
 func (c *plainRequest) sendNext() bool {
 	x := c.x
+	if x.quarantineRefusal() != nil {
+		return false
+	}
 	e, ok := x.g.deps.Directory.Pick(x.g.deps.Now(), x.service.Name, c.tried, x.route.MayRepeat())
 	if !ok {
 		return false
@@ -209,6 +213,12 @@
 	took := x.g.deps.Now().Sub(began)
 	o := outcomeOf(s)
 	x.g.deps.Directory.Observe(x.g.deps.Now(), e.ID, o, took)
+	switch {
+	case o == tlhealth.Answered || o == tlhealth.ServerError:
+		x.g.deps.Guard.Answered(x.service.Name, x.parts)
+	case o == tlhealth.Broken && s.mayHaveRun() && isCrash(s.err):
+		x.reportBreak(e)
+	}
 	if o != tlhealth.Answered {
 		x.step("send failed", logrus.Fields{
 			"Endpoint":   e.ID,
@@ -270,9 +280,12 @@
 func (c *plainRequest) finish() {
 	x, s := c.x, c.bestFailure
 	rest := x.restRefusal()
+	held := x.quarantineRefusal()
 	switch {
 	case c.ctx.Err() != nil:
 		c.refuseTimedOut()
+	case held != nil && c.possibleRuns == 0:
+		x.refuse(held)
 	case rest != nil && c.possibleRuns == 0:
 		x.refuse(rest)
 	case s.err == nil && s.answer.reply.Answer.NotRun && c.possibleRuns == 0:
--- a/io/tlgateway/prefill.go
+++ b/io/tlgateway/prefill.go
@@ -64,6 +64,9 @@
 		return tlcall.Source{}, g.prefillTooLate()
 	}
 	g.report(prefillEvent(err), p.prefill.ID)
+	if o := (*tlsend.Error)(nil); errors.As(err, &o) && o.Outcome == tlhealth.Broken && o.MayHaveRun && isCrash(o.Err) {
+		x.reportBreak(p.prefill)
+	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.prefill.ID, prefillOutcome(err), took)
 	x.step("prefill failed", logrus.Fields{"Endpoint": p.prefill.ID, "TookMs": took.Milliseconds(), "Cause": err.Error()})
 	x.g.deps.Count(PrefilledAtDecode)
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -83,7 +83,9 @@
 	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, tlhealth.Broken, 0)
 	x.step("stream broke", logrus.Fields{"Endpoint": p.decode.ID, "Last": g.lastEventID, "Cause": err.Error()})
-	g.reportCrash(p, g.isEngineCrash(err))
+	if !g.hasBegun && g.isEngineCrash(err) {
+		x.reportBreak(p.decode)
+	}
 	g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
 	return false, g.attemptFailed(p, err)
 }
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -156,6 +156,16 @@
 	return &Error{Endpoint: e.ID, Outcome: tlhealth.Refused, IsUnsent: true, Err: err}
 }
 
+// IsListening reports whether an endpoint takes a connection, which is closed unused.
+func (s *Sender) IsListening(ctx context.Context, e tlendpoint.Endpoint) bool {
+	c, err := s.transport.DialContext(ctx, "tcp", e.Address.String())
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 func (s *Sender) newRequest(ctx context.Context, e tlendpoint.Endpoint, r Request, c tlcall.Send) *http.Request {
 	h := r.Header.Clone()
 	c.Endpoint = e.ID
