Try again what was blamed wrongly for crashes, long before ten minutes

Change: the quarantine knows which parts the crashed requests had in common. A request that lacks one of them is tried at once, as an answer to it tells which is to blame; others after 5 s, 45 s and 5 minutes, three trials in all. The home grants each, for one send without retry, hedge or move, and tells all instances, so that a home that takes over does not make it again. TestRequestThatWasBlamedWronglyIsHeldOffForLong now ends three endpoints under a payment, as a lookup is answered by its retry.

--- a/core/tlquarantine/crash.go
+++ b/core/tlquarantine/crash.go
@@ -28,6 +28,7 @@
 	held, _, isHeld := t.Held(at, parts)
 	t.add(crash{at, endpoint, slices.Clone(parts), held})
 	if isHeld {
+		t.narrow(held, parts)
 		return "", nil, false
 	}
 	return t.toBlame(at, parts)
--- a/core/tlquarantine/doc.go
+++ b/core/tlquarantine/doc.go
@@ -21,5 +21,9 @@
 // shows that another is to blame; the part is free again, and what was held against it
 // counts against those beside it.
 //
+// A part may be blamed wrongly, so a few requests with it are tried while it is in
+// quarantine, one at a time. One that lacks a part which all the crashed ones had in
+// common is tried at once, since its answer tells those parts apart.
+//
 // A Table is driven by the home of a service. It is not safe for concurrent use.
 package tlquarantine
--- a/core/tlquarantine/table.go
+++ b/core/tlquarantine/table.go
@@ -38,9 +38,15 @@
 
 // hold is the quarantine of a part.
 type hold struct {
-	until time.Time
+	since, until time.Time
 	// crashes is how many crashes it rests on; 0 if another table knows them.
 	crashes int
+	// beside lists the parts that all the crashed requests had, the one in quarantine
+	// included; empty if they are not known.
+	beside []string
+	// trials counts the trials so far, the last of which began at lastTrial.
+	trials    int
+	lastTrial time.Time
 }
 
 // New returns an empty table.
@@ -63,15 +69,20 @@
 	if !until.After(now) {
 		return false
 	}
-	before, wasHeld := t.held.of(part)
-	h := hold{until: until, crashes: before.crashes}
+	h, ok := t.held.of(part)
+	isNews := !ok || !now.Before(h.until)
+	if isNews {
+		h = hold{since: until.Add(-HoldTime)}
+		h.trials = h.trialsDue(now)
+	}
+	h.until = until
 	if endpoints, ok := t.isToBlame(now, part); ok {
-		h.crashes = min(len(endpoints), MinCrashes)
+		h.crashes, h.beside = min(len(endpoints), MinCrashes), t.partsBeside(part)
 	}
 	t.held.set(part, h)
 	t.expired.remove(part)
 	t.explain(part)
-	return !wasHeld || !now.Before(before.until)
+	return isNews
 }
 
 // Lift ends the quarantine of a part; it reports whether it was in force.
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -266,6 +266,10 @@
 // Quarantine is the record that keeps requests with a part from all endpoints of a
 // service.
 type Quarantine struct {
+	// Beside lists the parts that all the requests had which crashed endpoints, this
+	// one included.
+	Beside []string `json:"Beside,omitempty" yaml:"Beside,omitempty" cbor:"Beside,omitempty"`
+
 	// Part is the ID of the part.
 	Part string `json:"Part" yaml:"Part" cbor:"Part"`
 
@@ -279,6 +283,10 @@
 // QuarantineNotice tells all instances that the home of a service has put a part
 // in quarantine, or has ended its quarantine.
 type QuarantineNotice struct {
+	// Beside lists the parts that all the requests had which crashed endpoints, this
+	// one included.
+	Beside []string `json:"Beside,omitempty" yaml:"Beside,omitempty" cbor:"Beside,omitempty"`
+
 	// IsLifted says that the quarantine has ended.
 	IsLifted bool `json:"IsLifted" yaml:"IsLifted" cbor:"IsLifted"`
 
@@ -290,6 +298,9 @@
 
 	// Service is the name of the service.
 	Service string `json:"Service" yaml:"Service" cbor:"Service"`
+
+	// Trials is how often a request with the part has been tried since.
+	Trials int `json:"Trials,omitempty" yaml:"Trials,omitempty" cbor:"Trials,omitempty"`
 }
 
 // RecordsAnswer holds the newest record of each key; it is empty if the asking
@@ -321,3 +332,19 @@
 	// Topic is the name of the topic.
 	Topic string `json:"Topic" yaml:"Topic" cbor:"Topic"`
 }
+
+// TrialAnswer answers a TrialCall.
+type TrialAnswer struct {
+	// IsGranted says that the request may be sent, once.
+	IsGranted bool `json:"IsGranted" yaml:"IsGranted" cbor:"IsGranted"`
+}
+
+// TrialCall asks the home of a service whether a request with a part in quarantine
+// may be tried.
+type TrialCall struct {
+	// Parts lists the parts of the request.
+	Parts []string `json:"Parts" yaml:"Parts" cbor:"Parts"`
+
+	// Service is the name of the service.
+	Service string `json:"Service" yaml:"Service" cbor:"Service"`
+}
--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -280,13 +280,18 @@
 	var left atomic.Int64
 	left.Store(crashesAllowed)
 	f := newCrashingEndpoints(t, 6, "", func(a *tlstand.Arrival) bool { return isCrashingText(a) && left.Add(-1) >= 0 })
-	f.crash(crashingLookup)
+	pay := func(int) tlstand.Call {
+		return tlstand.Call{Method: http.MethodPost, Path: tlstand.AtMostOncePath + "x", Body: crashingText}
+	}
+	f.crash(pay)
+	require.True(t, isHeldOff(f.send(pay(0))))
 	f.w.eventually(func() bool {
 		time.Sleep(repetitionInterval)
-		return f.send(crashingLookup(0)).status == http.StatusOK
+		return f.send(pay(0)).status == http.StatusOK
 	})
+	time.Sleep(repetitionInterval)
 	for n := range 6 {
-		assert.Equal(t, http.StatusOK, f.send(crashingLookup(n)).status)
+		assert.Equal(t, http.StatusOK, f.send(pay(n)).status)
 	}
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -110,11 +110,11 @@
 }
 
 // onQuarantine writes down that this instance has put a part in quarantine.
-func (i *Instance) onQuarantine(service, part string, until time.Time) {
-	key, e := quarantineKey(service, part), tlwire.Quarantine{Service: service, Part: part, Until: until}
+func (i *Instance) onQuarantine(e tlwire.Quarantine) {
+	key := quarantineKey(e.Service, e.Part)
 	value, err := tlcodec.Encode(e)
 	if err != nil || len(key) > maxKeyBytes {
-		i.log.WithFields(logrus.Fields{"Service": service, "Part": part}).Error("quarantine not written to the store: no record can hold it")
+		i.log.WithFields(logrus.Fields{"Service": e.Service, "Part": e.Part}).Error("quarantine not written to the store: no record can hold it")
 		return
 	}
 	i.quarantines.set(key, e)
@@ -211,7 +211,7 @@
 			i.log.WithFields(logrus.Fields{"Key": r.Key, "Offset": r.Offset}).Warn("quarantine ignored: cannot be decoded or differs from its key")
 			continue
 		}
-		i.guard.SetQuarantine(e.Service, e.Part, e.Until)
+		i.guard.SetQuarantine(e)
 		i.quarantines.set(r.Key, e)
 	}
 }
--- a/io/tlgateway/crash.go
+++ b/io/tlgateway/crash.go
@@ -31,9 +31,24 @@
 	x.g.deps.Guard.Broke(e, x.parts)
 }
 
+// checkQuarantine returns the error of a request that is kept from all endpoints, unless
+// it is to show whether that is right.
+func (x *exchange) checkQuarantine() *tlverdict.Error {
+	e := x.quarantineRefusal()
+	if e != nil && x.g.deps.Guard.Try(x.r.Context(), x.service.Name, x.parts) {
+		x.isTrial = true
+		x.step("tried in spite of quarantine", nil)
+		return nil
+	}
+	return e
+}
+
 // quarantineRefusal returns the error of a request that is kept from all endpoints, since
 // those that it reached have crashed; nil if it is not.
 func (x *exchange) quarantineRefusal() *tlverdict.Error {
+	if x.isTrial {
+		return nil
+	}
 	left, held := x.g.deps.Guard.Held(x.service.Name, x.parts)
 	if !held {
 		return nil
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -50,6 +50,8 @@
 	arrived time.Time
 	// deadline is when the caller's deadline or the route's timeout ends, less answerMargin.
 	deadline time.Time
+	// isTrial says that the request is sent once though a part of it is in quarantine.
+	isTrial bool
 	// sends counts the sends to endpoints, prefills included.
 	sends int
 	// successors counts the searches for another engine.
--- a/io/tlgateway/gateway.go
+++ b/io/tlgateway/gateway.go
@@ -67,5 +67,5 @@
 		return err
 	}
 	x.identify()
-	return x.quarantineRefusal()
+	return x.checkQuarantine()
 }
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -211,7 +211,7 @@
 
 // mayResume reports whether the request may be resumed at another endpoint.
 func (g *generation) mayResume() bool {
-	return g.x.route.Resumable
+	return g.x.route.Resumable && !g.x.isTrial
 }
 
 // sendFailed handles a send that got no answer.
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -151,7 +151,7 @@
 	if c.possibleRuns == 0 {
 		return true
 	}
-	return c.x.route.MayRepeat() && c.possibleRuns < c.x.route.Attempts
+	return c.x.route.MayRepeat() && !c.x.isTrial && c.possibleRuns < c.x.route.Attempts
 }
 
 func (c *plainRequest) hedgeDelay() time.Duration {
@@ -161,7 +161,7 @@
 // hedge sends a repeatable request to another endpoint while the first is slow.
 func (c *plainRequest) hedge() {
 	x := c.x
-	if !x.route.MayRepeat() || c.inFlight+c.possibleRuns >= x.route.Attempts || x.timeLeft() < minTimeLeft {
+	if !x.route.MayRepeat() || x.isTrial || c.inFlight+c.possibleRuns >= x.route.Attempts || x.timeLeft() < minTimeLeft {
 		return
 	}
 	if !x.g.deps.Budget.Spend(x.service.Name, 1) {
--- a/io/tlguard/guard.go
+++ b/io/tlguard/guard.go
@@ -17,6 +17,7 @@
 	kindCrash      = "Crash"
 	kindAnswered   = "PartsAnswered"
 	kindQuarantine = "Quarantine"
+	kindTrial      = "Trial"
 )
 
 const (
@@ -36,10 +37,13 @@
 	// QuarantineLifted those that it took out of it early.
 	Quarantined      = "Quarantined"
 	QuarantineLifted = "QuarantineLifted"
+	// Tried counts the requests of this instance that were sent though a part of them is
+	// in quarantine, to see whether it was blamed wrongly.
+	Tried = "Tried"
 )
 
 // CounterNames lists the counters of a Guard.
-var CounterNames = []string{Crashed, LivedOn, Quarantined, QuarantineLifted}
+var CounterNames = []string{Crashed, LivedOn, Quarantined, QuarantineLifted, Tried}
 
 // Options holds what a Guard depends on.
 type Options struct {
@@ -57,9 +61,9 @@
 	IsListening func(context.Context, tlendpoint.Endpoint) bool
 	// Now returns the current time.
 	Now func() time.Time
-	// OnQuarantine is called when this instance has put a part in quarantine until a time,
-	// and OnLifted when it has ended one early; they must not wait.
-	OnQuarantine func(service, part string, until time.Time)
+	// OnQuarantine is called when this instance has put a part in quarantine, and OnLifted
+	// when it has ended one early; they must not wait.
+	OnQuarantine func(tlwire.Quarantine)
 	OnLifted     func(service, part string)
 	// Log receives the quarantines that begin and end.
 	Log *logrus.Entry
@@ -97,6 +101,7 @@
 	tlpeer.Handle(o.Mesh, kindCrash, g.handleCrash)
 	tlpeer.Handle(o.Mesh, kindAnswered, g.handleAnswered)
 	tlpeer.Handle(o.Mesh, kindQuarantine, g.handleQuarantine)
+	tlpeer.Handle(o.Mesh, kindTrial, g.handleTrial)
 	return g
 }
 
@@ -237,18 +242,18 @@
 	g.mu.Lock()
 	lifted := g.serviceOf(name).table.Answered(g.o.Now(), parts)
 	g.mu.Unlock()
-	if len(lifted) > 0 {
-		g.reportAnswered(name, lifted)
+	switch {
+	case len(lifted) == 0:
+	case g.o.Home(name) == g.o.Self:
+		g.lifted(name, lifted)
+	default:
+		g.reportAnswered(name, parts)
 	}
 }
 
-// reportAnswered tells the home that requests with parts in quarantine have been answered.
+// reportAnswered tells the home of answers on parts of which some are in quarantine.
 func (g *Guard) reportAnswered(name string, parts []string) {
 	home := g.o.Home(name)
-	if home == g.o.Self {
-		g.lifted(name, parts)
-		return
-	}
 	g.o.Post(home, kindAnswered, func(ctx context.Context) error {
 		return tlpeer.Send(ctx, g.o.Mesh, home, kindAnswered, tlwire.PartsAnswered{Service: name, Parts: parts})
 	})
@@ -276,9 +281,9 @@
 }
 
 // SetQuarantine puts a part in quarantine by the store's record.
-func (g *Guard) SetQuarantine(name, part string, until time.Time) {
-	if g.hold(name, part, until) {
-		g.logPart(name, part).WithField("Until", until).Info("part quarantined, by the store's record")
+func (g *Guard) SetQuarantine(q tlwire.Quarantine) {
+	if g.hold(q, 0) {
+		g.logPart(q.Service, q.Part).WithField("Until", q.Until).Info("part quarantined, by the store's record")
 	}
 }
 
@@ -291,15 +296,20 @@
 
 // hold puts a part in quarantine by another instance's word; it reports whether that is
 // news. This instance objects if it has lately completed an answer on the part.
-func (g *Guard) hold(name, part string, until time.Time) bool {
+func (g *Guard) hold(q tlwire.Quarantine, trials int) bool {
 	now := g.o.Now()
 	g.mu.Lock()
-	s := g.serviceOf(name)
-	isCleared := s.table.IsCleared(now, part)
-	isNews := !isCleared && s.hold(now, until, part)
+	s := g.serviceOf(q.Service)
+	isCleared := s.table.IsCleared(now, q.Part)
+	isNews := false
+	if !isCleared {
+		isNews = s.hold(now, q.Until, q.Part)
+		s.table.SetBeside(q.Part, q.Beside)
+		s.table.Tried(now, q.Part, trials)
+	}
 	g.mu.Unlock()
-	if isCleared && until.After(now) {
-		g.reportAnswered(name, []string{part})
+	if isCleared && q.Until.After(now) {
+		g.reportAnswered(q.Service, []string{q.Part})
 	}
 	return isNews
 }
--- a/io/tlguard/guard_test.go
+++ b/io/tlguard/guard_test.go
@@ -62,7 +62,7 @@
 			},
 			IsListening:  f.isListening,
 			Now:          time.Now,
-			OnQuarantine: func(_, part string, _ time.Time) { f.decide(instanceName(k) + " quarantines " + part) },
+			OnQuarantine: func(q tlwire.Quarantine) { f.decide(instanceName(k) + " quarantines " + q.Part) },
 			OnLifted:     func(_, part string) { f.decide(instanceName(k) + " lifts " + part) },
 			Log:          logrus.NewEntry(l), Count: f.count,
 		})
@@ -282,7 +282,7 @@
 	defer stopWaiting()
 	sound, stopSound := f.guards[0].Watch(context.Background(), testService, []string{"a", "y"})
 	defer stopSound()
-	f.guards[0].SetQuarantine(testService, "x", time.Now().Add(time.Minute))
+	f.guards[0].SetQuarantine(tlwire.Quarantine{Service: testService, Part: "x", Until: time.Now().Add(time.Minute)})
 	assert.Error(t, waiting.Err())
 	assert.NoError(t, sound.Err())
 	stopWaiting()
@@ -293,9 +293,9 @@
 func TestRecordOfAServiceThatIsNotKnownYetIsForgotten(t *testing.T) {
 	f := newTestFleet(t, 1)
 	g := f.guards[0]
-	g.SetQuarantine("new", "x", time.Now().Add(time.Minute))
-	g.SetQuarantine("new", "y", time.Now().Add(time.Minute))
-	g.SetQuarantine("new", "z", time.Now().Add(-time.Minute))
+	g.SetQuarantine(tlwire.Quarantine{Service: "new", Part: "x", Until: time.Now().Add(time.Minute)})
+	g.SetQuarantine(tlwire.Quarantine{Service: "new", Part: "y", Until: time.Now().Add(time.Minute)})
+	g.SetQuarantine(tlwire.Quarantine{Service: "new", Part: "z", Until: time.Now().Add(-time.Minute)})
 	g.LiftQuarantine("new", "y")
 	for part, want := range map[string]bool{"x": true, "y": false, "z": false} {
 		_, held := g.Held("new", []string{part})
@@ -326,3 +326,36 @@
 	assert.Equal(t, 1, checks)
 	assert.Len(t, g.byService[testService].own, maxOwn)
 }
+
+func TestPartThatWasBlamedWronglyIsHeldForLong(t *testing.T) {
+	f := newTestFleet(t, 3)
+	for n := range tlquarantine.MinCrashes {
+		f.crash(1, n, "y", "x")
+	}
+	f.eventually(func() bool { return f.holds("x") })
+	ctx := context.Background()
+	assert.False(t, f.guards[1].Try(ctx, testService, []string{"y", "x"}), "like those that crashed")
+	assert.True(t, f.guards[2].Try(ctx, testService, []string{"x"}))
+	for n := range f.guards {
+		assert.False(t, f.guards[n].Try(ctx, testService, []string{"x"}), "one at a time")
+	}
+	for _, g := range f.guards {
+		g.mu.Lock()
+		_, trials := g.byService[testService].table.Beside("x")
+		g.mu.Unlock()
+		assert.Equal(t, 1, trials, "known to whoever may be the next home")
+	}
+	f.guards[2].Answered(testService, []string{"x"})
+	f.eventually(func() bool { return f.isFree("x") && f.holds("y") })
+}
+
+func TestOnlyTheHomeGrantsTrials(t *testing.T) {
+	f := newTestFleet(t, 2)
+	for n := range tlquarantine.MinCrashes {
+		f.crash(1, n, "y", "x")
+	}
+	f.eventually(func() bool { return f.holds("x") })
+	a, err := f.guards[1].handleTrial(context.Background(), tlpeer.Peer{}, tlwire.TrialCall{Service: testService, Parts: []string{"x"}})
+	require.NoError(t, err)
+	assert.False(t, a.IsGranted)
+}
--- a/io/tlguard/home.go
+++ b/io/tlguard/home.go
@@ -41,11 +41,14 @@
 
 // announceQuarantine tells all that this instance has put a part in quarantine.
 func (g *Guard) announceQuarantine(name, part string, endpoints []string) {
-	until := g.o.Now().Add(tlquarantine.HoldTime)
+	g.mu.Lock()
+	beside, _ := g.serviceOf(name).table.Beside(part)
+	g.mu.Unlock()
+	q := tlwire.Quarantine{Service: name, Part: part, Until: g.o.Now().Add(tlquarantine.HoldTime), Beside: beside}
 	g.o.Count(Quarantined)
-	g.logPart(name, part).WithFields(logrus.Fields{"Endpoints": endpoints, "Until": until}).Warn("part quarantined")
-	g.o.OnQuarantine(name, part, until)
-	g.broadcast(tlwire.QuarantineNotice{Service: name, Part: part, Left: tlquarantine.HoldTime})
+	g.logPart(name, part).WithFields(logrus.Fields{"Endpoints": endpoints, "Until": q.Until, "Beside": beside}).Warn("part quarantined")
+	g.o.OnQuarantine(q)
+	g.broadcast(tlwire.QuarantineNotice{Service: name, Part: part, Left: tlquarantine.HoldTime, Beside: beside})
 }
 
 func (g *Guard) handleAnswered(_ context.Context, _ tlpeer.Peer, r tlwire.PartsAnswered) (tlpeer.Empty, error) {
@@ -105,7 +108,8 @@
 		}
 		return tlpeer.Empty{}, nil
 	}
-	if g.hold(n.Service, n.Part, g.o.Now().Add(n.Left)) {
+	q := tlwire.Quarantine{Service: n.Service, Part: n.Part, Until: g.o.Now().Add(n.Left), Beside: n.Beside}
+	if g.hold(q, n.Trials) {
 		l.WithField("LeftMs", n.Left.Milliseconds()).Info("part quarantined, by its home")
 	}
 	return tlpeer.Empty{}, nil
--- a/io/tlguard/service.go
+++ b/io/tlguard/service.go
@@ -20,6 +20,8 @@
 	home string
 	// watches holds the requests that wait.
 	watches map[*watch]struct{}
+	// trialAsked is when the home was last asked for a trial.
+	trialAsked time.Time
 }
 
 // ownCrash is the end of an endpoint under a request of this instance.
