Spare the decode engine of a placement whose prefill has no permit

Cause: where the prefill engine's limit was used up, the owner reported the decode engine as full, which kept all others from it for 150 ms. Change: the reservation is ended, and the request asks for another under a new name, since the home may hear of the end after the next has begun.

--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -54,8 +56,8 @@
 	isTrial bool
 	// sends counts the sends to endpoints, prefills included.
 	sends int
-	// successors counts the searches for another engine.
-	successors int
+	// reservations counts the names of reservations beyond the first.
+	reservations atomic.Int64
 	// hasAnswered says that an answer to the caller has begun.
 	hasAnswered bool
 	failed      bool
@@ -135,6 +137,11 @@
 	x.trace.Step(event, f)
 }
 
+// nextReservation returns a name for another reservation of the request.
+func (x *exchange) nextReservation() string {
+	return fmt.Sprintf("%s#%d", x.call.ID, x.reservations.Add(1))
+}
+
 // identify sets the parts of the request, which its repetitions share.
 func (x *exchange) identify() {
 	path, query, _ := strings.Cut(x.target(), "?")
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -90,17 +90,20 @@
 
 // admit takes the permits for the sends of a placement, which it releases where there is none.
 func (g *generation) admit(p placement) error {
-	var err error
 	if p.isSplit && !p.reusesPrefill {
-		err = g.x.g.deps.Sender.Admit(g.ctx, p.prefill)
-	}
-	if err == nil {
-		err = g.x.g.deps.Sender.Admit(g.ctx, p.decode)
+		if err := g.x.g.deps.Sender.Admit(g.ctx, p.prefill); err != nil {
+			g.logNotAdmitted(p.prefill.ID, err)
+			// The home may hear of the end of the reservation after the next has begun.
+			g.releaseReservation()
+			g.reservation = g.x.nextReservation()
+			return err
+		}
 	}
+	err := g.x.g.deps.Sender.Admit(g.ctx, p.decode)
 	if err == nil {
 		return nil
 	}
-	g.x.step("not admitted", logrus.Fields{"Prefill": p.prefill.ID, "Decode": p.decode.ID, "Cause": err.Error()})
+	g.logNotAdmitted(p.decode.ID, err)
 	g.unpick(p)
 	if g.hasReservation {
 		g.hasReservation = false
@@ -109,6 +112,10 @@
 	return err
 }
 
+func (g *generation) logNotAdmitted(endpoint string, cause error) {
+	g.x.step("not admitted", logrus.Fields{"Endpoint": endpoint, "Cause": cause.Error()})
+}
+
 // findPlacement reserves engines with room, or picks an endpoint where none need be reserved.
 func (g *generation) findPlacement() (placement, *tlverdict.Error) {
 	if g.x.service.Engine == nil || g.x.call.PromptTokens == 0 {
--- a/io/tlgateway/relocation.go
+++ b/io/tlgateway/relocation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -207,12 +206,11 @@
 // newSuccessor returns a generation that goes on where g is, at another engine and under a
 // reservation of its own.
 func (g *generation) newSuccessor(ctx context.Context, from placement) *generation {
-	g.x.successors++
 	return &generation{
 		x:             g.x,
 		ctx:           ctx,
 		isSuccessor:   true,
-		reservation:   fmt.Sprintf("%s#%d", g.x.call.ID, g.x.successors),
+		reservation:   g.x.nextReservation(),
 		avoid:         append(slices.Clone(g.avoid), from.decode.ID),
 		decodeSends:   g.decodeSends,
 		hasSentHeader: g.hasSentHeader,
