Refuse a request in quarantine as such wherever it is noticed

A plain request put in quarantine right before its first send was refused as without an endpoint, a stream without a prompt length was sent again in spite of it, and another quarantine ended a trial that waited for room. The home counted who is home for each record rather than for each service. Change: the first send and each search for engines look at the quarantine, and a trial waits on.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -101,7 +101,15 @@
 // of returns the known records of some services.
 func (q *quarantines) of(isOne func(service string) bool) map[string]tlwire.Quarantine {
 	list := q.all()
-	maps.DeleteFunc(list, func(_ string, e tlwire.Quarantine) bool { return !isOne(e.Service) })
+	known := map[string]bool{}
+	maps.DeleteFunc(list, func(_ string, e tlwire.Quarantine) bool {
+		is, ok := known[e.Service]
+		if !ok {
+			is = isOne(e.Service)
+			known[e.Service] = is
+		}
+		return !is
+	})
 	return list
 }
 
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -72,6 +72,9 @@
 // are taken ahead of the prefill, which would be wasted without one for the answer.
 func (g *generation) findAdmitted() (placement, *tlverdict.Error) {
 	for range maxUnsent {
+		if e := g.x.quarantineRefusal(); e != nil {
+			return placement{}, g.finalError(e)
+		}
 		p, err := g.findPlacement()
 		if err != nil {
 			return placement{}, err
@@ -125,9 +128,7 @@
 	if e := x.restRefusal(); e != nil {
 		return placement{}, g.finalError(e)
 	}
-	ctx, stop := x.g.deps.Guard.Watch(g.ctx, x.service.Name, x.parts)
-	defer stop()
-	d, err := x.g.deps.Reservations.Reserve(ctx, x.service.Name, g.reservationRequest())
+	d, err := g.reserve()
 	if e := x.quarantineRefusal(); e != nil {
 		g.hasReservation = err == nil && d.Refused == tlplace.NotRefused
 		g.releaseReservation()
@@ -150,6 +151,18 @@
 	return g.resolve(d)
 }
 
+// reserve waits for a reservation, which a quarantine of the request ends.
+func (g *generation) reserve() (tlplace.Decision, error) {
+	x := g.x
+	ctx := g.ctx
+	if !x.isTrial {
+		watched, stop := x.g.deps.Guard.Watch(ctx, x.service.Name, x.parts)
+		defer stop()
+		ctx = watched
+	}
+	return x.g.deps.Reservations.Reserve(ctx, x.service.Name, g.reservationRequest())
+}
+
 // pickEndpoint picks an endpoint for a stream of a service without engines, or without a prompt length.
 func (g *generation) pickEndpoint() (placement, *tlverdict.Error) {
 	x := g.x
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -1,6 +1,7 @@
 package tlgateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -80,7 +81,7 @@
 		c.run()
 		return
 	}
-	if e := x.restRefusal(); e != nil {
+	if e := cmp.Or(x.quarantineRefusal(), x.restRefusal()); e != nil {
 		x.refuse(e)
 		return
 	}
