Count only endpoints that refuse connections as ended

An endpoint that could not be reached within 0.4 s after a break counted as ended, as it is behind a cut; one that leaves and cuts off what it has did too. Change: the check wants a refused connection, and passes over endpoints that are known to leave.

--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"trefoillanding/io/tlguard"
 	"trefoillanding/platform"
 	"trefoillanding/platform/tlstand"
 )
@@ -318,3 +319,25 @@
 	}
 	assert.LessOrEqual(t, f.arrivals(crashingPart)-before, maxSentAfter, "prompts that crash engines")
 }
+
+// An endpoint that leaves ends on purpose, and may cut off what it has.
+func TestRequestIsHeldOffForEndpointsThatLeave(t *testing.T) {
+	f := newCrashingEndpoints(t, 6, "", func(a *tlstand.Arrival) bool { return isCrashingText(a) })
+	for _, e := range f.endpoints {
+		e.Intercept = func(_ http.ResponseWriter, _ *http.Request, a *tlstand.Arrival) bool {
+			if isCrashingText(a) {
+				f.w.store.PutJSON(platform.TopicEndpoints, e.ID, e.Entry(f.service, "draining"))
+				time.Sleep(100 * time.Millisecond)
+			}
+			return false
+		}
+	}
+	for n := range crashesAllowed {
+		f.send(tlstand.Call{Method: http.MethodPost, Path: tlstand.AtMostOncePath + "x", Body: crashingText})
+		f.w.eventually(func() bool { return f.crashCount() == n+1 })
+		time.Sleep(repetitionInterval)
+	}
+	for _, i := range f.all {
+		assert.Zero(t, i.counters.guard.Value(tlguard.Quarantined))
+	}
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlplace"
 	"trefoillanding/core/tlroute"
@@ -100,7 +101,7 @@
 		Home:         i.homeOf,
 		Others:       i.otherInstances,
 		Post:         i.outboxPost,
-		IsListening:  i.sender.IsListening,
+		HasEnded:     i.hasEnded,
 		Now:          time.Now,
 		OnQuarantine: i.onQuarantine,
 		OnLifted:     i.onQuarantineLifted,
@@ -109,6 +110,13 @@
 	}
 }
 
+// hasEnded reports whether an endpoint has ended, other than one that leaves.
+func (i *Instance) hasEnded(ctx context.Context, e tlendpoint.Endpoint) bool {
+	k, isUsed := i.directory.Find(e.ID)
+	isLeaving := k.IsSameIncarnation(e) && !isUsed
+	return !isLeaving && i.sender.HasEnded(ctx, e)
+}
+
 // homeOf returns the instance that is the home of a service.
 func (i *Instance) homeOf(service string) string {
 	return i.gossip.Oldest(service, homeCandidates)
--- a/io/tlguard/doc.go
+++ b/io/tlguard/doc.go
@@ -5,8 +5,10 @@
 // same each time it comes. The home counts them with tlquarantine, so that crashes add up
 // though each is seen by another instance, and tells all instances which part is in
 // quarantine; the store's record of it outlasts the home. An instance that has lately
-// completed an answer on the part objects, which ends the quarantine. What looked like
-// the end of an endpoint that answers afterwards is taken back.
+// completed an answer on the part objects, which ends the quarantine. A connection that
+// breaks counts only if the endpoint refuses others, as neither a cut nor a fault of the
+// endpoint that it survives makes it do; and an endpoint that answers afterwards has not
+// ended.
 //
 // Owners keep the crashes that they have seen, and tell a new home of them.
 //
--- a/io/tlguard/guard.go
+++ b/io/tlguard/guard.go
@@ -23,14 +23,14 @@
 const (
 	// checkInterval is the time between checks for quarantines that have expired and for changes of home.
 	checkInterval = 200 * time.Millisecond
-	// listenTimeout is how long an endpoint may take to accept a connection.
-	listenTimeout = 400 * time.Millisecond
+	// endTimeout bounds the check whether an endpoint has ended.
+	endTimeout = 400 * time.Millisecond
 )
 
 // The counters of a Guard.
 const (
 	// Crashed counts the ends of endpoints under requests that this instance reported, and
-	// LivedOn the breaks that were none, since the endpoint takes connections or has answered.
+	// LivedOn the breaks that were none, since the endpoint has not ended or has answered.
 	Crashed = "Crashed"
 	LivedOn = "LivedOn"
 	// Quarantined counts the parts that this instance put in quarantine, and
@@ -57,8 +57,8 @@
 	Others func() []string
 	// Post sends a one-way message to another instance without waiting.
 	Post func(peer, kind string, send func(context.Context) error)
-	// IsListening reports whether an endpoint still takes connections.
-	IsListening func(context.Context, tlendpoint.Endpoint) bool
+	// HasEnded reports whether the process of an endpoint has ended, other than on purpose.
+	HasEnded func(context.Context, tlendpoint.Endpoint) bool
 	// Now returns the current time.
 	Now func() time.Time
 	// OnQuarantine is called when this instance has put a part in quarantine, and OnLifted
@@ -176,7 +176,7 @@
 }
 
 // Broke records that the connection to an endpoint broke before a request with the
-// parts was answered. The endpoint has ended unless it still takes connections.
+// parts was answered. It is checked whether the endpoint has ended.
 func (g *Guard) Broke(e tlendpoint.Endpoint, parts []string) {
 	k := ownCrash{at: g.o.Now(), endpoint: e, parts: parts}
 	key := endpointKey{e.ID, e.Incarnation}
@@ -192,21 +192,21 @@
 	}
 }
 
-// checkEndpoint records the crashes at an endpoint that takes no connections any more.
+// checkEndpoint records the breaks at an endpoint as crashes if it has ended.
 func (g *Guard) checkEndpoint(key endpointKey, e tlendpoint.Endpoint) {
-	ctx, stop := context.WithTimeout(g.ctx, listenTimeout)
+	ctx, stop := context.WithTimeout(g.ctx, endTimeout)
 	defer stop()
-	isListening := g.o.IsListening(ctx, e)
+	hasEnded := g.o.HasEnded(ctx, e)
 	home := g.o.Home(e.Service)
 	g.mu.Lock()
 	list := g.checks[key]
 	delete(g.checks, key)
-	if !isListening && !g.hasEnded {
+	if hasEnded && !g.hasEnded {
 		g.serviceOf(e.Service).addOwn(home, list)
 	}
 	g.mu.Unlock()
 	for _, k := range list {
-		if isListening {
+		if !hasEnded {
 			g.o.Count(LivedOn)
 			continue
 		}
--- a/io/tlguard/guard_test.go
+++ b/io/tlguard/guard_test.go
@@ -33,15 +33,15 @@
 
 	mu   sync.Mutex
 	home int
-	// listening holds the endpoints that still take connections.
-	listening map[string]bool
+	// alive holds the endpoints that have not ended.
+	alive map[string]bool
 	counts    map[string]int
 	// decided lists what guards had written to the store.
 	decided []string
 }
 
 func newTestFleet(t *testing.T, n int) *testFleet {
-	f := &testFleet{t: t, listening: map[string]bool{}, counts: map[string]int{}}
+	f := &testFleet{t: t, alive: map[string]bool{}, counts: map[string]int{}}
 	l := logrus.New()
 	l.SetOutput(io.Discard)
 	var list tlwire.InstanceList
@@ -60,7 +60,7 @@
 			Post: func(_, _ string, send func(context.Context) error) {
 				_ = send(context.Background())
 			},
-			IsListening:  f.isListening,
+			HasEnded:     f.hasEnded,
 			Now:          time.Now,
 			OnQuarantine: func(q tlwire.Quarantine) { f.decide(instanceName(k) + " quarantines " + q.Part) },
 			OnLifted:     func(_, part string) { f.decide(instanceName(k) + " lifts " + part) },
@@ -114,10 +114,10 @@
 	return names
 }
 
-func (f *testFleet) isListening(_ context.Context, e tlendpoint.Endpoint) bool {
+func (f *testFleet) hasEnded(_ context.Context, e tlendpoint.Endpoint) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listening[e.ID]
+	return !f.alive[e.ID]
 }
 
 func (f *testFleet) count(reason string) {
@@ -246,10 +246,10 @@
 	assert.Equal(t, []string{"i1 quarantines x"}, f.decisions())
 }
 
-func TestEndpointThatTakesConnectionsIsTakenForCrashed(t *testing.T) {
+func TestEndpointThatHasNotEndedIsTakenForCrashed(t *testing.T) {
 	f := newTestFleet(t, 2)
 	for n := range 2 * tlquarantine.MinCrashes {
-		f.listening[testEndpoint(n).ID] = true
+		f.alive[testEndpoint(n).ID] = true
 	}
 	for n := range 2 * tlquarantine.MinCrashes {
 		f.guards[1].Broke(testEndpoint(n), []string{"x"})
@@ -310,12 +310,12 @@
 	release := make(chan struct{})
 	var dials sync.WaitGroup
 	checks := 0
-	g.o.IsListening = func(context.Context, tlendpoint.Endpoint) bool {
+	g.o.HasEnded = func(context.Context, tlendpoint.Endpoint) bool {
 		f.mu.Lock()
 		checks++
 		f.mu.Unlock()
 		<-release
-		return false
+		return true
 	}
 	for n := range 3 * maxOwn {
 		dials.Go(func() { g.Broke(testEndpoint(0), []string{fmt.Sprint("x", n)}) })
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -156,14 +156,15 @@
 	return &Error{Endpoint: e.ID, Outcome: tlhealth.Refused, IsUnsent: true, Err: err}
 }
 
-// IsListening reports whether an endpoint takes a connection, which is closed unused.
-func (s *Sender) IsListening(ctx context.Context, e tlendpoint.Endpoint) bool {
+// HasEnded reports whether an endpoint refuses connections, as it does once its process
+// has ended; one that is silent may only be out of reach.
+func (s *Sender) HasEnded(ctx context.Context, e tlendpoint.Endpoint) bool {
 	c, err := s.transport.DialContext(ctx, "tcp", e.Address.String())
 	if err != nil {
-		return false
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = c.Close()
-	return true
+	return false
 }
 
 func (s *Sender) newRequest(ctx context.Context, e tlendpoint.Endpoint, r Request, c tlcall.Send) *http.Request {
--- a/io/tlsend/sender_test.go
+++ b/io/tlsend/sender_test.go
@@ -166,3 +166,16 @@
 		})
 	}
 }
+
+func TestEndpointHasEndedOnceItRefusesConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := tlendpoint.Endpoint{ID: "e", Address: netip.MustParseAddrPort(l.Addr().String())}
+	s := newSender(t)
+	assert.False(t, s.HasEnded(context.Background(), e))
+	require.NoError(t, l.Close())
+	assert.True(t, s.HasEnded(context.Background(), e))
+	late, stop := context.WithCancel(context.Background())
+	stop()
+	assert.False(t, s.HasEnded(late, e), "nothing was heard")
+}
