--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -183,16 +183,7 @@
 				f.send(crashingLookup(n))
 				time.Sleep(repetitionInterval)
 			}
-			home := f.all[0].gossip.Oldest(f.service, homeCandidates)
-			var rest []*Instance
-			for _, i := range f.all {
-				if i.settings.Name == home {
-					i.Close()
-					continue
-				}
-				rest = append(rest, i)
-			}
-			f.all = rest
+			f.all = closeHome(f.all, f.service)
 			f.crash(crashingLookup)
 			f.assertHeldOff(crashingLookup)
 		})
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -202,19 +202,22 @@
 	f.assertRefused(crashingSecond, maxSentAfter)
 }
 
+// closeHome closes the home of a service and returns the other instances.
+func closeHome(all []*Instance, service string) []*Instance {
+	home := all[0].homeOf(service)
+	return slices.DeleteFunc(slices.Clone(all), func(i *Instance) bool {
+		if i.settings.Name != home {
+			return false
+		}
+		i.Close()
+		return true
+	})
+}
+
 func TestAPartThatCrashesEnginesIsForgottenWhenTheHomeChanges(t *testing.T) {
 	f := newCrashFleet(t, 3, 6, 300*time.Millisecond)
 	f.crash(crashingSecond)
-	home := f.all[0].gossip.Oldest(tlstand.ModelService, homeCandidates)
-	var rest []*Instance
-	for _, i := range f.all {
-		if i.settings.Name == home {
-			i.Close()
-			continue
-		}
-		rest = append(rest, i)
-	}
-	f.all = rest
+	f.all = closeHome(f.all, tlstand.ModelService)
 	f.assertRefused(crashingSecond, maxSentAfter)
 }
 
--- a/io/tlguard/guard_test.go
+++ b/io/tlguard/guard_test.go
@@ -34,8 +34,8 @@
 	mu   sync.Mutex
 	home int
 	// alive holds the endpoints that have not ended.
-	alive map[string]bool
-	counts    map[string]int
+	alive  map[string]bool
+	counts map[string]int
 	// decided lists what guards had written to the store.
 	decided []string
 }
