Look for an endpoint's wish for rest at the send again

A generation takes its permits before its prompt is read, and the send after that asked no more, so that a decode engine which had asked for rest meanwhile got the request. Change: each send does; one that is held back there costs no retry. Result: TestAdmittedRequestIsNotSentToAnEndpointThatWantsRestByNow failed without it; the tests on rest and leaving of ./gateway pass.

--- a/core/tlendpoint/notices.go
+++ b/core/tlendpoint/notices.go
@@ -73,6 +73,15 @@
 	return k.restUntil
 }
 
+// RestUntil returns until when this incarnation of an endpoint wants no requests; zero if it has not said so.
+func (n *Notices) RestUntil(e Endpoint) time.Time {
+	k := n.byID[e.ID]
+	if k == nil || !k.endpoint.IsSameIncarnation(e) {
+		return time.Time{}
+	}
+	return k.restUntil
+}
+
 // Limit records that an endpoint named a limit, in requests a second, at a time; it
 // reports whether it named none before. An older word than the last changes nothing.
 func (n *Notices) Limit(now, named time.Time, e Endpoint, rate float64) bool {
--- a/core/tlendpoint/notices_test.go
+++ b/core/tlendpoint/notices_test.go
@@ -80,6 +80,7 @@
 	n.Limit(now, now, e, 1)
 	n.HoldOff(now, now.Add(time.Second), e)
 	assert.Equal(t, now.Add(time.Second), n.ClosedUntil(e))
+	assert.Zero(t, n.RestUntil(e))
 	n.Rest(now, now.Add(3*time.Second), e)
 	assert.Equal(t, now.Add(3*time.Second), n.ClosedUntil(e))
 	n.HoldOff(now, now.Add(5*time.Second), e)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -24,6 +24,9 @@
 		Admit: func(ctx context.Context, e tlendpoint.Endpoint) error {
 			return i.limiter.Admit(ctx, e)
 		},
+		IsResting: func(e tlendpoint.Endpoint) bool {
+			return i.directory.IsResting(time.Now(), e)
+		},
 	}
 }
 
--- a/io/tldirectory/directory.go
+++ b/io/tldirectory/directory.go
@@ -91,6 +91,13 @@
 	d.notices.HoldOff(now, now.Add(wait), e)
 }
 
+// IsResting reports whether an endpoint has said that it wants no requests now.
+func (d *Directory) IsResting(now time.Time, e tlendpoint.Endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Before(d.notices.RestUntil(e))
+}
+
 // IsClosed reports whether an endpoint may be sent no requests now.
 func (d *Directory) IsClosed(now time.Time, e tlendpoint.Endpoint) bool {
 	d.mu.Lock()
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -231,7 +231,7 @@
 	if f.MayHaveRun {
 		g.possibleRuns++
 	}
-	g.isUnreached = f.Outcome == tlhealth.ConnectFailed
+	g.isUnreached = f.Outcome == tlhealth.ConnectFailed || f.IsUnsent
 	g.sourceExpiry = time.Time{}
 	switch f.Outcome {
 	case tlhealth.Broken:
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -37,7 +37,10 @@
 	bufferBytes = 4 << 10
 )
 
-var errOtherRequest = errors.New("the answer belongs to another request")
+var (
+	errOtherRequest = errors.New("the answer belongs to another request")
+	errResting      = errors.New("the endpoint wants no requests now")
+)
 
 // Codec encodes the headers of a send and decodes those of an answer.
 type Codec struct {
@@ -61,6 +64,9 @@
 	// Admit is asked before each request that was not admitted before; nothing is sent if
 	// it returns an error.
 	Admit func(context.Context, tlendpoint.Endpoint) error
+	// IsResting reports whether an endpoint wants no requests now, which may have become so
+	// since a request was admitted; nothing is sent then.
+	IsResting func(tlendpoint.Endpoint) bool
 }
 
 // New returns a Sender.
@@ -120,6 +126,9 @@
 			return nil, err
 		}
 	}
+	if s.hooks.IsResting(e) {
+		return nil, &Error{Endpoint: e.ID, Outcome: tlhealth.Refused, IsUnsent: true, Err: errResting}
+	}
 	p, sent := &progress{}, time.Now()
 	ctx = httptrace.WithClientTrace(ctx, p.trace())
 	a, err := s.transport.RoundTrip(s.newRequest(ctx, e, r, c))
--- a/io/tlsend/sender_test.go
+++ b/io/tlsend/sender_test.go
@@ -30,9 +30,10 @@
 
 func newSender(t *testing.T) *Sender {
 	s := New(codec, Hooks{
-		OnDial:   func() {},
-		OnAnswer: func(tlendpoint.Endpoint, tlcall.Answer, time.Time) {},
-		Admit:    func(context.Context, tlendpoint.Endpoint) error { return nil },
+		OnDial:    func() {},
+		OnAnswer:  func(tlendpoint.Endpoint, tlcall.Answer, time.Time) {},
+		IsResting: func(e tlendpoint.Endpoint) bool { return e.ID == "resting" },
+		Admit:     func(context.Context, tlendpoint.Endpoint) error { return nil },
 	})
 	t.Cleanup(s.Close)
 	return s
@@ -179,3 +180,16 @@
 	stop()
 	assert.False(t, s.HasEnded(late, e), "nothing was heard")
 }
+
+// An endpoint may ask for rest after a request was admitted, while its prompt is read.
+func TestAdmittedRequestIsNotSentToAnEndpointThatWantsRestByNow(t *testing.T) {
+	var arrived atomic.Int32
+	e := listen(t, func(int, net.Conn, *bufio.Reader) { arrived.Add(1) })
+	e.ID = "resting"
+	_, err := newSender(t).Send(context.Background(), e, newGetRequest("1"), tlcall.Send{IsAdmitted: true})
+	var f *Error
+	require.ErrorAs(t, err, &f)
+	assert.True(t, f.IsUnsent)
+	assert.False(t, f.MayHaveRun)
+	assert.Zero(t, arrived.Load())
+}
