Let a late answer to an earlier request end no limit

An extra answer that arrives where the next one is expected counted as an answer to the later request; one from before the limit was named could end it. Change: the time of the request of such an answer counts as unknown, which ends no limit. Result: TestLateAnswerToAnEarlierRequestCountsAsOneToTheLast.

--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -59,7 +59,8 @@
 type Hooks struct {
 	// OnDial is called before each new connection is opened.
 	OnDial func()
-	// OnAnswer is called with each answer, and with the time at which its request was sent.
+	// OnAnswer is called with each answer, and with the time at which its request was sent;
+	// zero if that is not known.
 	OnAnswer func(tlendpoint.Endpoint, tlcall.Answer, time.Time)
 	// Admit is asked before each request that was not admitted before; nothing is sent if
 	// it returns an error.
@@ -144,8 +145,13 @@
 
 		EndsWithConnection: a.ContentLength < 0 && len(a.TransferEncoding) == 0,
 	}
+	isOther := reply.Answer.ID != "" && reply.Answer.ID != r.ID
+	if isOther {
+		// A late answer to an earlier request says nothing of what holds since.
+		sent = time.Time{}
+	}
 	s.hooks.OnAnswer(e, reply.Answer, sent)
-	if reply.Answer.ID != "" && reply.Answer.ID != r.ID {
+	if isOther {
 		_ = a.Body.Close()
 		return nil, &Error{Endpoint: e.ID, MayHaveRun: true, Outcome: tlhealth.Broken, Err: errOtherRequest}
 	}
--- a/io/tlsend/sender_test.go
+++ b/io/tlsend/sender_test.go
@@ -193,3 +193,25 @@
 	assert.False(t, f.MayHaveRun)
 	assert.Zero(t, arrived.Load())
 }
+
+// An extra answer may arrive late, where that of the next request is expected.
+func TestLateAnswerToAnEarlierRequestCountsAsOneToTheLast(t *testing.T) {
+	for _, id := range []string{"1", "0", ""} {
+		t.Run(id, func(t *testing.T) {
+			e := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err == nil {
+					writeAnswer(c, id, "ok")
+				}
+			})
+			s := newSender(t)
+			var sent []time.Time
+			s.hooks.OnAnswer = func(_ tlendpoint.Endpoint, _ tlcall.Answer, at time.Time) { sent = append(sent, at) }
+			r, err := s.Send(context.Background(), e, newGetRequest("1"), tlcall.Send{})
+			if err == nil {
+				readBody(t, r)
+			}
+			require.Len(t, sent, 1)
+			assert.Equal(t, id == "0", sent[0].IsZero())
+		})
+	}
+}
