Let a trial of a generation reach one engine only

A trial of a prompt that is in quarantine had it read by a prefill engine first, so that three trials reached six engines. Change: its decode engine reads the prompt itself.

--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -287,6 +287,25 @@
 	}
 }
 
+// Each endpoint that a trial reaches is one more that it may crash.
+func TestTrialOfAGenerationReachesAPrefillEngineToo(t *testing.T) {
+	f := newCrashingEndpoints(t, 6, "decode", isCrashingText)
+	p := f.w.startEngine("p", "prefill")
+	f.w.eventually(func() bool { return len(f.all[0].directory.Endpoints(f.service)) == 7 })
+	call := func(int) tlstand.Call {
+		return tlstand.Call{Method: http.MethodPost, Path: tlstand.StreamPath + "x", Body: crashingText, PromptTokens: 1000, OutputTokens: 100}
+	}
+	f.crash(call)
+	before, prompts := f.arrivals(f.isDue), len(p.Arrivals())
+	require.NotZero(t, prompts)
+	f.w.eventually(func() bool {
+		time.Sleep(repetitionInterval)
+		f.send(call(0))
+		return f.arrivals(f.isDue) > before
+	})
+	assert.Len(t, p.Arrivals(), prompts)
+}
+
 // The engines end under the first part; the second is blamed, as nothing has been served with it before.
 func TestSoundPromptsAreHeldOffByAPartThatWasBlamedWrongly(t *testing.T) {
 	f := newCrashFleet(t, 3, 6, 300*time.Millisecond)
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -79,6 +79,8 @@
 		if err != nil {
 			return placement{}, err
 		}
+		// A trial costs one engine at the most, which then reads the prompt itself.
+		p.isSplit = p.isSplit && !g.x.isTrial
 		if e := g.admit(p); e != nil {
 			g.lastFailure = e
 			continue
