Draw a home for each endpoint with a limit

The home of a service gave the permits of all its endpoints, so that its cost would grow with the fleet; and while all instances drain each is its own home, with the whole limit. Change: an instance is drawn for each endpoint, by the rule for homes of services; one that drains gives out the part of one instance. A question to the home is given up after 150 ms rather than 250, as the request waits for it. The status page shows the home beside the limit.

--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -154,8 +154,8 @@
 	Wait time.Duration `json:"Wait" yaml:"Wait" cbor:"Wait"`
 }
 
-// PermitCall asks the home of a service whether a request may be sent to an
-// endpoint that names a limit.
+// PermitCall asks the home of an endpoint whether a request may be sent to it,
+// since it names a limit.
 type PermitCall struct {
 	// Age is how long ago the sender last knew it to be named.
 	Age time.Duration `json:"Age" yaml:"Age" cbor:"Age"`
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -179,7 +179,7 @@
 		for n := range 3 {
 			time.Sleep(1200 * time.Millisecond)
 			i := w.startInstance(fmt.Sprint("new", n))
-			home := i.gossip.Oldest(tlstand.PlainService, homeCandidates)
+			home := i.limitHomeOf(limited.ID)
 			mu.Lock()
 			all = append(all, i)
 			for k, j := range all {
@@ -263,3 +263,19 @@
 	sent, served := w.load(limitSettleTime, 20*time.Millisecond, fixed(all), plainLoad)
 	assert.Equal(t, sent, served)
 }
+
+// While all instances drain, each takes itself for the home.
+func TestInstancesThatAllDrainExceedTheLimitTogether(t *testing.T) {
+	w := newTestCluster(t)
+	limited := w.startPlainEndpoint("e1")
+	limited.NameLimit(limitedRate)
+	all := w.startFleet(4)
+	w.load(limitSettleTime, 20*time.Millisecond, fixed(all), plainLoad)
+	for _, i := range all {
+		i.draining.Store(true)
+		i.gossip.Announce()
+	}
+	began := time.Now()
+	w.load(6*time.Second, 20*time.Millisecond, fixed(all), plainLoad)
+	assert.LessOrEqual(t, busiestWindow(limited, began), allowedInWindow(limitedRate))
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -122,12 +122,21 @@
 	return i.gossip.Oldest(service, homeCandidates)
 }
 
+// limitHomePurpose is the purpose, with the ID of an endpoint behind it, for which gossip
+// picks the instance that gives its permits.
+const limitHomePurpose = "limit/"
+
+// limitHomeOf returns the instance that gives the permits for an endpoint.
+func (i *Instance) limitHomeOf(endpoint string) string {
+	return i.gossip.Oldest(limitHomePurpose+endpoint, homeCandidates)
+}
+
 func (i *Instance) limiterOptions() tllimiter.Options {
 	return tllimiter.Options{
 		Self:      i.settings.Name,
 		Mesh:      i.mesh,
 		Directory: i.directory,
-		Home:      i.homeOf,
+		Home:      i.limitHomeOf,
 		Others:    i.otherInstances,
 		Fleet:     i.fleetInTouch,
 		Post:      i.outboxPost,
@@ -148,9 +157,13 @@
 	return names
 }
 
-// fleetInTouch returns how many instances are in touch with this one, itself included, and how many are listed.
+// fleetInTouch returns how many instances are in touch with this one, itself included, and
+// how many are listed. An instance that drains is a home only while all do, each its own.
 func (i *Instance) fleetInTouch() (inTouch, listed int) {
 	all := i.gossip.All()
+	if i.draining.Load() {
+		return 1, len(all)
+	}
 	for _, m := range all {
 		if m.Name == i.settings.Name || isInTouch(m) {
 			inTouch++
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -29,8 +29,16 @@
 	Homes map[string]string
 	// Doubted lists the endpoints whose last answers failed.
 	Doubted []string
-	// Limits has the limits that endpoints name, in requests a second.
-	Limits map[string]float64
+	// Limits has the limits that endpoints name, by their IDs.
+	Limits map[string]LimitStatus
+}
+
+// LimitStatus is the limit that an endpoint names.
+type LimitStatus struct {
+	// Rate is the limit in requests a second.
+	Rate float64
+	// Home is the instance that gives the permits.
+	Home string
 }
 
 // TopicStatus tells how far a topic was read.
@@ -52,6 +60,7 @@
 		Topics:    map[string]TopicStatus{},
 		Instances: map[string]string{},
 		Homes:     map[string]string{},
+		Limits:    map[string]LimitStatus{},
 	}
 	if !i.built.Load() {
 		return s
@@ -59,7 +68,9 @@
 	s.Incarnation = i.self.Incarnation
 	s.IsReader = i.isReader()
 	s.Doubted = i.directory.Failing()
-	s.Limits = i.directory.Limits()
+	for id, rate := range i.directory.Limits() {
+		s.Limits[id] = LimitStatus{Rate: rate, Home: i.limitHomeOf(id)}
+	}
 	for topic, f := range i.followers {
 		s.Topics[topic] = topicStatus(f)
 	}
--- a/io/tllimiter/limiter.go
+++ b/io/tllimiter/limiter.go
@@ -16,7 +16,7 @@
 	"trefoillanding/io/tlpeer"
 )
 
-// The kinds of messages between an instance and the home of a service.
+// The kinds of messages between an instance and the home of an endpoint.
 const (
 	// kindPermit asks the home for a permit.
 	kindPermit = "Permit"
@@ -26,8 +26,8 @@
 )
 
 const (
-	// homeTimeout bounds a question to the home.
-	homeTimeout = 250 * time.Millisecond
+	// homeTimeout bounds a question to the home: the request waits for it.
+	homeTimeout = 150 * time.Millisecond
 	// homePause is how long an endpoint is closed after its home gave no answer: about as
 	// long as gossip takes to name another home.
 	homePause = 500 * time.Millisecond
@@ -53,7 +53,7 @@
 var CounterNames = []string{Heard, Unreadable, Granted, Denied, HomeSilent, GivenOut}
 
 var (
-	errNotHome  = errors.New("this instance is not the home of the service")
+	errNotHome  = errors.New("this instance is not the home of the endpoint")
 	errClosed   = errors.New("the endpoint wants no requests now")
 	errNoPermit = errors.New("the endpoint's limit is used up")
 )
@@ -66,8 +66,8 @@
 	Mesh *tlpeer.Mesh
 	// Directory holds the limits that are known, and which endpoints are closed.
 	Directory *tldirectory.Directory
-	// Home returns the instance that gives the permits for a service's endpoints.
-	Home func(service string) string
+	// Home returns the instance that gives the permits for an endpoint.
+	Home func(endpoint string) string
 	// Others returns the names of the other live instances.
 	Others func() []string
 	// Fleet returns how many instances are in touch with this one, itself included, and how many are listed.
@@ -83,7 +83,7 @@
 }
 
 // Limiter takes permits for requests to endpoints that name a limit, and gives them out
-// for the services whose home this instance is.
+// for those whose home this instance is.
 type Limiter struct {
 	o Options
 
@@ -138,9 +138,9 @@
 	return nil
 }
 
-// ask asks the home of a service, which may be this instance.
+// ask asks the home of an endpoint, which may be this instance.
 func (l *Limiter) ask(ctx context.Context, c tlwire.PermitCall) (tlwire.PermitAnswer, error) {
-	home := l.o.Home(c.Service)
+	home := l.o.Home(c.Endpoint)
 	if home == l.o.Self {
 		return l.give(c), nil
 	}
@@ -150,7 +150,7 @@
 }
 
 func (l *Limiter) handlePermit(_ context.Context, _ tlpeer.Peer, c tlwire.PermitCall) (tlwire.PermitAnswer, error) {
-	if l.o.Home(c.Service) != l.o.Self {
+	if l.o.Home(c.Endpoint) != l.o.Self {
 		return tlwire.PermitAnswer{}, errNotHome
 	}
 	return l.give(c), nil
@@ -207,10 +207,10 @@
 	}
 }
 
-// tellHome tells the home of an endpoint's service what the endpoint has said.
+// tellHome tells an endpoint's home what the endpoint has said.
 func (l *Limiter) tellHome(e tlendpoint.Endpoint, r tlwire.LimitReport) {
 	r.Service, r.Endpoint, r.Incarnation = e.Service, e.ID, e.Incarnation
-	home := l.o.Home(e.Service)
+	home := l.o.Home(e.ID)
 	if home == l.o.Self {
 		l.noteHeard(home, r)
 		return
