Tell in one place which breaks may be the end of an endpoint

Cause: three places asked the same of a failed send, and tlguard had two things named hasEnded. Change: isBreak for plain requests, prefills and answers; the guard's own field is isStopped.

--- a/io/tlgateway/crash.go
+++ b/io/tlgateway/crash.go
@@ -7,9 +7,18 @@
 	"syscall"
 
 	"trefoillanding/core/tlendpoint"
+	"trefoillanding/core/tlhealth"
 	"trefoillanding/core/tlverdict"
+	"trefoillanding/io/tlsend"
 )
 
+// isBreak reports whether a send failed since its connection broke, after the endpoint may
+// have begun on the request.
+func isBreak(err error) bool {
+	var f *tlsend.Error
+	return errors.As(err, &f) && f.Outcome == tlhealth.Broken && f.MayHaveRun && isCrash(f.Err)
+}
+
 // isCrash reports whether a connection that broke with err may have ended with its
 // endpoint: a time-out may be a cut of the network or a freeze as well.
 func isCrash(err error) bool {
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -235,7 +235,7 @@
 	g.sourceExpiry = time.Time{}
 	switch f.Outcome {
 	case tlhealth.Broken:
-		if f.MayHaveRun && isCrash(f.Err) {
+		if isBreak(f) {
 			x.reportBreak(p.decode)
 		}
 		g.abandonEngine(p.decode.ID, tlbooking.DecodeConnectionBroke)
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -217,7 +217,7 @@
 	switch {
 	case o == tlhealth.Answered || o == tlhealth.ServerError:
 		x.g.deps.Guard.Answered(x.service.Name, x.parts)
-	case o == tlhealth.Broken && s.mayHaveRun() && isCrash(s.err):
+	case isBreak(s.err):
 		x.reportBreak(e)
 	}
 	if o != tlhealth.Answered {
--- a/io/tlgateway/prefill.go
+++ b/io/tlgateway/prefill.go
@@ -64,7 +64,7 @@
 		return tlcall.Source{}, g.prefillTooLate()
 	}
 	g.report(prefillEvent(err), p.prefill.ID)
-	if o := (*tlsend.Error)(nil); errors.As(err, &o) && o.Outcome == tlhealth.Broken && o.MayHaveRun && isCrash(o.Err) {
+	if isBreak(err) {
 		x.reportBreak(p.prefill)
 	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), p.prefill.ID, prefillOutcome(err), took)
--- a/io/tlguard/guard.go
+++ b/io/tlguard/guard.go
@@ -83,9 +83,9 @@
 	byService map[string]*service
 	// checks holds the crashes at endpoints that are being checked; checking counts them.
 	// None begins after Run has ended.
-	checks   map[endpointKey][]ownCrash
-	checking sync.WaitGroup
-	hasEnded bool
+	checks    map[endpointKey][]ownCrash
+	checking  sync.WaitGroup
+	isStopped bool
 }
 
 // endpointKey names an incarnation of an endpoint.
@@ -124,7 +124,7 @@
 // end ends the checks of endpoints.
 func (g *Guard) end() {
 	g.mu.Lock()
-	g.hasEnded = true
+	g.isStopped = true
 	g.mu.Unlock()
 	g.stop()
 	g.checking.Wait()
@@ -183,7 +183,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, isChecked := g.checks[key]
-	if g.hasEnded || isChecked && len(g.checks[key]) == maxOwn {
+	if g.isStopped || isChecked && len(g.checks[key]) == maxOwn {
 		return
 	}
 	g.checks[key] = append(g.checks[key], k)
@@ -201,7 +201,7 @@
 	g.mu.Lock()
 	list := g.checks[key]
 	delete(g.checks, key)
-	if hasEnded && !g.hasEnded {
+	if hasEnded && !g.isStopped {
 		g.serviceOf(e.Service).addOwn(home, list)
 	}
 	g.mu.Unlock()
