Look up an endpoint's notice, and who is in touch, in one place each

Change: Notices.of serves all readers; the count is that of the list. Behaviour stays; an instance that is not listed itself now counts itself too.

--- a/core/tlendpoint/notices.go
+++ b/core/tlendpoint/notices.go
@@ -11,8 +11,8 @@
 )
 
 // Notices holds what endpoints have said of themselves in their answers: that they
-// leave, want no requests for a time, or take a limited rate of them. A notice holds for one incarnation. It is
-// not safe for concurrent use.
+// leave, want no requests for a time, or take a limited rate of them. A notice holds
+// for one incarnation. It is not safe for concurrent use.
 type Notices struct {
 	byID map[string]*notice
 }
@@ -56,17 +56,13 @@
 
 // IsLeaving reports whether this incarnation of an endpoint has said that it leaves.
 func (n *Notices) IsLeaving(e Endpoint) bool {
-	k := n.byID[e.ID]
-	return k != nil && k.isLeaving && k.endpoint.IsSameIncarnation(e)
+	return n.of(e).isLeaving
 }
 
 // ClosedUntil returns until when this incarnation of an endpoint may be sent no requests,
 // since it wants none or its limit allows none; zero if it may be sent some now.
 func (n *Notices) ClosedUntil(e Endpoint) time.Time {
-	k := n.byID[e.ID]
-	if k == nil || !k.endpoint.IsSameIncarnation(e) {
-		return time.Time{}
-	}
+	k := n.of(e)
 	if k.heldOffUntil.After(k.restUntil) {
 		return k.heldOffUntil
 	}
@@ -75,11 +71,7 @@
 
 // RestUntil returns until when this incarnation of an endpoint wants no requests; zero if it has not said so.
 func (n *Notices) RestUntil(e Endpoint) time.Time {
-	k := n.byID[e.ID]
-	if k == nil || !k.endpoint.IsSameIncarnation(e) {
-		return time.Time{}
-	}
-	return k.restUntil
+	return n.of(e).restUntil
 }
 
 // Limit records that an endpoint named a limit, in requests a second, at a time; it
@@ -110,11 +102,8 @@
 
 // LimitOf returns the limit that this incarnation of an endpoint names, and when it was last heard.
 func (n *Notices) LimitOf(e Endpoint) (rate float64, named time.Time, ok bool) {
-	k := n.byID[e.ID]
-	if k == nil || !k.endpoint.IsSameIncarnation(e) || k.limitNamed.IsZero() {
-		return 0, time.Time{}, false
-	}
-	return k.limit, k.limitNamed, true
+	k := n.of(e)
+	return k.limit, k.limitNamed, !k.limitNamed.IsZero()
 }
 
 // Limits returns the limits that endpoints name, by their IDs.
@@ -142,6 +131,15 @@
 	}
 }
 
+// of returns what is known of an endpoint's incarnation, which may be nothing.
+func (n *Notices) of(e Endpoint) notice {
+	k := n.byID[e.ID]
+	if k == nil || !k.endpoint.IsSameIncarnation(e) {
+		return notice{}
+	}
+	return *k
+}
+
 // noticeOf returns the notice of an endpoint's incarnation, which replaces that of another one.
 func (n *Notices) noticeOf(now time.Time, e Endpoint) *notice {
 	k := n.byID[e.ID]
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -150,7 +150,8 @@
 func (i *Instance) otherInstances() []string {
 	var names []string
 	for _, m := range i.gossip.All() {
-		if m.Name != i.settings.Name && isInTouch(m) {
+		isInTouch := m.State != tlmember.StateSuspected && m.State != tlmember.StateGone
+		if m.Name != i.settings.Name && isInTouch {
 			names = append(names, m.Name)
 		}
 	}
@@ -160,20 +161,11 @@
 // fleetInTouch returns how many instances are in touch with this one, itself included, and
 // how many are listed. An instance that drains is a home only while all do, each its own.
 func (i *Instance) fleetInTouch() (inTouch, listed int) {
-	all := i.gossip.All()
+	listed = len(i.gossip.All())
 	if i.draining.Load() {
-		return 1, len(all)
+		return 1, listed
 	}
-	for _, m := range all {
-		if m.Name == i.settings.Name || isInTouch(m) {
-			inTouch++
-		}
-	}
-	return inTouch, len(all)
-}
-
-func isInTouch(m tlmember.MemberStatus) bool {
-	return m.State != tlmember.StateSuspected && m.State != tlmember.StateGone
+	return 1 + len(i.otherInstances()), listed
 }
 
 // outboxPost sends a one-way message to another instance without waiting.
