Show in traces which version an engine runs and which attempt a request resumes

Cause: the traces named endpoints only, so that they could not tell which streams were joined from two versions, nor whether a take-up names what it resumes. Change: an entry's version and the header that names the resumed attempt are decoded and stand in the steps of a request. No decision looks at them.

--- a/core/tlcall/call.go
+++ b/core/tlcall/call.go
@@ -16,6 +16,8 @@
 	OutputHint int
 	// ResumeAfter is the id of the last event that the caller received in an earlier attempt.
 	ResumeAfter string
+	// Resumes is the ID of the attempt that brought the stream's first event.
+	Resumes string
 	// Prompt lists all parts of the prompt as the caller wrote them, those that no other
 	// request shares included.
 	Prompt string
--- a/core/tlendpoint/endpoint.go
+++ b/core/tlendpoint/endpoint.go
@@ -34,6 +34,8 @@
 	DataCentre string
 	// Slots is the number of requests that it runs concurrently.
 	Slots int
+	// Version is the version of its software; empty if it is not given.
+	Version string
 	// Role is its present role.
 	Role Role
 	// Incarnation distinguishes restarts under the same ID.
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -110,6 +110,9 @@
 	if len(x.call.Parts) > 0 {
 		f["Parts"] = x.call.Parts
 	}
+	if x.call.ResumeAfter != "" {
+		f["Resumes"], f["After"] = x.call.Resumes, x.call.ResumeAfter
+	}
 	x.step("routed", f)
 }
 
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -126,6 +126,7 @@
 	x.sends++
 	x.step("sent", logrus.Fields{
 		"Endpoint":    p.decode.ID,
+		"Version":     p.decode.Version,
 		"IsSplit":     s.IsSet(),
 		"After":       g.lastEventID,
 		"LeftMs":      x.timeLeft().Milliseconds(),
--- a/io/tlgateway/prefill.go
+++ b/io/tlgateway/prefill.go
@@ -133,7 +133,7 @@
 	ctx, stop := context.WithTimeout(g.ctx, bound)
 	defer stop()
 	x.sends++
-	x.step("sent to prefill", logrus.Fields{"Endpoint": p.prefill.ID, "BoundMs": bound.Milliseconds()})
+	x.step("sent to prefill", logrus.Fields{"Endpoint": p.prefill.ID, "Version": p.prefill.Version, "BoundMs": bound.Milliseconds()})
 	r, err := x.g.deps.Sender.Send(ctx, p.prefill, x.request, tlcall.Send{
 		TimeLeft:    x.timeLeftForEndpoint(),
 		Stage:       tlcall.Prefill,
