Let a stream go on only at the version that began it

What callers saw: take-ups answered 200 whose first part came from one version of the endpoints' software and the rest from another. Cause: nothing knew versions. Each way to a second endpoint chose among all: the take-up at another instance, the retry and the move within an answer, the engine that reads the prompt; and nothing outlasted the instance that began the stream. Class of fault: a choice that must stay the same over several requests was made anew for each, from what the instance at hand knew. Change: the origin of a stream, its service and version, is noted at the first event: at the instance, at the home of the service and in a topic of the store (core/tlorigin, io/tlregistry), with one append for all origins of an instance, at most so often that all instances take a quarter of the store's write calls. A take-up goes on at the service and version found, or is refused at once, not run. The book pairs engines of one version only; a decode engine without such a partner reads the prompt itself. An answer that continues a stream counts only once the engine has said that it is the incarnation listed. Tests: raw engines and the take-up in unframed_test.go name a version and an attempt, as the rule asks; their checks stay.

--- a/core/tlplace/choose.go
+++ b/core/tlplace/choose.go
@@ -20,7 +20,7 @@
 func (b *Book) usable(now time.Time, r *Request, role tlendpoint.Role) []*engine {
 	var list []*engine
 	for _, e := range b.order {
-		if e.Role == role && e.isUsable(now) && !r.avoids(e.ID) {
+		if e.Role == role && isOpen(now, r, e) {
 			list = append(list, e)
 		}
 	}
@@ -54,11 +54,11 @@
 	if len(free) == 0 {
 		return choice{}, false
 	}
-	if r.isPrefillKept(now) {
-		return choice{decode: emptiest(free, anyDataCentre), reusesPrefill: true}, true
+	if e := emptiest(ofVersion(free, r.PrefillVersion), anyDataCentre); e != nil && r.isPrefillKept(now) {
+		return choice{decode: e, reusesPrefill: true}, true
 	}
 	if e := b.nextPrefillEngine(now, r, free); e != nil {
-		return choice{prefill: e, decode: emptiest(free, e.DataCentre)}, true
+		return choice{prefill: e, decode: emptiest(ofVersion(free, e.Version), e.DataCentre)}, true
 	}
 	if d := b.directEngine(now, r, free, p); d != nil {
 		return choice{decode: d}, true
@@ -66,6 +66,15 @@
 	return choice{}, false
 }
 
+// ofVersion returns the engines of a version: what one has read of a prompt is of no use to another.
+func ofVersion(engines []*engine, version string) []*engine {
+	isOther := func(e *engine) bool { return e.Version != version }
+	if !slices.ContainsFunc(engines, isOther) {
+		return engines
+	}
+	return slices.DeleteFunc(slices.Clone(engines), isOther)
+}
+
 // preferOwnersDataCentre returns the free engines in the owner's data centre while
 // answers stall between data centres; all of them otherwise, or where none is there.
 func (b *Book) preferOwnersDataCentre(now time.Time, r *Request, free []*engine) []*engine {
@@ -84,11 +93,12 @@
 	return list
 }
 
-// nextPrefillEngine returns the prefill engine that is free first, or nil if none is free within DispatchAhead.
+// nextPrefillEngine returns the prefill engine that is free first, or nil if none is free
+// within DispatchAhead whose version a free decode engine has.
 func (b *Book) nextPrefillEngine(now time.Time, r *Request, free []*engine) *engine {
 	var best *engine
 	for _, e := range b.usable(now, r, tlendpoint.Prefill) {
-		if !b.mayDispatch(now, e) {
+		if !b.mayDispatch(now, e) || len(ofVersion(free, e.Version)) == 0 {
 			continue
 		}
 		if best == nil || b.isBetterPrefillEngine(now, e, best, free) {
--- a/core/tlplace/decision.go
+++ b/core/tlplace/decision.go
@@ -15,9 +15,11 @@
 	TooLarge
 	// WaitTooLong means that the request would get a booking too late for its caller.
 	WaitTooLong
+	// NoVersion means that no known engine has the only version that may run the request.
+	NoVersion
 )
 
-var reasonNames = []string{"NotRefused", "NoEngines", "TooLarge", "WaitTooLong"}
+var reasonNames = []string{"NotRefused", "NoEngines", "TooLarge", "WaitTooLong", "NoVersion"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
--- a/core/tlplace/direct.go
+++ b/core/tlplace/direct.go
@@ -1,6 +1,9 @@
 package tlplace
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxWaitShare is the share of the time left until a request is due from which a wait
 // for a prefill engine is long: what follows the wait has to fit in too.
@@ -48,13 +51,33 @@
 	return readsNowhere
 }
 
-// directEngine returns a decode engine to read the prompt itself, or nil.
+// directEngine returns a decode engine to read the prompt itself, or nil. Where engines
+// have several versions, those of each have their own prefill engines to wait for.
 func (b *Book) directEngine(now time.Time, r *Request, free []*engine, p *pass) *engine {
+	ready := b.readyToRead(now, free)
+	if !p.isMixed {
+		return b.directEngineOf(now, r, ready, p)
+	}
+	var list []*engine
+	for len(ready) > 0 {
+		one := *r
+		one.Version = ready[0].Version
+		own := b.newPass(now, &one)
+		own.queued = p.queued * time.Duration(own.readers) / time.Duration(max(p.readers, 1))
+		if e := b.directEngineOf(now, r, ofVersion(ready, one.Version), &own); e != nil {
+			list = append(list, e)
+		}
+		ready = slices.DeleteFunc(ready, func(e *engine) bool { return e.Version == one.Version })
+	}
+	return emptiest(list, anyDataCentre)
+}
+
+// directEngineOf returns one of some engines to read the prompt itself, or nil.
+func (b *Book) directEngineOf(now time.Time, r *Request, ready []*engine, p *pass) *engine {
 	kind := b.directReaders(now, r, p)
 	if kind == readsNowhere {
 		return nil
 	}
-	ready := b.readyToRead(now, free)
 	if kind == readsIdle {
 		ready = withoutAnswers(ready)
 	}
--- a/core/tlplace/hopeless.go
+++ b/core/tlplace/hopeless.go
@@ -26,7 +26,7 @@
 		return nil
 	}
 	b.hopelessChecked = now
-	u := b.usage(b.smallestQueued())
+	u := b.usage(b.smallestQueued(), anyVersion)
 	if u.running < minRunning {
 		return nil
 	}
--- a/core/tlplace/pass.go
+++ b/core/tlplace/pass.go
@@ -14,6 +14,9 @@
 	// readRoom and idleRoom are the same among those that may read a prompt themselves,
 	// and among those of them that generate no answer; -1 where there are none.
 	readRoom, idleRoom int
+	// isMixed is set where the engines have more than one version, so that not every
+	// prefill engine can read for every decode engine.
+	isMixed bool
 	// readers counts the usable prefill engines.
 	readers int
 	// ahead is the time until all prompts at prefill engines are read, summed up over the engines.
@@ -27,13 +30,18 @@
 	mayDispatch bool
 }
 
-// newPass looks at all engines, but for those that the request avoids if one is given.
+// newPass looks at all engines, or at those that a request accepts if one is given.
 func (b *Book) newPass(now time.Time, r *Request) pass {
 	p := pass{readRoom: -1, idleRoom: -1}
+	var first *engine
 	for _, e := range b.order {
-		if !e.isUsable(now) || r != nil && r.avoids(e.ID) {
+		if !isOpen(now, r, e) {
 			continue
 		}
+		if first == nil {
+			first = e
+		}
+		p.isMixed = p.isMixed || e.Version != first.Version
 		if e.Role == tlendpoint.Prefill {
 			p.addReader(later(e.freeAt, now).Sub(now), b.mayDispatch(now, e))
 		} else if e.running < b.o.Slots {
@@ -43,6 +51,11 @@
 	return p
 }
 
+// isOpen reports whether an engine may be sent a request now, or any request if none is given.
+func isOpen(now time.Time, r *Request, e *engine) bool {
+	return e.isUsable(now) && (r == nil || r.accepts(e))
+}
+
 func (p *pass) addReader(wait time.Duration, mayDispatch bool) {
 	if p.readers == 0 || wait < p.readDelay {
 		p.readDelay = wait
@@ -70,9 +83,9 @@
 	p.queued = queued
 }
 
-// withoutAvoided returns the pass as it is for a request, without the engines that it avoids.
-func (p *pass) withoutAvoided(now time.Time, b *Book, r *Request) *pass {
-	if len(r.Avoid) == 0 {
+// of returns the pass as it is for a request, with the engines that it accepts.
+func (p *pass) of(now time.Time, b *Book, r *Request) *pass {
+	if !r.isRestricted() {
 		return p
 	}
 	own := b.newPass(now, r)
@@ -96,10 +109,10 @@
 }
 
 // mayNeedNoDirectReader reports whether a request may be placed without a decode engine
-// that reads its prompt; what it avoids is not in the pass, so that a request that
-// avoids engines has to be looked at by itself.
+// that reads its prompt; what it does not accept is not in the pass, so that a
+// restricted request has to be looked at by itself.
 func (p *pass) mayNeedNoDirectReader(now time.Time, r *Request) bool {
-	return p.mayDispatch || r.isPrefillKept(now) || len(r.Avoid) > 0
+	return p.mayDispatch || p.isMixed || r.isPrefillKept(now) || r.isRestricted()
 }
 
 // mayPlace reports whether engines for a request may be found; false is certain.
--- a/core/tlplace/pass_test.go
+++ b/core/tlplace/pass_test.go
@@ -46,9 +46,25 @@
 		}
 		b.Enqueue(start, q)
 	}
+	if r.IntN(2) == 0 {
+		b.mixVersions(r)
+	}
 	return b
 }
 
+// mixVersions gives engines and some of the queued requests versions at random.
+func (b *Book) mixVersions(r *rand.Rand) {
+	versions := []string{"v1", "v2"}
+	for _, e := range b.order {
+		e.Version = versions[r.IntN(2)]
+	}
+	for _, q := range b.waiting {
+		if r.IntN(4) == 0 {
+			q.Version = versions[r.IntN(2)]
+		}
+	}
+}
+
 func TestNoRequestThatCouldBePlacedIsPassedOver(t *testing.T) {
 	passedOver, placeable := 0, 0
 	for seed := range uint64(400) {
@@ -57,7 +73,7 @@
 		b.readDelay, b.firstDelay = p.readDelay, b.firstEventDelay()
 		canDecide := b.canDecideAny(start, &p)
 		for _, r := range b.waiting {
-			_, ok := b.choose(start, r, p.withoutAvoided(start, b, r))
+			_, ok := b.choose(start, r, p.of(start, b, r))
 			if ok {
 				placeable++
 				require.True(t, canDecide, "seed %d, %s", seed, r.ID)
--- a/core/tlplace/refuse.go
+++ b/core/tlplace/refuse.go
@@ -20,9 +20,12 @@
 	if r.tokens(&b.o) > b.o.bookable() {
 		return b.refusal(now, r, TooLarge, maxRetryAfter), true
 	}
-	if !b.hasDecoder() {
+	if !b.hasDecoder(anyVersion) {
 		return b.refusal(now, r, NoEngines, defaultRoomWait), true
 	}
+	if !b.hasDecoder(r.Version) {
+		return b.refusal(now, r, NoVersion, defaultRoomWait), true
+	}
 	return Decision{}, false
 }
 
@@ -34,7 +37,7 @@
 	if len(b.waiting) == 0 {
 		return Decision{}, false
 	}
-	w, known := b.roomWait(r.tokens(&b.o))
+	w, known := b.roomWait(r)
 	if known && b.latestStart(r).Before(now.Add(w)) {
 		return b.refusal(now, r, WaitTooLong, w), true
 	}
@@ -67,9 +70,13 @@
 	latestStartOutputShare = 0.6
 )
 
-func (b *Book) hasDecoder() bool {
+// anyVersion stands for engines of all versions.
+const anyVersion = ""
+
+// hasDecoder reports whether there is a decode engine of a version.
+func (b *Book) hasDecoder(version string) bool {
 	for _, e := range b.order {
-		if e.Role == tlendpoint.Decode && !e.IsDraining {
+		if e.Role == tlendpoint.Decode && !e.IsDraining && (version == anyVersion || version == e.Version) {
 			return true
 		}
 	}
@@ -77,11 +84,15 @@
 }
 
 // roomWait returns how long it takes until memory and a slot for a request are free,
-// after those for the queued ones; false while nothing was measured.
-func (b *Book) roomWait(tokens int) (time.Duration, bool) {
-	u := b.usage(tokens)
+// after those for the queued ones; false while nothing was measured. Ahead of one that
+// only engines of its version may run, there are only others like it.
+func (b *Book) roomWait(r *Request) (time.Duration, bool) {
+	tokens := r.tokens(&b.o)
+	u := b.usage(tokens, r.Version)
 	for _, w := range b.waiting {
-		u.take(w.tokens(&b.o))
+		if r.Version == anyVersion || w.Version == r.Version {
+			u.take(w.tokens(&b.o))
+		}
 	}
 	u.take(tokens)
 	turnover, known := b.rates.Booking.Duration()
@@ -90,7 +101,7 @@
 
 // returnTime returns when a refused caller may find room.
 func (b *Book) returnTime(r *Request) time.Duration {
-	w, known := b.roomWait(r.tokens(&b.o))
+	w, known := b.roomWait(r)
 	if !known {
 		return defaultRoomWait
 	}
--- a/core/tlplace/request.go
+++ b/core/tlplace/request.go
@@ -32,6 +32,10 @@
 	Deadline time.Time
 	// PrefillKeptUntil is until when the finished prefill of the prompt is kept; zero where there is none.
 	PrefillKeptUntil time.Time
+	// PrefillVersion is the version of the engine that has read it.
+	PrefillVersion string
+	// Version is the only version of engines that may run the request; empty if any may.
+	Version string
 	// HasBegun is set once the caller has received events and waits for the next.
 	HasBegun bool
 	// Avoid lists the IDs of engines that failed the request, leave, or want rest.
@@ -55,6 +59,16 @@
 	return false
 }
 
+// accepts reports whether an engine may be chosen for the request.
+func (r *Request) accepts(e *engine) bool {
+	return (r.Version == "" || r.Version == e.Version) && !r.avoids(e.ID)
+}
+
+// isRestricted reports whether the request may not be sent to all engines.
+func (r *Request) isRestricted() bool {
+	return r.Version != "" || len(r.Avoid) > 0
+}
+
 // startedOrder returns 0 for a request that has begun, which sorts before all others, and 1 for those.
 func (r *Request) startedOrder() int {
 	if r.HasBegun {
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -59,10 +59,13 @@
 // now. With all engines full or all prefill engines busy neither is usually the case,
 // and the home of a large fleet calls Tick at every report.
 func (b *Book) canDecideAny(now time.Time, p *pass) bool {
-	if !b.hasDecoder() {
+	if !b.hasDecoder(anyVersion) {
 		return true
 	}
 	for _, r := range b.waiting {
+		if r.Version != anyVersion && !b.hasDecoder(r.Version) {
+			return true
+		}
 		if r.tokens(&b.o) <= p.room && p.mayFindReader(now, r) || now.After(b.latestStart(r)) {
 			return true
 		}
@@ -139,7 +142,7 @@
 	if !p.mayPlace(now, b, r) {
 		return Decision{}, false
 	}
-	c, ok := b.choose(now, r, p.withoutAvoided(now, b, r))
+	c, ok := b.choose(now, r, p.of(now, b, r))
 	if !ok {
 		return Decision{}, false
 	}
--- a/core/tlplace/usage.go
+++ b/core/tlplace/usage.go
@@ -8,11 +8,14 @@
 	freeTokens, freeSlots int
 }
 
-// usage returns what is in use at the decode engines now. Free memory counts in whole
-// pieces of the given size, in tokens: less at one engine is no room for a request.
-func (b *Book) usage(piece int) usage {
+// usage returns what is in use at the decode engines of a version now. Free memory counts
+// in whole pieces of the given size, in tokens: less at one engine is no room for a request.
+func (b *Book) usage(piece int, version string) usage {
 	var u usage
 	for _, e := range b.order {
+		if version != anyVersion && version != e.Version {
+			continue
+		}
 		u.held += e.heldTokens()
 		u.running += e.running
 		if e.Role == tlendpoint.Decode && !e.IsDraining {
--- a/core/tlsettings/rules.go
+++ b/core/tlsettings/rules.go
@@ -58,6 +58,7 @@
 	inRange("Gateway.RetryShare", func(s *settings) *float64 { return &s.Gateway.RetryShare }, 0.2, 0, 1),
 	inRange("Gateway.RetryBurst", func(s *settings) *float64 { return &s.Gateway.RetryBurst }, 50, 0, 1e6),
 	inRange("Gateway.RetryWindow", func(s *settings) *time.Duration { return &s.Gateway.RetryWindow }, 10*time.Second, 100*time.Millisecond, time.Hour),
+	inRange("Gateway.StoreWrites", func(s *settings) *float64 { return &s.Gateway.StoreWrites }, 400, 1, 1e6),
 	inRange("Gateway.TraceEvery", func(s *settings) *int { return &s.Gateway.TraceEvery }, 16, 1, 1e9),
 
 	oneOf("Log.Level", func(s *settings) *string { return &s.Log.Level }, "info", "debug", "warning", "error"),
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -132,6 +132,12 @@
 	Service string `json:"Service" yaml:"Service" cbor:"Service"`
 }
 
+// OriginCall asks the home of a service which version began a stream.
+type OriginCall struct {
+	// Attempt is the ID of the attempt that brought the stream's first event.
+	Attempt string `json:"Attempt" yaml:"Attempt" cbor:"Attempt"`
+}
+
 // PartsAnswered tells the home of a service that a request with parts in
 // quarantine has been answered.
 type PartsAnswered struct {
@@ -238,6 +244,9 @@
 	// prompt has not been prefilled.
 	ReadIn time.Duration `json:"ReadIn,omitempty" yaml:"ReadIn,omitempty" cbor:"ReadIn,omitempty"`
 
+	// ReadVersion is the version of the engine that has read the prompt.
+	ReadVersion string `json:"ReadVersion,omitempty" yaml:"ReadVersion,omitempty" cbor:"ReadVersion,omitempty"`
+
 	// Request is the ID of the caller's attempt.
 	Request string `json:"Request" yaml:"Request" cbor:"Request"`
 
@@ -246,6 +255,10 @@
 
 	// UntilIn is the time left until the answer must be complete.
 	UntilIn time.Duration `json:"UntilIn,omitempty" yaml:"UntilIn,omitempty" cbor:"UntilIn,omitempty"`
+
+	// Version is the only version of engines that may run the request; empty if any
+	// may.
+	Version string `json:"Version,omitempty" yaml:"Version,omitempty" cbor:"Version,omitempty"`
 }
 
 // PlaceReport tells the home instance about the progress of a request.
@@ -333,6 +346,28 @@
 	Topic string `json:"Topic" yaml:"Topic" cbor:"Topic"`
 }
 
+// StreamOrigin says which version of a service's software began a stream.
+type StreamOrigin struct {
+	// Attempt is the ID of the attempt that brought the stream's first event.
+	Attempt string `json:"Attempt" yaml:"Attempt" cbor:"Attempt"`
+
+	// Left is how much longer the stream may be taken up.
+	Left time.Duration `json:"Left" yaml:"Left" cbor:"Left"`
+
+	// Service is the name of the service.
+	Service string `json:"Service" yaml:"Service" cbor:"Service"`
+
+	// Version is the version; empty if it is not certain.
+	Version string `json:"Version" yaml:"Version" cbor:"Version"`
+}
+
+// StreamOrigins is a record of the log of origins, and the message that tells a
+// home of them.
+type StreamOrigins struct {
+	// Origins lists the origins of streams.
+	Origins []StreamOrigin `json:"Origins" yaml:"Origins" cbor:"Origins"`
+}
+
 // TrialAnswer answers a TrialCall.
 type TrialAnswer struct {
 	// IsGranted says that the request may be sent, once.
--- a/core/tlwire/settings.go
+++ b/core/tlwire/settings.go
@@ -69,6 +69,10 @@
 	// RetryWindow is the period to which RetryBurst applies.
 	RetryWindow time.Duration `json:"RetryWindow,omitempty" yaml:"RetryWindow,omitempty" cbor:"RetryWindow,omitempty"`
 
+	// StoreWrites is how many write calls a second the store takes from all instances
+	// together.
+	StoreWrites float64 `json:"StoreWrites,omitempty" yaml:"StoreWrites,omitempty" cbor:"StoreWrites,omitempty"`
+
 	// TraceEvery is the number of successful requests of which one is logged.
 	TraceEvery int `json:"TraceEvery,omitempty" yaml:"TraceEvery,omitempty" cbor:"TraceEvery,omitempty"`
 }
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -9,6 +9,7 @@
 	"trefoillanding/io/tlmetric"
 	"trefoillanding/io/tlorder"
 	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlregistry"
 	"trefoillanding/io/tltrace"
 )
 
@@ -36,6 +37,7 @@
 	orders       *tlmetric.Group
 	limits       *tlmetric.Group
 	guard        *tlmetric.Group
+	origins      *tlmetric.Group
 	// latencies has, for each kind of route, the time to the answer, or to the first event of a stream.
 	latencies map[tlroute.Kind]*tlmetric.Histogram
 }
@@ -55,6 +57,7 @@
 		orders:       s.Group("Orders", tlorder.CounterNames...),
 		limits:       s.Group("Limits", tllimiter.CounterNames...),
 		guard:        s.Group("Guard", tlguard.CounterNames...),
+		origins:      s.Group("Origins", tlregistry.CounterNames...),
 		latencies: map[tlroute.Kind]*tlmetric.Histogram{
 			tlroute.AtMostOnce: s.Histogram("OnceTime"),
 			tlroute.Idempotent: s.Histogram("IdempotentTime"),
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -64,7 +64,7 @@
 
 func (w *testCluster) putRawEntry(id, service, phase string, a net.Addr, born int64) {
 	w.store.PutJSON(platform.TopicEndpoints, id, tlform.Entry{
-		Service: service, Address: a.String(), Zone: "z", Slots: 6, State: "ready", Phase: phase, Born: born,
+		Service: service, Address: a.String(), Zone: "z", Slots: 6, State: "ready", Version: "v1", Phase: phase, Born: born,
 	})
 }
 
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -25,6 +25,7 @@
 		i.storeWentBackAt.Store(time.Now().UnixNano())
 	case platform.TopicInstances:
 		i.running.Go(func() { i.restoreEntry(i.ctx) })
+		i.registry.Restore()
 		return keepKnown(known, read)
 	case platform.TopicQuarantine:
 		i.restoreQuarantines()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"trefoillanding/io/tloutbox"
 	"trefoillanding/io/tlpeer"
 	"trefoillanding/io/tlrandom"
+	"trefoillanding/io/tlregistry"
 	"trefoillanding/io/tlsend"
 	"trefoillanding/platform"
 )
@@ -50,6 +51,7 @@
 	coordinator    *tlbooking.Coordinator
 	limiter        *tllimiter.Limiter
 	guard          *tlguard.Guard
+	registry       *tlregistry.Registry
 	gateway        *tlgateway.Gateway
 	roleController *tlorder.Controller
 	budget         *tlgateway.RetryBudget
@@ -137,6 +139,7 @@
 	i.coordinator = tlbooking.New(i.coordinatorOptions())
 	i.limiter = tllimiter.New(i.limiterOptions())
 	i.guard = tlguard.New(i.guardOptions())
+	i.registry = tlregistry.New(i.registryOptions())
 	i.budget = i.newBudget()
 	i.gateway = tlgateway.New(i.gatewayDeps())
 	i.roleController = tlorder.New(i.roleControllerOptions())
@@ -155,6 +158,7 @@
 	i.gossip.Start()
 	i.running.Go(func() { i.coordinator.Run(i.ctx) })
 	i.running.Go(func() { i.guard.Run(i.ctx) })
+	i.running.Go(func() { i.registry.Run(i.ctx) })
 	i.running.Go(func() { i.roleController.Run(i.ctx) })
 	i.running.Go(func() { i.pollEngineLoads(i.ctx) })
 	for _, f := range i.followers {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -188,6 +188,8 @@
 		Sender:         i.sender,
 		Reservations:   tlgateway.Reservations{Reserve: i.coordinator.Place, Report: i.coordinator.Report},
 		Guard:          i.guard,
+		Origins:        i.registry,
+		Incarnation:    i.incarnationOfEngine,
 		Budget:         i.budget,
 		IsDraining:     i.draining.Load,
 		Now:            time.Now,
--- /dev/null
+++ b/gateway/origins.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"trefoillanding/core/tlendpoint"
+	"trefoillanding/core/tlkeyed"
+	"trefoillanding/io/tlregistry"
+	"trefoillanding/platform"
+)
+
+// originsWriteShare is the share of the write calls that the store takes from all
+// instances together which may go into the log of origins.
+const originsWriteShare = 0.25
+
+func (i *Instance) registryOptions() tlregistry.Options {
+	return tlregistry.Options{
+		Self:           i.settings.Name,
+		Mesh:           i.mesh,
+		Home:           i.homeOf,
+		Post:           i.outboxPost,
+		Append:         i.appendOrigins,
+		Read:           i.readOrigins,
+		AppendInterval: i.originsInterval,
+		Now:            time.Now,
+		Log:            i.log,
+		Count:          i.counters.origins.Count,
+	}
+}
+
+func (i *Instance) appendOrigins(ctx context.Context, record []byte) error {
+	ctx, stop := context.WithTimeout(ctx, storeTimeout)
+	defer stop()
+	_, err := i.store.Append(ctx, platform.TopicOrigins, record, nil)
+	return err
+}
+
+func (i *Instance) readOrigins(ctx context.Context, from uint64) (b tlkeyed.Batch, first uint64, isCompacted bool, err error) {
+	ctx, stop := context.WithTimeout(ctx, storeTimeout)
+	defer stop()
+	b, err = i.store.ReadValues(ctx, platform.TopicOrigins, from)
+	var compacted *platform.CompactedError
+	if errors.As(err, &compacted) && from != compacted.First.Offset {
+		return tlkeyed.Batch{Era: compacted.First.Era}, compacted.First.Offset, true, nil
+	}
+	return b, 0, false, err
+}
+
+// originsInterval returns the least time between two appends to the log of origins, at
+// which all instances together stay within their share of the store's write calls.
+func (i *Instance) originsInterval() time.Duration {
+	return time.Duration(float64(i.fleetSize()) * float64(time.Second) / (originsWriteShare * i.settings.Gateway.StoreWrites))
+}
+
+// incarnationOfEngine asks an engine for its incarnation.
+func (i *Instance) incarnationOfEngine(ctx context.Context, e tlendpoint.Endpoint) (int64, error) {
+	l, err := i.engineLoad(ctx, e)
+	return l.Incarnation, err
+}
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"trefoillanding/core/tlorigin"
 	"trefoillanding/io/tlgateway"
 	"trefoillanding/platform/tlform"
 	"trefoillanding/platform/tlstand"
@@ -257,6 +258,18 @@
 	}
 }
 
+// forgetStart makes the entry of a raw engine one that doesn't tell when it started, since
+// it can't answer the question for its incarnation.
+func (w *testCluster) forgetStart(i *Instance, id string) {
+	e, ok := i.directory.Find(id)
+	require.True(w.t, ok)
+	w.putRawEntry(id, e.Service, "decode", net.TCPAddrFromAddrPort(e.Address), 0)
+	w.eventually(func() bool {
+		e, ok := i.directory.Find(id)
+		return ok && e.Incarnation == 0
+	})
+}
+
 func TestStreamThatEndsWithItsConnectionBeforeAnyEventIsNotComplete(t *testing.T) {
 	cases := []struct {
 		name string
@@ -276,11 +289,13 @@
 			w.startReadingEndpoint("e", tlstand.ModelService, "decode", func(k net.Conn) {
 				_, _ = io.WriteString(k, "HTTP/1.1 200 OK\r\n"+tlstand.SealHeaderLine+c.framing+"\r\n"+c.end)
 			})
-			q := plainStreamCall("id-1")
+			q, i := plainStreamCall("id-1"), w.startInstance("a")
 			if c.resumeAfter != "" {
-				q.Header = http.Header{"Last-Event-Id": {c.resumeAfter}}
+				q.ResumeAfter, q.Resumes = c.resumeAfter, "id-0"
+				i.registry.Note(tlorigin.Origin{Attempt: "id-0", Service: tlstand.ModelService, Version: "v1", Until: time.Now().Add(time.Minute)})
+				w.forgetStart(i, "e")
 			}
-			a := w.call(w.startInstance("a"), q)
+			a := w.call(i, q)
 			assert.Equal(t, c.status, a.status)
 			assert.Equal(t, c.status == http.StatusOK, a.seal != "")
 		})
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,7 +23,7 @@
 	w         *testCluster
 	byVersion map[string][]*tlstand.Endpoint
 	instances []*Instance
-	calls     int
+	calls     atomic.Int64
 }
 
 // slowEvents is how many events the streams of a versionFleet have, and slowInterval the
@@ -122,8 +124,7 @@
 // begin begins a resumable stream at an instance and reads its first event.
 func (f *versionFleet) begin(i *Instance) *begunStream {
 	f.w.t.Helper()
-	f.calls++
-	id := fmt.Sprint("id-", f.calls)
+	id := fmt.Sprint("id-", f.calls.Add(1))
 	c := resumableCall(id)
 	c.Host, c.Deadline = tlstand.Host, testTimeout
 	q, err := c.Request(i.settings.Listen)
@@ -156,23 +157,41 @@
 	}
 }
 
-// readAll reads the rest of a stream; it reports whether it is complete.
-func (s *begunStream) readAll() bool {
+// readAll reads the rest of a stream; it reports whether it is complete with its last event.
+func (s *begunStream) readAll(last int) bool {
 	for s.readEvent() {
 	}
 	_, err := io.Copy(io.Discard, s.events)
-	return err == nil && s.last == fmt.Sprint(slowEvents)
+	return err == nil && s.last == fmt.Sprint(last)
 }
 
 // takeUp takes a stream up at an instance.
 func (f *versionFleet) takeUp(i *Instance, s *begunStream) (id string, a answer) {
 	f.w.t.Helper()
-	f.calls++
-	c := resumableCall(fmt.Sprint("id-", f.calls))
+	c := resumableCall(fmt.Sprint("id-", f.calls.Add(1)))
 	c.Deadline, c.Resumes, c.ResumeAfter = testTimeout, s.id, s.last
 	return c.ID, f.w.call(i, c)
 }
 
+// takeUpAll takes streams up at all instances at once, and checks that each goes on at the
+// version that began it.
+func (f *versionFleet) takeUpAll(all []*begunStream) {
+	f.w.t.Helper()
+	var calling sync.WaitGroup
+	for n, s := range all {
+		calling.Go(func() {
+			id, a := f.takeUp(f.instances[n%len(f.instances)], s)
+			assert.Equal(f.w.t, http.StatusOK, a.status, a.body)
+			assert.True(f.w.t, a.isComplete)
+			assert.Equal(f.w.t, s.version, versionOf(a.seal))
+			for v := range f.byVersion {
+				assert.Equal(f.w.t, v == s.version, f.arrivals(v, id) > 0, "the prompt is read at the same version")
+			}
+		})
+	}
+	calling.Wait()
+}
+
 // waitUntilWritten waits until the store has as many records of streams as were begun.
 func (f *versionFleet) waitUntilWritten() {
 	time.Sleep(300 * time.Millisecond)
@@ -187,15 +206,7 @@
 	}
 	f.waitUntilWritten()
 	f.startInstances(2)
-	for n, s := range all {
-		id, a := f.takeUp(f.instances[n%2], s)
-		assert.Equal(t, http.StatusOK, a.status, a.body)
-		assert.True(t, a.isComplete)
-		assert.Equal(t, s.version, versionOf(a.seal))
-		for _, v := range []string{"v1", "v2"} {
-			assert.Equal(t, v == s.version, f.arrivals(v, id) > 0, "the prompt is read at the same version")
-		}
-	}
+	f.takeUpAll(all)
 }
 
 func TestStreamGoesOnAtAnotherVersionOnceItsOwnHasLeft(t *testing.T) {
@@ -252,7 +263,7 @@
 	for _, e := range f.byVersion["v1"] {
 		e.Close()
 	}
-	assert.False(t, s.readAll(), "a stream that can't go on doesn't look complete")
+	assert.False(t, s.readAll(slowEvents), "a stream that can't go on doesn't look complete")
 	assert.Zero(t, f.arrivals("v2", s.id))
 }
 
@@ -260,12 +271,13 @@
 	t.Parallel()
 	f := newVersionFleet(t, 1)
 	d := f.start("v1", "decode", "v1-d1")
+	d.Events = 10
 	silentEngine(1, silence, d)
 	f.w.eventually(func() bool { return len(f.instances[0].directory.Endpoints(tlstand.ModelService)) == 1 })
 	s := f.begin(f.instances[0])
 	f.start("v2", "prefill", "v2-p")
 	f.start("v2", "decode", "v2-d1")
-	assert.True(t, s.readAll())
+	assert.True(t, s.readAll(10))
 	assert.Zero(t, f.arrivals("v2", s.id))
 }
 
@@ -351,9 +363,5 @@
 	f.w.waitForEra(2, f.instances...)
 	f.waitUntilWritten()
 	f.startInstances(2)
-	for n, s := range all {
-		_, a := f.takeUp(f.instances[n%2], s)
-		assert.Equal(t, http.StatusOK, a.status, a.body)
-		assert.Equal(t, s.version, versionOf(a.seal))
-	}
+	f.takeUpAll(all)
 }
--- a/io/tlbooking/home.go
+++ b/io/tlbooking/home.go
@@ -40,6 +40,8 @@
 		Gap:              c.Gap,
 		HasBegun:         c.HasBegun,
 		Avoid:            c.Avoid,
+		Version:          c.Version,
+		PrefillVersion:   c.ReadVersion,
 	})
 	hold := time.NewTimer(longPollTimeout)
 	defer hold.Stop()
--- a/io/tlbooking/place.go
+++ b/io/tlbooking/place.go
@@ -104,6 +104,9 @@
 		HasBegun:   r.HasBegun,
 		Gap:        r.Gap,
 		Avoid:      r.Avoid,
+		Version:    r.Version,
+
+		ReadVersion: r.PrefillVersion,
 	}
 }
 
--- a/io/tldirectory/directory.go
+++ b/io/tldirectory/directory.go
@@ -21,6 +21,8 @@
 	notices  *tlendpoint.Notices
 	health   *tlhealth.Table
 	isLoaded bool
+	// broken holds when endpoints last broke or refused a connection.
+	broken   map[string]time.Time
 	onChange func(id string, before, after bool)
 }
 
@@ -32,6 +34,7 @@
 		byID:      map[string]tlendpoint.Endpoint{},
 		notices:   tlendpoint.NewNotices(),
 		health:    tlhealth.New(r),
+		broken:    map[string]time.Time{},
 		onChange:  onChange,
 	}
 }
@@ -44,6 +47,7 @@
 	d.notices.Listed(now, all)
 	d.index()
 	d.health.Retain(all)
+	maps.DeleteFunc(d.broken, func(_ string, at time.Time) bool { return now.Sub(at) >= brokenWindow })
 }
 
 // index rebuilds the lists; an endpoint that has said that it leaves counts as draining. d.mu must be held.
@@ -201,14 +205,39 @@
 
 // Pick returns an endpoint of a service for a request; see tlhealth.Table.Pick.
 func (d *Directory) Pick(now time.Time, service string, avoid []string, mayRepeat bool) (tlendpoint.Endpoint, bool) {
+	return d.PickVersion(now, service, "", avoid, mayRepeat)
+}
+
+// PickVersion returns, as Pick does, an endpoint with a version, or with any if that is empty.
+func (d *Directory) PickVersion(now time.Time, service, version string, avoid []string, mayRepeat bool) (tlendpoint.Endpoint, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.health.Pick(now, d.open(now, service), avoid, mayRepeat)
+	list := d.open(now, service)
+	if version != "" {
+		isOther := func(e tlendpoint.Endpoint) bool { return e.Version != version }
+		list = slices.DeleteFunc(slices.Clone(list), isOther)
+	}
+	return d.health.Pick(now, list, avoid, mayRepeat)
+}
+
+// brokenWindow is how long after it broke or refused a connection an endpoint may have
+// restarted without being listed as a new incarnation.
+const brokenWindow = 3 * time.Second
+
+// HasBroken reports whether an endpoint has lately broken or refused a connection.
+func (d *Directory) HasBroken(now time.Time, id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.broken[id]
+	return ok && now.Sub(at) < brokenWindow
 }
 
 // Observe records the outcome of a request sent to an endpoint and how long it took.
 func (d *Directory) Observe(now time.Time, id string, o tlhealth.Outcome, took time.Duration) {
 	d.mu.Lock()
+	if o == tlhealth.Broken || o == tlhealth.ConnectFailed {
+		d.broken[id] = now
+	}
 	before := d.health.IsFailing(id)
 	d.health.Observe(now, id, o, took)
 	after := d.health.IsFailing(id)
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -34,6 +34,8 @@
 	Moved = "Moved"
 	// Resumed counts streams that were resumed at another endpoint.
 	Resumed = "Resumed"
+	// Unconfirmed counts answers that were dropped, since another incarnation of the engine may have given them.
+	Unconfirmed = "Unconfirmed"
 	// EngineSilent counts streams whose engine sent no header within its silence timeout.
 	EngineSilent = "Muted"
 	// Stalled counts streams with a pause between events above stallThreshold.
@@ -43,13 +45,13 @@
 )
 
 // CounterNames lists the gateway's counters other than the reasons of refusals.
-var CounterNames = []string{Aborted, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Moved, Resumed, EngineSilent, Stalled, ReleaseFailed}
+var CounterNames = []string{Aborted, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Moved, Resumed, Unconfirmed, EngineSilent, Stalled, ReleaseFailed}
 
 // Reasons lists the reasons for which the gateway refuses or fails a request.
 var Reasons = []tlverdict.Reason{
 	tlverdict.BadBody, tlverdict.BadHeader, tlverdict.BodyTooLarge, tlverdict.CallerGone,
 	tlverdict.EndpointFailed, tlverdict.EndpointTimeout, tlverdict.Internal, tlverdict.NoConfig,
-	tlverdict.NoEndpoint, tlverdict.PoolBusy, tlverdict.PartQuarantined, tlverdict.TooManyRequests, tlverdict.UnknownPath,
+	tlverdict.NoEndpoint, tlverdict.OriginUnknown, tlverdict.OriginUnread, tlverdict.VersionGone, tlverdict.PoolBusy, tlverdict.PartQuarantined, tlverdict.TooManyRequests, tlverdict.UnknownPath,
 	tlverdict.WaitTooLong,
 }
 
--- a/io/tlgateway/deps.go
+++ b/io/tlgateway/deps.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"trefoillanding/core/tlcall"
+	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlplace"
 	"trefoillanding/core/tlroute"
 	"trefoillanding/io/tlbooking"
 	"trefoillanding/io/tldirectory"
 	"trefoillanding/io/tlguard"
+	"trefoillanding/io/tlregistry"
 	"trefoillanding/io/tlsend"
 	"trefoillanding/io/tltrace"
 )
@@ -51,6 +53,10 @@
 	Reservations Reservations
 	// Guard knows which requests are kept from endpoints, since they crash them.
 	Guard *tlguard.Guard
+	// Origins knows which versions began streams.
+	Origins *tlregistry.Registry
+	// Incarnation asks an engine for its incarnation; 0 if it doesn't tell.
+	Incarnation func(context.Context, tlendpoint.Endpoint) (int64, error)
 	// Budget limits retries and hedged requests.
 	Budget *RetryBudget
 	// IsDraining reports whether the instance is draining.
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -43,6 +43,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	call    tlcall.Call
+	table   *tlroute.Table
 	route   tlroute.Route
 	service tlroute.Service
 	request tlsend.Request
@@ -91,7 +92,7 @@
 
 // setRoute sets the route, picks the service by weight and sets the deadline.
 func (x *exchange) setRoute(t *tlroute.Table, r tlroute.Route) {
-	x.route = r
+	x.table, x.route = t, r
 	x.service = t.Service(r.Pick(x.g.deps.Random()))
 	x.deadline = x.arrived.Add(maxRequestTime)
 	for _, d := range []time.Duration{x.call.Timeout, r.Timeout} {
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -56,12 +56,16 @@
 	hasBegun bool
 	// hasStalled says that a stall was already counted.
 	hasStalled bool
+	// version is the only version of engines that may continue the stream; empty before it
+	// has begun, or if that is not known.
+	version string
 	// lastEventID is the id of the last event sent to the caller.
 	lastEventID string
 	// source is the engine that holds the prompt's KV cache, until sourceExpiry. It
-	// is used again if the decode engine had no room.
-	source       tlcall.Source
-	sourceExpiry time.Time
+	// is used again if the decode engine had no room and has the same version.
+	source        tlcall.Source
+	sourceVersion string
+	sourceExpiry  time.Time
 	// isUnreached says that the last send reached no engine, so that the next is no extra one.
 	isUnreached bool
 	// lastFailure is how the last send failed.
@@ -71,7 +75,12 @@
 func (x *exchange) serveGeneration() {
 	ctx, stop := x.context()
 	defer stop()
-	g := &generation{x: x, ctx: ctx, reservation: x.call.ID, lastEventID: x.call.ResumeAfter}
+	version, refusal := x.findOrigin(ctx)
+	if refusal != nil {
+		x.refuse(refusal)
+		return
+	}
+	g := &generation{x: x, ctx: ctx, reservation: x.call.ID, version: version, lastEventID: x.call.ResumeAfter}
 	defer g.releaseReservation()
 	for {
 		done, err := g.attempt()
@@ -210,9 +219,11 @@
 	return max(g.x.timeLeft(), 0)
 }
 
-// mayResume reports whether the request may be resumed at another endpoint.
+// mayResume reports whether the request may be resumed at another endpoint. A stream that
+// has begun can't where its version is not known.
 func (g *generation) mayResume() bool {
-	return g.x.route.Resumable && !g.x.isTrial
+	hasUnknownVersion := g.hasSentHeader && g.version == ""
+	return g.x.route.Resumable && !g.x.isTrial && !hasUnknownVersion
 }
 
 // sendFailed handles a send that got no answer.
@@ -316,12 +327,26 @@
 
 // forward sends an endpoint's answer to the caller; its results are those of attempt.
 func (g *generation) forward(p placement, r *tlsend.Reply) (bool, *tlverdict.Error) {
+	if err := g.confirm(p.decode); err != nil {
+		return g.forwardUnconfirmed(p, r, err)
+	}
 	if r.Status >= http.StatusMultipleChoices {
 		return g.forwardFailure(p, r)
 	}
 	return g.forwardEvents(p, r)
 }
 
+// forwardUnconfirmed drops an answer that another incarnation of the engine may have given.
+func (g *generation) forwardUnconfirmed(p placement, r *tlsend.Reply, cause error) (bool, *tlverdict.Error) {
+	g.relocation.stop()
+	g.possibleRuns++
+	_ = r.Body.Close()
+	g.x.g.deps.Count(Unconfirmed)
+	g.x.step("unconfirmed", logrus.Fields{"Endpoint": p.decode.ID, "Incarnation": p.decode.Incarnation, "Cause": cause.Error()})
+	g.abandonEngine(p.decode.ID, tlbooking.DecodeFull)
+	return false, g.attemptFailed(p, cause)
+}
+
 // forwardFailure sends an endpoint's failure to the caller if no other attempt can help.
 func (g *generation) forwardFailure(p placement, r *tlsend.Reply) (bool, *tlverdict.Error) {
 	g.relocation.stop()
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -168,7 +168,7 @@
 // pickEndpoint picks an endpoint for a stream of a service without engines, or without a prompt length.
 func (g *generation) pickEndpoint() (placement, *tlverdict.Error) {
 	x := g.x
-	e, ok := x.g.deps.Directory.Pick(x.g.deps.Now(), x.service.Name, g.avoid, g.mayResume())
+	e, ok := x.g.deps.Directory.PickVersion(x.g.deps.Now(), x.service.Name, g.version, g.avoid, g.mayResume())
 	if !ok {
 		if e := x.restRefusal(); e != nil {
 			return placement{}, g.finalError(e)
@@ -199,7 +199,7 @@
 func (g *generation) resolve(d tlplace.Decision) (placement, *tlverdict.Error) {
 	p := placement{reusesPrefill: d.ReusesPrefill}
 	var ok bool
-	if p.decode, ok = g.x.g.deps.Directory.Find(d.Decode); !ok {
+	if p.decode, ok = g.x.g.deps.Directory.Find(d.Decode); !ok || !g.accepts(p.decode) {
 		g.engineFailed(d.Decode)
 		g.decodeSends++
 		return g.findPlacement()
@@ -207,18 +207,25 @@
 	if d.Prefill != "" {
 		p.prefill, p.isSplit = g.x.g.deps.Directory.Find(d.Prefill)
 	}
+	p.isSplit = p.isSplit && p.prefill.Version == p.decode.Version
+	p.reusesPrefill = p.reusesPrefill && g.sourceVersion == p.decode.Version
 	if d.Prefill != "" && !p.isSplit {
 		g.report(tlbooking.PrefillFailed, d.Prefill)
 	}
 	return p, nil
 }
 
+// accepts reports whether an endpoint has the version that began the stream, if it has begun.
+func (g *generation) accepts(e tlendpoint.Endpoint) bool {
+	return g.version == "" || g.version == e.Version
+}
+
 func (g *generation) reservationRequest() tlplace.Request {
 	x := g.x
 	r := x.route
 	from := x.arrived
 	due := from.Add(r.Objective)
-	if g.hasSentHeader {
+	if g.hasSentHeader || x.isTakeUp() {
 		from = x.g.deps.Now()
 		due = from.Add(r.GapObjective)
 	}
@@ -236,7 +243,9 @@
 		Deadline: x.deadline,
 		// Zero if no prefill can be reused.
 		PrefillKeptUntil: g.sourceExpiry,
-		HasBegun:         g.hasSentHeader,
+		PrefillVersion:   g.sourceVersion,
+		Version:          g.version,
+		HasBegun:         g.hasSentHeader || x.isTakeUp(),
 		Gap:              r.GapObjective,
 		Avoid:            append(slices.Clone(g.avoid), x.g.deps.Directory.Unavailable(x.g.deps.Now(), x.service.Name)...),
 	}
@@ -258,6 +267,8 @@
 		return tlverdict.New(tlverdict.PoolBusy, "the request needs more memory than any engine has").WithRetryAfter(d.RetryAfter)
 	case tlplace.NoEngines:
 		return tlverdict.New(tlverdict.NoEndpoint, "no engine is available").WithRetryAfter(d.RetryAfter)
+	case tlplace.NoVersion:
+		return tlverdict.New(tlverdict.VersionGone, "no engine has the version that began the stream").WithRetryAfter(d.RetryAfter)
 	}
 	return tlverdict.New(tlverdict.WaitTooLong, "no engine has room before the caller leaves").WithRetryAfter(d.RetryAfter)
 }
--- a/io/tlgateway/prefill.go
+++ b/io/tlgateway/prefill.go
@@ -87,7 +87,8 @@
 // keepSource stores the source of a prefill, and frees its handle if the request has ended meanwhile.
 func (g *generation) keepSource(p placement, handle string) (tlcall.Source, *tlverdict.Error) {
 	s := tlcall.Source{Address: p.prefill.Address, Handle: handle}
-	g.source, g.sourceExpiry = s, g.x.g.deps.Now().Add(g.x.service.Engine.HandleLifetime-handleMargin)
+	g.source, g.sourceVersion = s, p.prefill.Version
+	g.sourceExpiry = g.x.g.deps.Now().Add(g.x.service.Engine.HandleLifetime - handleMargin)
 	if g.ctx.Err() == nil {
 		return s, nil
 	}
--- a/io/tlgateway/relocation.go
+++ b/io/tlgateway/relocation.go
@@ -139,7 +139,7 @@
 func (m *relocation) beginSearch() *generation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.isAwaiting || m.isSpent || m.g.ctx.Err() != nil {
+	if !m.isAwaiting || m.isSpent || m.g.ctx.Err() != nil || !m.g.mayResume() {
 		return nil
 	}
 	if m.cancelSearch != nil {
@@ -215,6 +215,7 @@
 		decodeSends:   g.decodeSends,
 		hasSentHeader: g.hasSentHeader,
 		hasStalled:    g.hasStalled,
+		version:       g.version,
 		lastEventID:   g.lastEventID,
 		lastFailure:   errEngineSilent,
 	}
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -119,6 +119,7 @@
 			}
 			now := g.x.g.deps.Now()
 			if !g.hasBegun {
+				g.noteOrigin(p.decode)
 				g.noteFirstEvent(p)
 			} else if now.Sub(last) > stallThreshold {
 				g.noteStall(p, now.Sub(last))
