Show in log and counters when an instance reaches no endpoint

Change: a prober dials a few endpoints, and more if the first give no word, when nothing at all is heard for half a second while answers are awaited; it logs when none is reached and when one is again. No decision looks at it.

--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -9,6 +9,7 @@
 	"trefoillanding/io/tlmetric"
 	"trefoillanding/io/tlorder"
 	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlprober"
 	"trefoillanding/io/tlregistry"
 	"trefoillanding/io/tltrace"
 )
@@ -38,6 +39,7 @@
 	limits       *tlmetric.Group
 	guard        *tlmetric.Group
 	origins      *tlmetric.Group
+	reach        *tlmetric.Group
 	// latencies has, for each kind of route, the time to the answer, or to the first event of a stream.
 	latencies map[tlroute.Kind]*tlmetric.Histogram
 }
@@ -58,6 +60,7 @@
 		limits:       s.Group("Limits", tllimiter.CounterNames...),
 		guard:        s.Group("Guard", tlguard.CounterNames...),
 		origins:      s.Group("Origins", tlregistry.CounterNames...),
+		reach:        s.Group("Reach", tlprober.CounterNames...),
 		latencies: map[tlroute.Kind]*tlmetric.Histogram{
 			tlroute.AtMostOnce: s.Histogram("OnceTime"),
 			tlroute.Idempotent: s.Histogram("IdempotentTime"),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"trefoillanding/io/tlorder"
 	"trefoillanding/io/tloutbox"
 	"trefoillanding/io/tlpeer"
+	"trefoillanding/io/tlprober"
 	"trefoillanding/io/tlrandom"
 	"trefoillanding/io/tlregistry"
 	"trefoillanding/io/tlsend"
@@ -52,6 +53,7 @@
 	limiter        *tllimiter.Limiter
 	guard          *tlguard.Guard
 	registry       *tlregistry.Registry
+	prober         *tlprober.Prober
 	gateway        *tlgateway.Gateway
 	roleController *tlorder.Controller
 	budget         *tlgateway.RetryBudget
@@ -138,6 +140,7 @@
 	i.gossip = tlpeer.NewGossip(i.mesh, i.gossipOptions())
 	i.coordinator = tlbooking.New(i.coordinatorOptions())
 	i.limiter = tllimiter.New(i.limiterOptions())
+	i.prober = tlprober.New(i.proberOptions())
 	i.guard = tlguard.New(i.guardOptions())
 	i.registry = tlregistry.New(i.registryOptions())
 	i.budget = i.newBudget()
@@ -159,6 +162,7 @@
 	i.running.Go(func() { i.coordinator.Run(i.ctx) })
 	i.running.Go(func() { i.guard.Run(i.ctx) })
 	i.running.Go(func() { i.registry.Run(i.ctx) })
+	i.running.Go(func() { i.prober.Run(i.ctx) })
 	i.running.Go(func() { i.roleController.Run(i.ctx) })
 	i.running.Go(func() { i.pollEngineLoads(i.ctx) })
 	for _, f := range i.followers {
--- /dev/null
+++ b/gateway/reach.go
@@ -0,0 +1,21 @@
+package gateway
+
+import (
+	"time"
+
+	"trefoillanding/io/tlprober"
+	"trefoillanding/io/tlrandom"
+)
+
+func (i *Instance) proberOptions() tlprober.Options {
+	return tlprober.Options{
+		Endpoints: i.directory.InUse,
+		Dial:      i.sender.Dial,
+		QuietFor:  i.sender.QuietFor,
+		OnChange:  func(bool) {},
+		Now:       time.Now,
+		Random:    tlrandom.New(),
+		Log:       i.log,
+		Count:     i.counters.reach.Count,
+	}
+}
--- a/io/tldirectory/directory.go
+++ b/io/tldirectory/directory.go
@@ -195,6 +195,19 @@
 	return d.byService[service]
 }
 
+// InUse returns the endpoints of all services that do not drain.
+func (d *Directory) InUse() []tlendpoint.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make([]tlendpoint.Endpoint, 0, len(d.byID))
+	for _, e := range d.byID {
+		if !e.IsDraining {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // Find returns an endpoint by its ID; false if it is unknown or draining.
 func (d *Directory) Find(id string) (tlendpoint.Endpoint, bool) {
 	d.mu.Lock()
--- a/io/tlsend/connection.go
+++ b/io/tlsend/connection.go
@@ -10,6 +10,16 @@
 type connection struct {
 	net.Conn
 	written atomic.Int64
+	onRead  func()
+}
+
+// Read reads from the connection.
+func (c *connection) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.onRead()
+	}
+	return n, err
 }
 
 // Write writes to the connection and counts the bytes written.
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"syscall"
 	"time"
 
@@ -53,6 +54,7 @@
 	codec     Codec
 	hooks     Hooks
 	transport *http.Transport
+	quiet     quiet
 }
 
 // Hooks are called by a Sender; all are required.
@@ -102,7 +104,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &connection{Conn: c}, nil
+		return &connection{Conn: c, onRead: s.quiet.heard}, nil
 	}
 }
 
@@ -132,10 +134,13 @@
 	}
 	p, sent := &progress{}, time.Now()
 	ctx = httptrace.WithClientTrace(ctx, p.trace())
+	s.quiet.begin()
 	a, err := s.transport.RoundTrip(s.newRequest(ctx, e, r, c))
 	if err != nil {
+		s.quiet.end()
 		return nil, sendError(ctx, e, p, err)
 	}
+	a.Body = &openBody{a.Body, sync.OnceFunc(s.quiet.end)}
 	reply := &Reply{
 		Status: a.StatusCode,
 		Header: a.Header,
@@ -171,15 +176,19 @@
 	return &Error{Endpoint: e.ID, Outcome: tlhealth.Refused, IsUnsent: true, Err: err}
 }
 
-// HasEnded reports whether an endpoint refuses connections, as it does once its process
-// has ended; one that is silent may only be out of reach.
-func (s *Sender) HasEnded(ctx context.Context, e tlendpoint.Endpoint) bool {
+// Dial opens a connection to an endpoint and closes it.
+func (s *Sender) Dial(ctx context.Context, e tlendpoint.Endpoint) error {
 	c, err := s.transport.DialContext(ctx, "tcp", e.Address.String())
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
-	_ = c.Close()
-	return false
+	return c.Close()
+}
+
+// HasEnded reports whether an endpoint refuses connections, as it does once its process
+// has ended; one that is silent may only be out of reach.
+func (s *Sender) HasEnded(ctx context.Context, e tlendpoint.Endpoint) bool {
+	return errors.Is(s.Dial(ctx, e), syscall.ECONNREFUSED)
 }
 
 func (s *Sender) newRequest(ctx context.Context, e tlendpoint.Endpoint, r Request, c tlcall.Send) *http.Request {
