Reproduce what a cut from all endpoints does to an instance and to the others

Cause: an instance that reaches no endpoint has no other way, and what it can't reach it reports as failed. The dialer of tlsend became a hook, which the tests replace.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -116,6 +116,18 @@
 	return i
 }
 
+// newCuttableInstance starts an instance whose way to endpoints is a network that can be cut.
+func (w *testCluster) newCuttableInstance(name string, n *cuttableNetwork) *Instance {
+	w.t.Helper()
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	i, err := newInstance(w.settings(name), l, n.dial)
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { closeOnce(i) })
+	w.run(i)
+	return i
+}
+
 // run runs an instance and waits until it is ready.
 func (w *testCluster) run(i *Instance) {
 	w.t.Helper()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -87,6 +88,13 @@
 
 // New listens on the addresses of the settings; nothing is served before Run.
 func New(s tlwire.Settings, l *logrus.Logger) (*Instance, error) {
+	return newInstance(s, l, tlsend.NewDialer().DialContext)
+}
+
+// dialFunc opens connections to endpoints.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newInstance(s tlwire.Settings, l *logrus.Logger, dial dialFunc) (*Instance, error) {
 	i := &Instance{
 		settings: s,
 		log:      l.WithField("Instance", s.Name),
@@ -103,7 +111,7 @@
 	i.sender = tlsend.New(tlsend.Codec{
 		EncodeSend:   platform.EncodeSend,
 		DecodeAnswer: platform.DecodeAnswer,
-	}, i.sendHooks())
+	}, i.sendHooks(dial))
 	i.endpoints = newEndpointEntries()
 	i.instances = newInstanceEntries()
 	i.quarantines = newQuarantines()
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -17,8 +17,9 @@
 // service that an engine has said that it leaves.
 const kindLeaving = "Leaving"
 
-func (i *Instance) sendHooks() tlsend.Hooks {
+func (i *Instance) sendHooks(dial dialFunc) tlsend.Hooks {
 	return tlsend.Hooks{
+		Dial:     dial,
 		OnDial:   func() { i.counters.endpoints.Count(connectionsMade) },
 		OnAnswer: i.onAnswer,
 		Admit: func(ctx context.Context, e tlendpoint.Endpoint) error {
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -59,6 +59,8 @@
 
 // Hooks are called by a Sender; all are required.
 type Hooks struct {
+	// Dial opens connections to endpoints, as NewDialer's does.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnDial is called before each new connection is opened.
 	OnDial func()
 	// OnAnswer is called with each answer, and with the time at which its request was sent;
@@ -74,19 +76,9 @@
 
 // New returns a Sender.
 func New(w Codec, hooks Hooks) *Sender {
-	d := &net.Dialer{
-		Timeout: dialTimeout,
-		Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
-		},
-	}
 	s := &Sender{codec: w, hooks: hooks}
 	s.transport = &http.Transport{
-		DialContext:            s.dial(d),
+		DialContext:            s.dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    idlePerEndpoint,
@@ -97,15 +89,28 @@
 	return s
 }
 
-func (s *Sender) dial(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		s.hooks.OnDial()
-		c, err := d.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &connection{Conn: c, onRead: s.quiet.heard}, nil
+// NewDialer returns the dialer for connections to endpoints.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveProbes,
+		},
+	}
+}
+
+// dial opens a connection.
+func (s *Sender) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	s.hooks.OnDial()
+	c, err := s.hooks.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
 	}
+	return &connection{Conn: c, onRead: s.quiet.heard}, nil
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
--- a/io/tlsend/sender_test.go
+++ b/io/tlsend/sender_test.go
@@ -30,6 +30,7 @@
 
 func newSender(t *testing.T) *Sender {
 	s := New(codec, Hooks{
+		Dial:      NewDialer().DialContext,
 		OnDial:    func() {},
 		OnAnswer:  func(tlendpoint.Endpoint, tlcall.Answer, time.Time) {},
 		IsResting: func(e tlendpoint.Endpoint) bool { return e.ID == "resting" },
