Forward requests that a cut instance cannot deliver to another instance

What callers saw: at instances that reach no endpoint nearly every first attempt was refused or timed out, while the others served nearly all. Cause: an instance passed a request to endpoints itself or refused it; there was no other way. And a cut was not noticed as one, but endpoint by endpoint. Class of fault: what is wrong with this instance is taken for what is wrong with everything else, which leaves nothing to turn to. Change: after a send that failed on its connection, and after half a second in which nothing at all is heard, the prober settles within 0.5 s whether any endpoint is reached. While none is, requests go to another instance by HTTP on the peer port; it serves them as its own, with the time that they have left and the runs that they may have had. It passes none on to a third. One that can't serve any now says so, and the next is asked, four at most; after a send that may have run the request only what may repeat goes on, within the attempts and the retry budget. A stream goes on there after its last event, at its version. Every 0.2 s the own path is tried again, and used again once an endpoint is reached; idle connections are dropped at both ends of a cut. A drain waits for what others have forwarded.

--- a/core/tlreach/state.go
+++ b/core/tlreach/state.go
@@ -9,8 +9,6 @@
 	// loneFailedFor is how long the only endpoint there is must not be reached instead: a
 	// sound one may be silent for a second or so.
 	loneFailedFor = 2 * time.Second
-	// freshFor is how long a round of dials that reached an endpoint answers for the next.
-	freshFor = 150 * time.Millisecond
 )
 
 // FirstRound and MaxRound are the numbers of endpoints that are dialled at once, and in
@@ -23,9 +21,9 @@
 // State is what rounds of dials have shown. It is not safe for concurrent use.
 type State struct {
 	isCut bool
-	// reachedAt is when a round last reached an endpoint; failedSince is when the first
-	// one since that reached none began, zero if there is none.
-	reachedAt, failedSince time.Time
+	// failedSince is when the first round began that reached no endpoint since one did;
+	// zero if there is none.
+	failedSince time.Time
 	// changedAt is when isCut changed last.
 	changedAt time.Time
 }
@@ -37,7 +35,7 @@
 		return false
 	}
 	if reached {
-		s.reachedAt, s.failedSince = now, time.Time{}
+		s.failedSince = time.Time{}
 		return s.set(now, false)
 	}
 	if s.failedSince.IsZero() {
@@ -62,11 +60,6 @@
 	return s.isCut
 }
 
-// IsFresh reports whether an endpoint was reached just now, so that no other round is due.
-func (s *State) IsFresh(now time.Time) bool {
-	return !s.isCut && now.Sub(s.reachedAt) < freshFor
-}
-
 // ChangedAt returns when the instance was last cut off, or reached endpoints again; zero if never.
 func (s *State) ChangedAt() time.Time {
 	return s.changedAt
--- a/core/tlverdict/error.go
+++ b/core/tlverdict/error.go
@@ -101,6 +101,7 @@
 	BodyTooLarge:    notRun(statusRequestEntityTooLarge),
 	PromptTooLong:   notRun(statusRequestEntityTooLarge),
 	PartQuarantined: notRun(statusServiceUnavailable),
+	CutOff:          notRun(statusServiceUnavailable),
 	OriginUnknown:   notRun(statusServiceUnavailable),
 	OriginUnread:    notRun(statusServiceUnavailable),
 	VersionGone:     notRun(statusServiceUnavailable),
--- a/core/tlverdict/reason.go
+++ b/core/tlverdict/reason.go
@@ -26,6 +26,7 @@
 	BodyTooLarge    Reason = "BodyTooLarge"
 	PromptTooLong   Reason = "PromptTooLong"
 	PartQuarantined Reason = "PartQuarantined"
+	CutOff          Reason = "CutOff"
 	OriginUnknown   Reason = "OriginUnknown"
 	OriginUnread    Reason = "OriginUnread"
 	VersionGone     Reason = "VersionGone"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,8 @@
 	guard          *tlguard.Guard
 	registry       *tlregistry.Registry
 	prober         *tlprober.Prober
+	forwarder      *tlsend.Forwarder
+	avoidedPeers   avoidedPeers
 	gateway        *tlgateway.Gateway
 	roleController *tlorder.Controller
 	budget         *tlgateway.RetryBudget
@@ -149,6 +152,8 @@
 	i.coordinator = tlbooking.New(i.coordinatorOptions())
 	i.limiter = tllimiter.New(i.limiterOptions())
 	i.prober = tlprober.New(i.proberOptions())
+	i.forwarder = tlsend.NewForwarder(platform.DecodeAnswer)
+	i.mesh.HandleHTTP(forwardPath, http.HandlerFunc(i.serveForwarded))
 	i.guard = tlguard.New(i.guardOptions())
 	i.registry = tlregistry.New(i.registryOptions())
 	i.budget = i.newBudget()
@@ -260,6 +265,7 @@
 	}
 	wait(ctx, i.settings.Gateway.AcceptFor)
 	err := i.servers.callers.Shutdown(ctx)
+	i.waitForForwarded(ctx)
 	i.log.WithFields(logrus.Fields{"Open": i.open(), "Complete": err == nil}).Info("drained")
 }
 
@@ -277,6 +283,7 @@
 	if i.mesh != nil {
 		i.mesh.Close()
 		i.outbox.Close()
+		i.forwarder.Close()
 	}
 	i.running.Wait()
 	i.sender.Close()
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -190,6 +190,8 @@
 		Guard:          i.guard,
 		Origins:        i.registry,
 		Incarnation:    i.incarnationOfEngine,
+		Prober:         i.prober,
+		Forward:        i.forward,
 		Budget:         i.budget,
 		IsDraining:     i.draining.Load,
 		Now:            time.Now,
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -12,7 +12,7 @@
 		Endpoints: i.directory.InUse,
 		Dial:      i.sender.Dial,
 		QuietFor:  i.sender.QuietFor,
-		OnChange:  func(bool) {},
+		OnChange:  func(bool) { i.sender.DropIdle() },
 		Now:       time.Now,
 		Random:    tlrandom.New(),
 		Log:       i.log,
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -53,7 +53,7 @@
 var Reasons = []tlverdict.Reason{
 	tlverdict.BadBody, tlverdict.BadHeader, tlverdict.BodyTooLarge, tlverdict.CallerGone,
 	tlverdict.EndpointFailed, tlverdict.EndpointTimeout, tlverdict.Internal, tlverdict.NoConfig,
-	tlverdict.NoEndpoint, tlverdict.OriginUnknown, tlverdict.OriginUnread, tlverdict.VersionGone, tlverdict.PoolBusy, tlverdict.PartQuarantined, tlverdict.TooManyRequests, tlverdict.UnknownPath,
+	tlverdict.NoEndpoint, tlverdict.CutOff, tlverdict.OriginUnknown, tlverdict.OriginUnread, tlverdict.VersionGone, tlverdict.PoolBusy, tlverdict.PartQuarantined, tlverdict.TooManyRequests, tlverdict.UnknownPath,
 	tlverdict.WaitTooLong,
 }
 
@@ -120,6 +120,7 @@
 
 func (x *exchange) copyHeader(r *tlsend.Reply) {
 	x.hasAnswered = true
+	x.markForwarded("")
 	h := x.w.Header()
 	for name, values := range x.g.deps.Wire.CleanAnswer(r.Header) {
 		h[name] = values
--- a/io/tlgateway/deps.go
+++ b/io/tlgateway/deps.go
@@ -12,6 +12,7 @@
 	"trefoillanding/io/tlbooking"
 	"trefoillanding/io/tldirectory"
 	"trefoillanding/io/tlguard"
+	"trefoillanding/io/tlprober"
 	"trefoillanding/io/tlregistry"
 	"trefoillanding/io/tlsend"
 	"trefoillanding/io/tltrace"
@@ -57,6 +58,11 @@
 	Origins *tlregistry.Registry
 	// Incarnation asks an engine for its incarnation; 0 if it doesn't tell.
 	Incarnation func(context.Context, tlendpoint.Endpoint) (int64, error)
+	// Prober knows whether this instance reaches endpoints.
+	Prober *tlprober.Prober
+	// Forward gives a request to another instance, and returns its answer and its name; the
+	// error is a *tlsend.Error.
+	Forward func(context.Context, Forward) (r *tlsend.Reply, peer string, err error)
 	// Budget limits retries and hedged requests.
 	Budget *RetryBudget
 	// IsDraining reports whether the instance is draining.
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -53,6 +53,8 @@
 	arrived time.Time
 	// deadline is when the caller's deadline or the route's timeout ends, less answerMargin.
 	deadline time.Time
+	// forwarding is set if another instance, which is cut off from all endpoints, forwarded the request.
+	forwarding *Forwarding
 	// isTrial says that the request is sent once though a part of it is in quarantine.
 	isTrial bool
 	// sends counts the sends to endpoints, prefills included.
@@ -64,16 +66,30 @@
 	failed      bool
 }
 
-func (g *Gateway) begin(w http.ResponseWriter, r *http.Request) *exchange {
+func (g *Gateway) begin(w http.ResponseWriter, r *http.Request, f *Forwarding) *exchange {
 	c := g.deps.Wire.DecodeCall(r.Header)
-	return &exchange{
-		g:       g,
-		w:       w,
-		r:       r,
-		call:    c,
-		arrived: g.deps.Now(),
-		trace:   g.deps.Traces.Begin(c.ID),
+	x := &exchange{
+		g:          g,
+		w:          w,
+		r:          r,
+		call:       c,
+		arrived:    g.deps.Now(),
+		trace:      g.deps.Traces.Begin(c.ID),
+		forwarding: f,
 	}
+	if f != nil {
+		x.arrived = x.arrived.Add(-f.Elapsed)
+	}
+	return x
+}
+
+// earlierRuns counts the sends of the instance that forwarded the request, if one did,
+// that may have run it.
+func (x *exchange) earlierRuns() int {
+	if x.forwarding == nil {
+		return 0
+	}
+	return x.forwarding.Runs
 }
 
 // path returns the path as sent, without its query.
@@ -114,6 +130,9 @@
 	if x.call.ResumeAfter != "" {
 		f["Resumes"], f["After"] = x.call.Resumes, x.call.ResumeAfter
 	}
+	if x.forwarding != nil {
+		f["Runs"] = x.forwarding.Runs
+	}
 	x.step("routed", f)
 }
 
@@ -230,6 +249,9 @@
 	}
 	x.hasAnswered = true
 	h := x.w.Header()
+	if x.forwarding != nil && isUnable(e.Reason) {
+		h.Set(headerUnable, unable)
+	}
 	h.Set("Content-Type", "application/json")
 	h.Set("Trefoil-Verdict", string(e.Verdict))
 	if e.RetryAfter > 0 {
--- a/io/tlgateway/gateway.go
+++ b/io/tlgateway/gateway.go
@@ -26,12 +26,21 @@
 
 // ServeHTTP serves one request; while the instance drains, it also closes the connection.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.serve(w, r, nil)
+}
+
+// ServeForwarded serves one request that another instance forwarded.
+func (g *Gateway) ServeForwarded(w http.ResponseWriter, r *http.Request, f Forwarding) {
+	g.serve(w, r, &f)
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, f *Forwarding) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if g.deps.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
-	x := g.begin(w, r)
+	x := g.begin(w, r, f)
 	defer x.end()
 	defer x.answerPanic()
 	if err := x.prepare(); err != nil {
@@ -62,10 +71,15 @@
 	if x.timeLeft() < minTimeLeft {
 		return tlverdict.New(tlverdict.WaitTooLong, "too little time left before the deadline")
 	}
-	x.g.deps.Budget.Earn(x.service.Name)
+	if x.forwarding == nil {
+		x.g.deps.Budget.Earn(x.service.Name)
+	}
 	if err := x.readBody(t.Limits.BodyBytes); err != nil {
 		return err
 	}
 	x.identify()
+	if err := x.refuseForwarded(); err != nil {
+		return err
+	}
 	return x.checkQuarantine()
 }
--- a/io/tlgateway/gateway_test.go
+++ b/io/tlgateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"trefoillanding/core/tlroute"
 	"trefoillanding/core/tlverdict"
 	"trefoillanding/io/tldirectory"
+	"trefoillanding/io/tlprober"
 	"trefoillanding/io/tltrace"
 )
 
@@ -61,6 +62,7 @@
 	table, err := tlroute.New(1, []tlroute.Route{{Name: "r", Host: "a.example", Prefix: "/", Kind: tlroute.Idempotent, Attempts: 1, Targets: []tlroute.Target{{Service: "desk", Weight: 1}}}}, []tlroute.Service{{Name: "desk"}}, tlroute.Limits{})
 	require.NoError(t, err)
 	d := tldirectory.New(rand.New(rand.NewPCG(1, 1)), func(string, bool, bool) {})
+	prober := tlprober.New(tlprober.Options{})
 	d.Set(time.Now(), []tlendpoint.Endpoint{{ID: "e1", Service: "desk", Slots: 1}})
 	var reported []any
 	counts := map[string]int{}
@@ -71,6 +73,7 @@
 		},
 		Table:      func() *tlroute.Table { return table },
 		Directory:  d,
+		Prober:     prober,
 		Budget:     NewRetryBudget(RetryAllowance{Window: time.Second}, func() int { return 1 }, time.Now),
 		IsDraining: func() bool { return false },
 		Now:        time.Now,
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -80,7 +80,7 @@
 		x.refuse(refusal)
 		return
 	}
-	g := &generation{x: x, ctx: ctx, reservation: x.call.ID, version: version, lastEventID: x.call.ResumeAfter}
+	g := &generation{x: x, ctx: ctx, reservation: x.call.ID, version: version, lastEventID: x.call.ResumeAfter, possibleRuns: x.earlierRuns()}
 	defer g.releaseReservation()
 	for {
 		done, err := g.attempt()
@@ -97,7 +97,14 @@
 // attempt tries to serve the request once. It reports whether the answer is
 // complete, and returns an error if no other attempt can help.
 func (g *generation) attempt() (bool, *tlverdict.Error) {
+	if g.x.mustForward() {
+		return g.attemptForward()
+	}
 	n, err := g.prepare()
+	if g.x.mustForward() && g.ctx.Err() == nil {
+		g.unpick(n.placement)
+		return g.attemptForward()
+	}
 	if err != nil {
 		return false, err
 	}
@@ -111,10 +118,11 @@
 // prepare finds engines with room, charges a retry and has the prompt read, unless
 // this was done ahead.
 func (g *generation) prepare() (preparation, *tlverdict.Error) {
-	if n := g.prepared; n != nil {
+	if n := g.prepared; n != nil && !n.isForwarded {
 		g.prepared = nil
 		return *n, nil
 	}
+	g.prepared = nil
 	p, err := g.findAdmitted()
 	if err != nil {
 		return preparation{}, err
@@ -124,7 +132,7 @@
 		return preparation{}, err
 	}
 	s, err := g.prefill(p)
-	return preparation{p, s}, err
+	return preparation{placement: p, source: s}, err
 }
 
 // decode sends the request to its decode engine; it returns neither answer nor error if another attempt may help.
@@ -233,7 +241,8 @@
 	if !errors.As(err, &f) {
 		f = &tlsend.Error{Endpoint: p.decode.ID, MayHaveRun: true, Outcome: tlhealth.Broken, Err: err}
 	}
-	x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, f.Outcome, x.g.deps.Now().Sub(began))
+	x.checkCut(g.ctx, f.Outcome)
+	x.observe(p.decode.ID, f.Outcome, x.g.deps.Now().Sub(began))
 	x.step("send failed", logrus.Fields{
 		"Endpoint":   p.decode.ID,
 		"Outcome":    f.Outcome.String(),
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -64,6 +64,8 @@
 	isSplit bool
 	// reusesPrefill says that the prefill of an earlier attempt is used.
 	reusesPrefill bool
+	// isForwarded says that decode is another instance, to which the request was given.
+	isForwarded bool
 	// isPicked says that the directory picked the endpoint, and counts the request there.
 	isPicked bool
 }
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -36,10 +36,15 @@
 	endpoint tlendpoint.Endpoint
 	answer   bufferedAnswer
 	err      error
+	// isForwarded says that another instance sent the request; its word is final.
+	isForwarded bool
 }
 
 // isDeliverable reports whether the answer can be forwarded without trying another endpoint.
 func (s sendResult) isDeliverable() bool {
+	if s.isForwarded {
+		return s.err == nil
+	}
 	return s.err == nil && !s.answer.reply.Answer.NotRun && s.answer.reply.Status < http.StatusInternalServerError
 }
 
@@ -70,12 +75,14 @@
 	// possibleRuns counts the ended sends that may have run.
 	possibleRuns int
 	bestFailure  sendResult
+	// refusal is that of another instance to which the request was forwarded.
+	refusal *tlverdict.Error
 }
 
 func (x *exchange) servePlain() {
 	ctx, stop := x.context()
 	defer stop()
-	c := &plainRequest{x: x, ctx: ctx, results: make(chan sendResult, x.route.Attempts+extraSends+1)}
+	c := &plainRequest{x: x, ctx: ctx, results: make(chan sendResult, x.route.Attempts+extraSends+2), possibleRuns: x.earlierRuns()}
 	c.bestFailure.err = tlverdict.New(tlverdict.NoEndpoint, "no endpoint of service %s is available", x.service.Name)
 	if c.sendNext() {
 		c.run()
@@ -92,8 +99,15 @@
 func (c *plainRequest) run() {
 	hedge := time.NewTimer(c.hedgeDelay())
 	defer hedge.Stop()
+	cut := c.x.g.deps.Prober.Cut()
+	if c.x.isCut() {
+		cut = nil
+	}
 	for c.inFlight > 0 {
 		select {
+		case <-cut:
+			cut = nil
+			c.hedge()
 		case s := <-c.results:
 			c.inFlight--
 			if s.isDeliverable() {
@@ -133,7 +147,13 @@
 		c.sendNext()
 		return
 	}
-	if c.inFlight > 0 || !c.mayRetry() {
+	c.refusal = refusalOf(last.err)
+	if c.inFlight > 0 || c.refusal != nil || !c.mayRetry() {
+		return
+	}
+	if c.x.mustForward() && c.possibleRuns == 0 {
+		// Nothing has reached an endpoint, so that this is no retry.
+		c.sendNext()
 		return
 	}
 	if !c.x.g.deps.Budget.Spend(c.x.service.Name, 1) {
@@ -180,6 +200,10 @@
 	if x.quarantineRefusal() != nil {
 		return false
 	}
+	if x.mustForward() {
+		c.forwardNext()
+		return true
+	}
 	e, ok := x.g.deps.Directory.Pick(x.g.deps.Now(), x.service.Name, c.tried, x.route.MayRepeat())
 	if !ok {
 		return false
@@ -188,15 +212,43 @@
 	c.inFlight++
 	x.sends++
 	x.step("sent", logrus.Fields{"Endpoint": e.ID, "Send": x.sends, "LeftMs": x.timeLeft().Milliseconds()})
+	c.start(e, func() sendResult { return x.sendPlain(c.ctx, e) })
+	return true
+}
+
+// forwardNext gives the request to another instance.
+func (c *plainRequest) forwardNext() {
+	c.tried = append(c.tried, "")
+	c.inFlight++
+	runs := c.possibleRuns
+	c.start(tlendpoint.Endpoint{}, func() sendResult { return c.x.forwardPlain(c.ctx, runs) })
+}
+
+// start sends the request in the background.
+func (c *plainRequest) start(e tlendpoint.Endpoint, send func() sendResult) {
 	go func() {
 		s := sendResult{endpoint: e, err: errPanicked}
 		defer func() {
-			x.recovered(recover())
+			c.x.recovered(recover())
 			c.results <- s
 		}()
-		s = x.sendPlain(c.ctx, e)
+		s = send()
 	}()
-	return true
+}
+
+// forwardPlain gives the request to another instance and reads the answer.
+func (x *exchange) forwardPlain(ctx context.Context, runs int) sendResult {
+	s := sendResult{isForwarded: true}
+	r, peer, err := x.forwardRequest(ctx, "", runs)
+	s.endpoint.ID = peer
+	if err == nil {
+		s.answer, err = bufferAnswer(r)
+		if err != nil {
+			err = &tlsend.Error{Endpoint: peer, MayHaveRun: true, Outcome: readFailureOutcome(ctx), Err: err}
+		}
+	}
+	s.err = err
+	return s
 }
 
 // sendPlain sends the request to an endpoint, reads the answer and records the outcome.
@@ -213,7 +265,8 @@
 	s.err = err
 	took := x.g.deps.Now().Sub(began)
 	o := outcomeOf(s)
-	x.g.deps.Directory.Observe(x.g.deps.Now(), e.ID, o, took)
+	x.checkCut(ctx, o)
+	x.observe(e.ID, o, took)
 	switch {
 	case o == tlhealth.Answered || o == tlhealth.ServerError:
 		x.g.deps.Guard.Answered(x.service.Name, x.parts)
@@ -287,6 +340,8 @@
 		c.refuseTimedOut()
 	case held != nil && c.possibleRuns == 0:
 		x.refuse(held)
+	case c.refusal != nil && c.possibleRuns == 0:
+		x.refuse(c.refusal)
 	case rest != nil && c.possibleRuns == 0:
 		x.refuse(rest)
 	case s.err == nil && s.answer.reply.Answer.NotRun && c.possibleRuns == 0:
--- a/io/tlgateway/prefill.go
+++ b/io/tlgateway/prefill.go
@@ -63,12 +63,16 @@
 		// The request has ended, not the engine's time for it: that is no failure of the engine.
 		return tlcall.Source{}, g.prefillTooLate()
 	}
+	isCut := x.checkCut(g.ctx, prefillOutcome(err))
 	g.report(prefillEvent(err), p.prefill.ID)
 	if isBreak(err) {
 		x.reportBreak(p.prefill)
 	}
-	x.g.deps.Directory.Observe(x.g.deps.Now(), p.prefill.ID, prefillOutcome(err), took)
+	x.observe(p.prefill.ID, prefillOutcome(err), took)
 	x.step("prefill failed", logrus.Fields{"Endpoint": p.prefill.ID, "TookMs": took.Milliseconds(), "Cause": err.Error()})
+	if isCut {
+		return tlcall.Source{}, nil
+	}
 	x.g.deps.Count(PrefilledAtDecode)
 	return tlcall.Source{}, g.chargeFailedPrefill(err)
 }
--- a/io/tlgateway/relocation.go
+++ b/io/tlgateway/relocation.go
@@ -54,6 +54,8 @@
 type preparation struct {
 	placement placement
 	source    tlcall.Source
+	// isForwarded says that it goes to another instance instead.
+	isForwarded bool
 }
 
 // newRelocation returns the relocation of a send, or nil if the request may not be moved.
@@ -223,6 +225,10 @@
 
 // prepareAhead prepares the next send before it is due.
 func (g *generation) prepareAhead() error {
+	if g.x.checkCut(g.ctx, tlhealth.TimedOut) && g.x.mustForward() {
+		g.prepared = &preparation{isForwarded: true}
+		return nil
+	}
 	p, err := g.prepare()
 	if err != nil {
 		return err
@@ -256,7 +262,9 @@
 func (g *generation) moveTo(s *generation, from placement, began time.Time) {
 	x := g.x
 	now := x.g.deps.Now()
-	x.g.deps.Directory.Observe(now, from.decode.ID, tlhealth.TimedOut, now.Sub(began))
+	if !from.isForwarded {
+		x.observe(from.decode.ID, tlhealth.TimedOut, now.Sub(began))
+	}
 	x.g.deps.Count(Moved)
 	x.step("moved", logrus.Fields{
 		"Endpoint": from.decode.ID,
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -64,7 +64,9 @@
 		}
 		g.sendHeader(r)
 		g.releaseServed()
-		x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, tlhealth.Answered, x.g.deps.Now().Sub(began))
+		if !p.isForwarded {
+			x.observe(p.decode.ID, tlhealth.Answered, x.g.deps.Now().Sub(began))
+		}
 		x.g.deps.Count(Answered)
 		x.step("answered", logrus.Fields{
 			"Status": r.Status,
@@ -81,8 +83,12 @@
 		g.moveTo(successor, p, began)
 		return false, nil
 	}
-	x.g.deps.Directory.Observe(x.g.deps.Now(), p.decode.ID, tlhealth.Broken, 0)
 	x.step("stream broke", logrus.Fields{"Endpoint": p.decode.ID, "Last": g.lastEventID, "Cause": err.Error()})
+	if p.isForwarded {
+		return false, g.forwardFailed(err)
+	}
+	x.checkCut(g.ctx, tlhealth.Broken)
+	x.observe(p.decode.ID, tlhealth.Broken, 0)
 	if !g.hasBegun && g.isEngineCrash(err) {
 		x.reportBreak(p.decode)
 	}
@@ -97,6 +103,7 @@
 		return
 	}
 	g.hasSentHeader = true
+	g.x.markForwarded(g.version)
 	g.x.copyHeader(r)
 	g.x.w.Header().Del("Content-Length")
 	g.x.w.WriteHeader(r.Status)
--- a/io/tlpeer/accept.go
+++ b/io/tlpeer/accept.go
@@ -14,7 +14,7 @@
 	"trefoillanding/core/tlwire"
 )
 
-// peerPath is the only path served on the peer port.
+// peerPath is the path of connections for messages.
 const peerPath = "/peer"
 
 var (
@@ -25,6 +25,10 @@
 // accept upgrades a request to a peer connection and serves it; clients that
 // fail authentication get a refusal without a reason.
 func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
+	if h := m.handlersByPath[r.URL.Path]; h != nil {
+		h.ServeHTTP(w, r)
+		return
+	}
 	if r.URL.Path != peerPath {
 		m.count(countPeerRefused)
 		http.NotFound(w, r)
--- a/io/tlpeer/mesh.go
+++ b/io/tlpeer/mesh.go
@@ -14,15 +14,17 @@
 
 // Mesh holds the connections between one instance and the others.
 type Mesh struct {
-	o          Options
-	handlers   map[string]handler
-	listener   net.Listener
-	server     *http.Server
-	handshakes chan struct{}
-	ctx        context.Context
-	cancel     context.CancelFunc
-	running    sync.WaitGroup
-	done       chan struct{}
+	o        Options
+	handlers map[string]handler
+	// handlersByPath serves the other paths of the peer port.
+	handlersByPath map[string]http.Handler
+	listener       net.Listener
+	server         *http.Server
+	handshakes     chan struct{}
+	ctx            context.Context
+	cancel         context.CancelFunc
+	running        sync.WaitGroup
+	done           chan struct{}
 
 	// onUnreachable is called with the name of a peer that could not be reached; it
 	// is set before Start.
@@ -45,26 +47,46 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
-		o:          o,
-		handlers:   map[string]handler{},
-		listener:   l,
-		handshakes: make(chan struct{}, maxHandshakes),
-		ctx:        ctx,
-		cancel:     cancel,
-		done:       make(chan struct{}),
-		links:      map[string]*link{},
+		o:        o,
+		handlers: map[string]handler{},
+
+		handlersByPath: map[string]http.Handler{},
+		listener:       l,
+		handshakes:     make(chan struct{}, maxHandshakes),
+		ctx:            ctx,
+		cancel:         cancel,
+		done:           make(chan struct{}),
+		links:          map[string]*link{},
 
 		onUnreachable: func(string) {},
 	}
 	m.server = &http.Server{
 		Handler:           http.HandlerFunc(m.accept),
 		ReadHeaderTimeout: handshakeTimeout,
-		MaxHeaderBytes:    maxHelloBytes,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          newDiscardLogger(),
 	}
 	return m, nil
 }
 
+// HandleHTTP has requests for a path on the peer port served by a handler; it is called before Start.
+func (m *Mesh) HandleHTTP(path string, h http.Handler) {
+	m.handlersByPath[path] = h
+}
+
+// AddressOf returns the address on which an instance listens for others; false if it is not known.
+func (m *Mesh) AddressOf(name string) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	l := m.links[name]
+	m.mu.Unlock()
+	if l == nil {
+		return netip.AddrPort{}, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address, l.address.IsValid()
+}
+
 // Start accepts connections in the background; all handlers must be registered before.
 func (m *Mesh) Start() {
 	l := m.listener
--- a/io/tlprober/prober.go
+++ b/io/tlprober/prober.go
@@ -127,10 +127,7 @@
 
 // Check finds out, after a failure, whether this instance is cut off from all endpoints.
 func (p *Prober) Check(ctx context.Context) bool {
-	p.mu.Lock()
-	isSettled := p.state.IsCut() || p.state.IsFresh(p.o.Now())
-	p.mu.Unlock()
-	if !isSettled {
+	if !p.IsCut() {
 		p.round(ctx)
 	}
 	return p.IsCut()
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -123,6 +123,11 @@
 
 // Close closes the idle connections.
 func (s *Sender) Close() {
+	s.DropIdle()
+}
+
+// DropIdle closes the idle connections, which may be dead without a sign.
+func (s *Sender) DropIdle() {
 	s.transport.CloseIdleConnections()
 }
 
@@ -146,15 +151,7 @@
 		return nil, sendError(ctx, e, p, err)
 	}
 	a.Body = &openBody{a.Body, sync.OnceFunc(s.quiet.end)}
-	reply := &Reply{
-		Status: a.StatusCode,
-		Header: a.Header,
-		Answer: s.codec.DecodeAnswer(a.StatusCode, a.Header),
-		Body:   a.Body,
-		Length: a.ContentLength,
-
-		EndsWithConnection: a.ContentLength < 0 && len(a.TransferEncoding) == 0,
-	}
+	reply := newReply(a, s.codec.DecodeAnswer)
 	isOther := reply.Answer.ID != "" && reply.Answer.ID != r.ID
 	if isOther {
 		// A late answer to an earlier request says nothing of what holds since.
@@ -204,9 +201,14 @@
 		// An empty value prevents the Transport from adding its default.
 		h.Set("User-Agent", "")
 	}
+	return newRequest(ctx, e.Address.String(), r.Target, r, h)
+}
+
+// newRequest returns the HTTP request for a target at an address, with a header.
+func newRequest(ctx context.Context, address, target string, r Request, h http.Header) *http.Request {
 	q := (&http.Request{
 		Method:     r.Method,
-		URL:        targetURL(e.Address.String(), r.Target),
+		URL:        targetURL(address, target),
 		Host:       r.Host,
 		Header:     h,
 		Proto:      "HTTP/1.1",
@@ -217,6 +219,19 @@
 	return q
 }
 
+// newReply returns the reply that an HTTP answer is.
+func newReply(a *http.Response, decode func(status int, h http.Header) tlcall.Answer) *Reply {
+	return &Reply{
+		Status: a.StatusCode,
+		Header: a.Header,
+		Answer: decode(a.StatusCode, a.Header),
+		Body:   a.Body,
+		Length: a.ContentLength,
+
+		EndsWithConnection: a.ContentLength < 0 && len(a.TransferEncoding) == 0,
+	}
+}
+
 func sendError(ctx context.Context, e tlendpoint.Endpoint, p *progress, err error) *Error {
 	f := &Error{Endpoint: e.ID, MayHaveRun: p.mayHaveRun(), Outcome: tlhealth.Broken, Err: err}
 	switch {
