Let a cut instance blame no endpoint and no request for its cut

What others saw: while one instance was cut off from all endpoints, half of their generations were not served, and sound requests were refused for ten minutes. Cause: the instance reported engines that it could not reach as failed or silent to the home, which then placed nothing there for anyone; and a connection that is reset while new ones are refused bears the mark of an endpoint that crashed. Change: before an endpoint or a request is blamed, the prober has settled whether the instance is cut off. If so, and until a second after, a failure frees the place and says nothing of the engine, a silence is not reported, the break counts as no crash, and the own health table takes nothing in.

--- a/io/tlgateway/forward.go
+++ b/io/tlgateway/forward.go
@@ -14,6 +14,7 @@
 	"trefoillanding/core/tlhealth"
 	"trefoillanding/core/tlverdict"
 	"trefoillanding/core/tlwire"
+	"trefoillanding/io/tlbooking"
 	"trefoillanding/io/tlsend"
 )
 
@@ -30,6 +31,8 @@
 )
 
 const (
+	// blameWindow is how long after a cut what goes wrong may still be the cut's doing.
+	blameWindow = time.Second
 	// maxRefusalBytes bounds the body of another instance's refusal.
 	maxRefusalBytes = 64 << 10
 	// CutRetryAfter is the Retry-After where no instance that was asked reaches endpoints.
@@ -74,8 +77,14 @@
 	return x.forwarding == nil && !x.isTrial && x.isCut()
 }
 
-// observe records how a send went.
+// observe records how a send went; what a cut made fail says nothing of the endpoint.
 func (x *exchange) observe(id string, o tlhealth.Outcome, took time.Duration) {
+	switch o {
+	case tlhealth.ConnectFailed, tlhealth.Broken, tlhealth.TimedOut:
+		if x.isCut() {
+			o = tlhealth.CallerGone
+		}
+	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), id, o, took)
 }
 
@@ -218,3 +227,18 @@
 	g.x.forward(a)
 	return true, nil
 }
+
+// isBlame reports whether an event says that an engine failed.
+func isBlame(e tlbooking.Event) bool {
+	switch e {
+	case tlbooking.PrefillFailed, tlbooking.PrefillConnectionBroke, tlbooking.DecodeFailed,
+		tlbooking.DecodeConnectionBroke, tlbooking.DecodeSilent, tlbooking.Stalled:
+		return true
+	}
+	return false
+}
+
+// endsReservation reports whether an event releases the reservation.
+func endsReservation(e tlbooking.Event) bool {
+	return e == tlbooking.DecodeFailed || e == tlbooking.DecodeConnectionBroke
+}
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -206,6 +206,9 @@
 		after = silenceTimeout
 	}
 	t := time.AfterFunc(after, func() {
+		if g.x.checkCut(g.ctx, tlhealth.TimedOut) {
+			return
+		}
 		g.x.step("engine silent", logrus.Fields{"Endpoint": p.decode.ID})
 		g.x.g.deps.Count(EngineSilent)
 		g.report(tlbooking.DecodeSilent, p.decode.ID)
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -307,5 +307,11 @@
 }
 
 func (g *generation) report(e tlbooking.Event, engine string) {
+	if isBlame(e) && g.x.g.deps.Prober.WasCutSince(g.x.g.deps.Now().Add(-blameWindow)) {
+		if !endsReservation(e) {
+			return
+		}
+		e, engine = tlbooking.Ended, ""
+	}
 	g.x.g.deps.Reservations.Report(g.x.service.Name, g.reservation, e, engine)
 }
--- a/io/tlgateway/relocation.go
+++ b/io/tlgateway/relocation.go
@@ -189,6 +189,9 @@
 
 // reportSilence reports the engine while its answer is awaited.
 func (m *relocation) reportSilence() {
+	if m.g.x.checkCut(m.g.ctx, tlhealth.TimedOut) {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.report()
@@ -197,7 +200,7 @@
 // report tells the service's home instance once that the engine is silent, so that
 // other requests avoid it; this one keeps waiting for it. m.mu must be held.
 func (m *relocation) report() {
-	if m.hasReported || !m.isAwaiting || !m.g.hasReservation {
+	if m.hasReported || !m.isAwaiting || !m.g.hasReservation || m.g.x.isCut() {
 		return
 	}
 	m.hasReported = true
--- a/io/tlprober/prober.go
+++ b/io/tlprober/prober.go
@@ -118,6 +118,13 @@
 	return p.state.IsCut()
 }
 
+// WasCutSince reports whether this instance is cut off from all endpoints, or was at a time or later.
+func (p *Prober) WasCutSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.IsCut() || p.state.ChangedAt().After(t)
+}
+
 // Cut returns a channel that is closed while this instance is cut off.
 func (p *Prober) Cut() <-chan struct{} {
 	p.mu.Lock()
