--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -10,6 +10,7 @@
 func (i *Instance) proberOptions() tlprober.Options {
 	return tlprober.Options{
 		Endpoints: i.directory.InUse,
+		IsDoubted: i.directory.IsFailing,
 		Dial:      i.sender.Dial,
 		QuietFor:  i.sender.QuietFor,
 		OnChange:  func(bool) { i.sender.DropIdle() },
--- a/io/tldirectory/directory.go
+++ b/io/tldirectory/directory.go
@@ -267,6 +267,13 @@
 	return d.health.MeanAnswerTime(id)
 }
 
+// IsFailing reports whether the last requests to an endpoint failed.
+func (d *Directory) IsFailing(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.health.IsFailing(id)
+}
+
 // Failing returns the IDs of the endpoints whose last requests failed, sorted.
 func (d *Directory) Failing() []string {
 	d.mu.Lock()
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -120,7 +120,6 @@
 
 func (x *exchange) copyHeader(r *tlsend.Reply) {
 	x.hasAnswered = true
-	x.markForwarded("")
 	h := x.w.Header()
 	for name, values := range x.g.deps.Wire.CleanAnswer(r.Header) {
 		h[name] = values
@@ -132,6 +131,7 @@
 	if _, ok := h["Date"]; !ok {
 		h["Date"] = nil
 	}
+	x.markForwarded("")
 }
 
 func writeJSON(w io.Writer, v any) {
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -103,8 +103,8 @@
 		return
 	}
 	g.hasSentHeader = true
-	g.x.markForwarded(g.version)
 	g.x.copyHeader(r)
+	g.x.markForwarded(g.version)
 	g.x.w.Header().Del("Content-Length")
 	g.x.w.WriteHeader(r.Status)
 }
--- a/io/tlprober/prober.go
+++ b/io/tlprober/prober.go
@@ -43,6 +43,8 @@
 type Options struct {
 	// Endpoints returns the endpoints that are listed and do not leave.
 	Endpoints func() []tlendpoint.Endpoint
+	// IsDoubted reports whether the last sends to an endpoint failed; it is dialled after others.
+	IsDoubted func(id string) bool
 	// Dial opens a connection to an endpoint and closes it.
 	Dial func(context.Context, tlendpoint.Endpoint) error
 	// QuietFor returns how long nothing has been heard while answers are awaited; 0 if none are.
@@ -210,12 +212,22 @@
 	close(ended)
 }
 
-// targets returns the endpoints to dial, in random order.
+// targets returns the endpoints to dial, in random order, those last that are doubted: where
+// most endpoints are down, the others tell that the instance is not cut off.
 func (p *Prober) targets() []tlendpoint.Endpoint {
 	list := slices.Clone(p.o.Endpoints())
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.o.Random.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+	p.mu.Unlock()
+	var last []tlendpoint.Endpoint
+	list = slices.DeleteFunc(list, func(e tlendpoint.Endpoint) bool {
+		isDoubted := p.o.IsDoubted(e.ID)
+		if isDoubted {
+			last = append(last, e)
+		}
+		return isDoubted
+	})
+	list = append(list, last...)
 	return list[:min(len(list), tlreach.MaxRound)]
 }
 
--- a/io/tlprober/prober_test.go
+++ b/io/tlprober/prober_test.go
@@ -47,6 +47,9 @@
 	return nil
 }
 
+// isDoubted reports whether an endpoint is known to refuse.
+func (n *testNetwork) isDoubted(id string) bool { return n.refused != nil && n.refused(id) }
+
 func (n *testNetwork) list() []tlendpoint.Endpoint {
 	var list []tlendpoint.Endpoint
 	for k := range n.endpoints {
@@ -59,7 +62,7 @@
 	l := logrus.New()
 	l.SetOutput(io.Discard)
 	p := New(Options{
-		Endpoints: n.list, Dial: n.dial,
+		Endpoints: n.list, IsDoubted: n.isDoubted, Dial: n.dial,
 		QuietFor: func() time.Duration { return time.Duration(n.quiet.Load()) },
 		OnChange: func(bool) {}, Now: time.Now, Random: rand.New(rand.NewPCG(1, 2)),
 		Log: logrus.NewEntry(l), Count: func(string) {},
@@ -88,7 +91,8 @@
 		{"5 all are silent", &testNetwork{endpoints: 12, silent: all}, true},
 		{"6 all refuse", &testNetwork{endpoints: 12, refused: all}, true},
 		{"7 the only one is silent", &testNetwork{endpoints: 1, silent: all}, false},
-		{"8 one of two is silent", &testNetwork{endpoints: 2, silent: func(id string) bool { return id == "0" }}, false},
+		{"8 all but one of many refuse", &testNetwork{endpoints: 60, refused: func(id string) bool { return id != "7" }}, false},
+		{"9 one of two is silent", &testNetwork{endpoints: 2, silent: func(id string) bool { return id == "0" }}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -21,7 +21,7 @@
 	// dialTimeout bounds the opening of a connection; nothing has been sent by then, so another endpoint can still be tried.
 	dialTimeout = 400 * time.Millisecond
 	// unackedTimeout is how long sent bytes, or keep-alive probes, may stay
-	// unacknowledged, or the peer's window closed. A sound endpoint may be silent for a
+	// unacknowledged, or the peer's window closed; it overrules keepAliveProbes. A sound endpoint may be silent for a
 	// second or two, and TCP doubles the time between retransmissions meanwhile.
 	unackedTimeout = 4 * time.Second
 	// The keep-alive settings detect a connection whose peer stopped responding while an answer is awaited.
