Ask an engine for its incarnation before its version counts as that of a stream

Cause: an endpoint that restarts under its ID may run another version before its entry shows it; a stream that begins there was noted at the version listed. Only answers that continue a stream, and first ones after a break that this instance saw, were checked. Change: an answer counts as the listed incarnation's if its connection was opened before that incarnation, asked, has said that it is there; else it is asked. A first answer that can't be confirmed goes on and leaves the origin unknown; one that continues a stream is dropped, as before. Load queries confirm too.

--- a/gateway/load.go
+++ b/gateway/load.go
@@ -65,11 +65,15 @@
 			continue
 		}
 		asking.Go(func() {
+			asked := time.Now()
 			l, err := i.engineLoad(ctx, e)
 			if err != nil {
 				i.counters.endpoints.Count(reportsFailed)
 				return
 			}
+			if l.Incarnation == e.Incarnation {
+				i.directory.Confirm(asked, e)
+			}
 			i.coordinator.RecordHeldMemory(service, e.ID, l.HeldTokens)
 		})
 	}
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -333,6 +333,26 @@
 	assert.Zero(t, f.arrivals("v1", id))
 }
 
+func TestStreamThatAnotherIncarnationBeganGoesOnAtTheVersionListed(t *testing.T) {
+	t.Parallel()
+	f := newVersionFleet(t, 2)
+	d := f.start("v1", "decode", "v1-d1")
+	for _, i := range f.instances {
+		f.w.eventually(func() bool { return len(i.directory.Endpoints(tlstand.ModelService)) == 1 })
+	}
+	// Another process, of another version, runs behind the entry by now.
+	d.SetBorn(2)
+	s := f.begin(f.instances[0])
+	require.NoError(t, s.response.Body.Close())
+	f.start("v1", "decode", "v1-d2")
+	for _, i := range f.instances {
+		f.w.eventually(func() bool { return len(i.directory.Endpoints(tlstand.ModelService)) == 2 })
+		id, a := f.takeUp(i, s)
+		assert.Equal(t, http.StatusServiceUnavailable, a.status)
+		assert.Zero(t, f.arrivals("v1", id))
+	}
+}
+
 func TestStreamBegunWhileTheStoreIsAwayGoesOnAtAnotherVersion(t *testing.T) {
 	t.Parallel()
 	f := newVersionFleet(t, 3, "v1", "v2")
--- a/io/tldirectory/directory.go
+++ b/io/tldirectory/directory.go
@@ -21,9 +21,9 @@
 	notices  *tlendpoint.Notices
 	health   *tlhealth.Table
 	isLoaded bool
-	// broken holds when endpoints last broke or refused a connection.
-	broken   map[string]time.Time
-	onChange func(id string, before, after bool)
+	// confirmed holds which endpoints have said that they are the incarnation listed.
+	confirmed map[string]confirmation
+	onChange  func(id string, before, after bool)
 }
 
 // New returns an empty directory. onChange is called, without the lock held, when
@@ -34,7 +34,7 @@
 		byID:      map[string]tlendpoint.Endpoint{},
 		notices:   tlendpoint.NewNotices(),
 		health:    tlhealth.New(r),
-		broken:    map[string]time.Time{},
+		confirmed: map[string]confirmation{},
 		onChange:  onChange,
 	}
 }
@@ -47,7 +47,10 @@
 	d.notices.Listed(now, all)
 	d.index()
 	d.health.Retain(all)
-	maps.DeleteFunc(d.broken, func(_ string, at time.Time) bool { return now.Sub(at) >= brokenWindow })
+	maps.DeleteFunc(d.confirmed, func(id string, _ confirmation) bool {
+		_, isListed := d.byID[id]
+		return !isListed
+	})
 }
 
 // index rebuilds the lists; an endpoint that has said that it leaves counts as draining. d.mu must be held.
@@ -233,24 +236,33 @@
 	return d.health.Pick(now, list, avoid, mayRepeat)
 }
 
-// brokenWindow is how long after it broke or refused a connection an endpoint may have
-// restarted without being listed as a new incarnation.
-const brokenWindow = 3 * time.Second
+// confirmation is when an incarnation of an endpoint was last asked for it, and said so.
+type confirmation struct {
+	incarnation int64
+	at          time.Time
+}
+
+// Confirm records that an endpoint, asked at a time, has said that it is the incarnation listed.
+func (d *Directory) Confirm(at time.Time, e tlendpoint.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.confirmed[e.ID] = confirmation{e.Incarnation, at}
+}
 
-// HasBroken reports whether an endpoint has lately broken or refused a connection.
-func (d *Directory) HasBroken(now time.Time, id string) bool {
+// ConfirmedAt returns when an incarnation of an endpoint has last said that it is the one:
+// connections that were opened before lead to it. It is zero if it never has.
+func (d *Directory) ConfirmedAt(e tlendpoint.Endpoint) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	at, ok := d.broken[id]
-	return ok && now.Sub(at) < brokenWindow
+	if c := d.confirmed[e.ID]; c.incarnation == e.Incarnation {
+		return c.at
+	}
+	return time.Time{}
 }
 
 // Observe records the outcome of a request sent to an endpoint and how long it took.
 func (d *Directory) Observe(now time.Time, id string, o tlhealth.Outcome, took time.Duration) {
 	d.mu.Lock()
-	if o == tlhealth.Broken || o == tlhealth.ConnectFailed {
-		d.broken[id] = now
-	}
 	before := d.health.IsFailing(id)
 	d.health.Observe(now, id, o, took)
 	after := d.health.IsFailing(id)
--- a/io/tlgateway/forward.go
+++ b/io/tlgateway/forward.go
@@ -176,7 +176,8 @@
 // attemptForward gives the generation to another instance; its results are those of attempt.
 func (g *generation) attemptForward() (bool, *tlverdict.Error) {
 	g.releaseReservation()
-	g.prepared, g.relocation, g.hasBegun = nil, nil, false
+	g.prepared, g.relocation = nil, nil
+	g.hasBegun, g.isUnconfirmed = false, false
 	if g.possibleRuns > 0 {
 		if e := g.chargeSend(); e != nil {
 			return false, e
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -59,6 +59,9 @@
 	// version is the only version of engines that may continue the stream; empty before it
 	// has begun, or if that is not known.
 	version string
+	// isUnconfirmed says that another incarnation of the engine may be the one that answers,
+	// so that its version is not known.
+	isUnconfirmed bool
 	// lastEventID is the id of the last event sent to the caller.
 	lastEventID string
 	// source is the engine that holds the prompt's KV cache, until sourceExpiry. It
@@ -339,12 +342,14 @@
 
 // forward sends an endpoint's answer to the caller; its results are those of attempt.
 func (g *generation) forward(p placement, r *tlsend.Reply) (bool, *tlverdict.Error) {
-	if err := g.confirm(p.decode); err != nil {
-		return g.forwardUnconfirmed(p, r, err)
-	}
 	if r.Status >= http.StatusMultipleChoices {
 		return g.forwardFailure(p, r)
 	}
+	err := g.confirm(p.decode, r)
+	g.isUnconfirmed = err != nil
+	if err != nil && g.lastEventID != "" {
+		return g.forwardUnconfirmed(p, r, err)
+	}
 	return g.forwardEvents(p, r)
 }
 
--- a/io/tlgateway/takeup.go
+++ b/io/tlgateway/takeup.go
@@ -13,6 +13,7 @@
 	"trefoillanding/core/tlroute"
 	"trefoillanding/core/tlverdict"
 	"trefoillanding/io/tlregistry"
+	"trefoillanding/io/tlsend"
 )
 
 const (
@@ -55,7 +56,7 @@
 
 // noteOrigin records which version begins or continues the stream, so that it goes on at no other one.
 func (g *generation) noteOrigin(e tlendpoint.Endpoint) {
-	if g.version == "" {
+	if g.version == "" && !g.isUnconfirmed {
 		g.version = e.Version
 	}
 	if g.version == "" || !g.x.route.Resumable {
@@ -68,19 +69,24 @@
 	g.x.g.deps.Origins.Note(tlorigin.Origin{Attempt: g.x.call.ID, Service: g.x.service.Name, Version: g.version, Until: until})
 }
 
-// confirm makes sure that the incarnation of an engine that is listed is the one that
-// answers. Its restart may not be listed yet, and under its ID may run another version.
-// The listed one answers now, so it did when the request was sent to it.
-func (g *generation) confirm(e tlendpoint.Endpoint) error {
-	isInDoubt := g.lastEventID != "" || g.x.route.Resumable && g.x.g.deps.Directory.HasBroken(g.x.g.deps.Now(), e.ID)
-	if !isInDoubt || e.Role == tlendpoint.NoRole || e.Incarnation == 0 {
+// confirm makes sure that an answer is that of the incarnation of an engine that is
+// listed. Its restart may not be listed yet, and under its ID may run another version. A
+// connection that was opened before the listed one has said that it is there leads to it.
+func (g *generation) confirm(e tlendpoint.Endpoint, r *tlsend.Reply) error {
+	d := g.x.g.deps
+	isOnce := !g.x.route.Resumable && g.lastEventID == ""
+	if isOnce || e.Role == tlendpoint.NoRole || e.Incarnation == 0 || r.DialedAt.Before(d.Directory.ConfirmedAt(e)) {
 		return nil
 	}
 	ctx, stop := context.WithTimeout(g.ctx, confirmTimeout)
 	defer stop()
-	n, err := g.x.g.deps.Incarnation(ctx, e)
+	asked := d.Now()
+	n, err := d.Incarnation(ctx, e)
 	if err == nil && n != 0 && n != e.Incarnation {
 		err = errOtherIncarnation
 	}
+	if err == nil {
+		d.Directory.Confirm(asked, e)
+	}
 	return err
 }
--- a/io/tlsend/connection.go
+++ b/io/tlsend/connection.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 )
 
 // connection counts the bytes written to it: a request of which no byte was written can't have run.
@@ -11,6 +12,8 @@
 	net.Conn
 	written atomic.Int64
 	onRead  func()
+	// dialed is when the connection was opened.
+	dialed time.Time
 }
 
 // Read reads from the connection.
@@ -50,6 +53,14 @@
 	}
 }
 
+// dialedAt returns when the connection was opened; zero if there is none.
+func (p *progress) dialedAt() time.Time {
+	if c := p.conn.Load(); c != nil {
+		return c.dialed
+	}
+	return time.Time{}
+}
+
 // isConnected reports whether a connection was available for the send.
 func (p *progress) isConnected() bool {
 	return p.conn.Load() != nil
--- a/io/tlsend/request.go
+++ b/io/tlsend/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"trefoillanding/core/tlcall"
 )
@@ -32,6 +33,8 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
+	// DialedAt is when the connection that it came on was opened.
+	DialedAt time.Time
 	// EndsWithConnection says that the body has neither a length nor chunks.
 	EndsWithConnection bool
 }
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: c, onRead: s.quiet.heard}, nil
+	return &connection{Conn: c, onRead: s.quiet.heard, dialed: time.Now()}, nil
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
@@ -152,6 +152,7 @@
 	}
 	a.Body = &openBody{a.Body, sync.OnceFunc(s.quiet.end)}
 	reply := newReply(a, s.codec.DecodeAnswer)
+	reply.DialedAt = p.dialedAt()
 	isOther := reply.Answer.ID != "" && reply.Answer.ID != r.ID
 	if isOther {
 		// A late answer to an earlier request says nothing of what holds since.
