Notice a cut from the endpoints of one service, and ask others whether one has ended

Cause: an instance that reached no endpoint of one service, but those of another, took that for trouble of each endpoint: nothing was forwarded. And where all endpoints of a service end, they looked like a cut, so that their ends did not count as crashes. Change: the prober keeps its state by service. An endpoint that refuses connections has ended if it refuses those of another instance that reaches others of its service; where none can tell, if this instance reaches any endpoint of any service.

--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -27,6 +27,21 @@
 	Service string `json:"Service" yaml:"Service" cbor:"Service"`
 }
 
+// EndedAnswer answers an EndedCall.
+type EndedAnswer struct {
+	// HasEnded says that the endpoint refuses connections.
+	HasEnded bool `json:"HasEnded" yaml:"HasEnded" cbor:"HasEnded"`
+}
+
+// EndedCall asks another instance whether an endpoint refuses its connections.
+type EndedCall struct {
+	// Endpoint is the ID of the endpoint.
+	Endpoint string `json:"Endpoint" yaml:"Endpoint" cbor:"Endpoint"`
+
+	// Incarnation is the endpoint's incarnation.
+	Incarnation int64 `json:"Incarnation" yaml:"Incarnation" cbor:"Incarnation"`
+}
+
 // EngineRate is a moving average of measurements.
 type EngineRate struct {
 	// Average is the moving average.
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -38,6 +38,8 @@
 // cuttableNetwork is an instance's way to endpoints, which can be cut.
 type cuttableNetwork struct {
 	mode atomic.Int32
+	// spared lists the addresses that a cut leaves alone.
+	spared map[string]bool
 
 	mu    sync.Mutex
 	conns map[*cuttableConn]struct{}
@@ -56,7 +58,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.conns {
-		if m == resets {
+		if m == resets && !c.isSpared {
 			_ = c.Conn.Close()
 		}
 	}
@@ -71,7 +73,9 @@
 }
 
 func (n *cuttableNetwork) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	isSpared := n.spared[address]
 	switch {
+	case isSpared:
 	case n.is(resets), n.is(refuses):
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 	case n.is(hangs):
@@ -84,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &cuttableConn{Conn: c, network: n, closed: make(chan struct{})}
+	k := &cuttableConn{Conn: c, network: n, isSpared: isSpared, closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[k] = struct{}{}
@@ -95,12 +99,16 @@
 type cuttableConn struct {
 	net.Conn
 	network *cuttableNetwork
-	once    sync.Once
-	closed  chan struct{}
+	// isSpared says that the cut leaves the connection alone.
+	isSpared bool
+	once     sync.Once
+	closed   chan struct{}
 }
 
+func (c *cuttableConn) hangs() bool { return !c.isSpared && c.network.is(hangs) }
+
 func (c *cuttableConn) wait() {
-	for c.network.is(hangs) {
+	for c.hangs() {
 		c.network.mu.Lock()
 		healed := c.network.healed
 		c.network.mu.Unlock()
@@ -120,7 +128,7 @@
 }
 
 func (c *cuttableConn) Write(b []byte) (int, error) {
-	if !c.network.is(hangs) {
+	if !c.hangs() {
 		return c.Conn.Write(b)
 	}
 	// The kernel takes it in; it arrives after the cut, if the connection is still there.
@@ -160,11 +168,18 @@
 		f.networks, f.instances = append(f.networks, k), append(f.instances, i)
 	}
 	for _, i := range f.instances {
-		f.w.eventually(func() bool { return len(i.gossip.Live()) == 3 && len(i.directory.InUse()) == 6 })
+		f.w.eventually(func() bool {
+			return len(i.gossip.Live()) == 3 && len(i.directory.InUse(tlstand.ModelService))+len(i.directory.InUse(tlstand.PlainService)) == 6
+		})
 	}
 	return f
 }
 
+// isCutOff reports whether an instance is cut off from a service.
+func isCutOff(i *Instance) bool {
+	return i.prober.IsCut(tlstand.ModelService) || i.prober.IsCut(tlstand.PlainService)
+}
+
 func (f *cutFleet) engines() []*tlstand.Endpoint { return f.byVersion["v1"] }
 
 // call sends one call of a kind, drawn by its number, to an instance.
@@ -234,7 +249,7 @@
 			served, sent := f.play(f.instances[0], 2*time.Second)
 			assert.GreaterOrEqual(t, served*10, sent*9, "%d of %d", served, sent)
 			f.networks[0].heal()
-			f.w.eventually(func() bool { return !f.instances[0].prober.IsCut() })
+			f.w.eventually(func() bool { return !isCutOff(f.instances[0]) })
 			forwarded := f.instances[0].counters.gateway.Value(tlgateway.Forwarded)
 			served, sent = f.play(f.instances[0], time.Second)
 			assert.GreaterOrEqual(t, served*10, sent*9, "%d of %d after the cut", served, sent)
@@ -244,6 +259,25 @@
 	}
 }
 
+func TestCallersOfAnInstanceThatIsCutOffFromOneServiceAreNotServed(t *testing.T) {
+	t.Parallel()
+	for name, mode := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newCutFleet(t).shorten()
+			f.networks[0].spared = map[string]bool{}
+			for _, e := range f.plain {
+				f.networks[0].spared[e.Address().String()] = true
+			}
+			f.networks[0].cut(mode)
+			f.play(f.instances[0], time.Second)
+			served, sent := f.play(f.instances[0], time.Second)
+			assert.GreaterOrEqual(t, served*10, sent*9, "%d of %d", served, sent)
+			assert.False(t, f.instances[0].prober.IsCut(tlstand.PlainService))
+		})
+	}
+}
+
 func TestStreamOfAnInstanceThatIsCutOffBreaksOff(t *testing.T) {
 	t.Parallel()
 	for name, mode := range cutModes {
@@ -280,7 +314,7 @@
 		assert.Less(t, time.Since(began), time.Second, "refused at once")
 	}
 	f.networks[2].heal()
-	f.w.eventually(func() bool { return !f.instances[2].prober.IsCut() })
+	f.w.eventually(func() bool { return !isCutOff(f.instances[2]) })
 	served, sent := f.play(f.instances[0], 500*time.Millisecond)
 	assert.GreaterOrEqual(t, served*10, sent*9, "%d of %d", served, sent)
 }
@@ -308,7 +342,7 @@
 		calling.Wait()
 		time.Sleep(repetitionInterval)
 		f.networks[0].heal()
-		f.w.eventually(func() bool { return !f.instances[0].prober.IsCut() })
+		f.w.eventually(func() bool { return !isCutOff(f.instances[0]) })
 	}
 	for _, i := range f.instances {
 		assert.Zero(t, i.counters.guard.Value(tlguard.Crashed))
@@ -354,7 +388,7 @@
 	served, sent := f.play(f.instances[0], 1500*time.Millisecond)
 	assert.GreaterOrEqual(t, served*20, sent*19, "%d of %d", served, sent)
 	assert.Zero(t, f.instances[0].counters.gateway.Value(tlgateway.Forwarded))
-	assert.False(t, f.instances[0].prober.IsCut())
+	assert.False(t, isCutOff(f.instances[0]))
 }
 
 func TestForwardedRequestHasMoreThanItsTime(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,6 +165,7 @@
 	i.followQuarantines()
 	i.handleRecordsCalls()
 	i.handleLeavingReports()
+	i.handleEndedCalls()
 	i.built.Store(true)
 	return nil
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -114,8 +114,7 @@
 func (i *Instance) hasEnded(ctx context.Context, e tlendpoint.Endpoint) bool {
 	k, isUsed := i.directory.Find(e.ID)
 	isLeaving := k.IsSameIncarnation(e) && !isUsed
-	// A cut with resets looks like the end of the endpoint.
-	return !isLeaving && i.sender.HasEnded(ctx, e) && !i.prober.Check(ctx)
+	return !isLeaving && i.sender.HasEnded(ctx, e) && i.hasEndedForOthers(ctx, e)
 }
 
 // homeOf returns the instance that is the home of a service.
--- a/io/tldirectory/directory.go
+++ b/io/tldirectory/directory.go
@@ -198,17 +198,27 @@
 	return d.byService[service]
 }
 
-// InUse returns the endpoints of all services that do not drain.
-func (d *Directory) InUse() []tlendpoint.Endpoint {
+// Services returns the names of the services that have endpoints, sorted.
+func (d *Directory) Services() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := make([]tlendpoint.Endpoint, 0, len(d.byID))
-	for _, e := range d.byID {
-		if !e.IsDraining {
-			list = append(list, e)
-		}
-	}
-	return list
+	return slices.Sorted(maps.Keys(d.byService))
+}
+
+// InUse returns the endpoints of a service that do not drain.
+func (d *Directory) InUse(service string) []tlendpoint.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	isDraining := func(e tlendpoint.Endpoint) bool { return e.IsDraining }
+	return slices.DeleteFunc(slices.Clone(d.byService[service]), isDraining)
+}
+
+// FindListed returns an endpoint by its ID, also one that drains; false if it is unknown.
+func (d *Directory) FindListed(id string) (tlendpoint.Endpoint, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.byID[id]
+	return e, ok
 }
 
 // Find returns an endpoint by its ID; false if it is unknown or draining.
--- a/io/tlgateway/forward.go
+++ b/io/tlgateway/forward.go
@@ -57,16 +57,16 @@
 	ResumeAfter, Resumes string
 }
 
-// isCut reports whether this instance is known to be cut off from all endpoints.
+// isCut reports whether this instance is known to be cut off from all endpoints of the service.
 func (x *exchange) isCut() bool {
-	return x.g.deps.Prober.IsCut()
+	return x.g.deps.Prober.IsCut(x.service.Name)
 }
 
 // checkCut finds out whether a send failed since this instance is cut off from all endpoints.
 func (x *exchange) checkCut(ctx context.Context, o tlhealth.Outcome) bool {
 	switch o {
 	case tlhealth.ConnectFailed, tlhealth.Broken, tlhealth.TimedOut:
-		return x.g.deps.Prober.Check(context.WithoutCancel(ctx))
+		return x.g.deps.Prober.Check(context.WithoutCancel(ctx), x.service.Name)
 	}
 	return x.isCut()
 }
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -307,7 +307,7 @@
 }
 
 func (g *generation) report(e tlbooking.Event, engine string) {
-	if isBlame(e) && g.x.g.deps.Prober.WasCutSince(g.x.g.deps.Now().Add(-blameWindow)) {
+	if isBlame(e) && g.x.g.deps.Prober.WasCutSince(g.x.service.Name, g.x.g.deps.Now().Add(-blameWindow)) {
 		if !endsReservation(e) {
 			return
 		}
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -99,7 +99,7 @@
 func (c *plainRequest) run() {
 	hedge := time.NewTimer(c.hedgeDelay())
 	defer hedge.Stop()
-	cut := c.x.g.deps.Prober.Cut()
+	cut := c.x.g.deps.Prober.Cut(c.x.service.Name)
 	if c.x.isCut() {
 		cut = nil
 	}
--- a/io/tlprober/prober.go
+++ b/io/tlprober/prober.go
@@ -41,16 +41,18 @@
 
 // Options holds what a Prober depends on.
 type Options struct {
-	// Endpoints returns the endpoints that are listed and do not leave.
-	Endpoints func() []tlendpoint.Endpoint
+	// Services returns the names of the services that have endpoints, and Endpoints those of
+	// a service that do not leave.
+	Services  func() []string
+	Endpoints func(service string) []tlendpoint.Endpoint
 	// IsDoubted reports whether the last sends to an endpoint failed; it is dialled after others.
 	IsDoubted func(id string) bool
 	// Dial opens a connection to an endpoint and closes it.
 	Dial func(context.Context, tlendpoint.Endpoint) error
 	// QuietFor returns how long nothing has been heard while answers are awaited; 0 if none are.
 	QuietFor func() time.Duration
-	// OnChange is called when the instance is cut off, or reaches endpoints again.
-	OnChange func(isCut bool)
+	// OnChange is called when the instance is cut off from a service, or reaches it again.
+	OnChange func(service string, isCut bool)
 	// Now returns the current time.
 	Now func() time.Time
 	// Random returns a source of random numbers.
@@ -61,7 +63,7 @@
 	Count func(reason string)
 }
 
-// Prober knows whether this instance reaches endpoints.
+// Prober knows whether this instance reaches the endpoints of each service.
 type Prober struct {
 	o    Options
 	done chan struct{}
@@ -70,27 +72,42 @@
 	// dialling counts the rounds under way; none begins after stop was called.
 	dialling sync.WaitGroup
 
-	mu    sync.Mutex
+	mu        sync.Mutex
+	byService map[string]*way
+}
+
+// way is what is known of the way to a service.
+type way struct {
 	state tlreach.State
 	// ended is closed when the round under way has ended; nil if there is none.
 	ended chan struct{}
-	// cut is closed once the instance is cut off.
+	// cut is closed while the instance is cut off.
 	cut chan struct{}
 }
 
 // New returns a Prober that has tried nothing yet.
 func New(o Options) *Prober {
-	p := &Prober{o: o, done: make(chan struct{}), cut: make(chan struct{})}
+	p := &Prober{o: o, done: make(chan struct{}), byService: map[string]*way{}}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p
 }
 
+// wayTo returns what is known of the way to a service; p.mu must be held.
+func (p *Prober) wayTo(service string) *way {
+	w := p.byService[service]
+	if w == nil {
+		w = &way{cut: make(chan struct{})}
+		p.byService[service] = w
+	}
+	return w
+}
+
 // Run looks for cuts that nothing else shows, and for their ends, until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
 	defer close(p.done)
 	t := time.NewTicker(quietCheckInterval)
 	defer t.Stop()
-	var looked time.Time
+	var looked, retried time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -99,58 +116,91 @@
 		case <-t.C:
 		}
 		now := p.o.Now()
-		isQuiet := p.o.QuietFor() >= quietAfter && now.Sub(looked) >= quietInterval
-		isDue := p.IsCut() && now.Sub(looked) >= retryInterval
-		if isQuiet || isDue {
+		if p.o.QuietFor() >= quietAfter && now.Sub(looked) >= quietInterval {
 			looked = now
-			p.round(ctx)
+			p.roundOf(ctx, p.o.Services())
+		}
+		if now.Sub(retried) >= retryInterval {
+			retried = now
+			p.roundOf(ctx, p.cutServices())
 		}
 	}
 }
 
+// roundOf dials endpoints of each of some services.
+func (p *Prober) roundOf(ctx context.Context, services []string) {
+	var dialling sync.WaitGroup
+	for _, service := range services {
+		dialling.Go(func() { p.round(ctx, service) })
+	}
+	dialling.Wait()
+}
+
+// cutServices returns the services from which this instance is cut off.
+func (p *Prober) cutServices() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for service, w := range p.byService {
+		if w.state.IsCut() {
+			list = append(list, service)
+		}
+	}
+	return list
+}
+
 // Done returns a channel that is closed when Run has ended.
 func (p *Prober) Done() <-chan struct{} {
 	return p.done
 }
 
-// IsCut reports whether this instance is known to be cut off from all endpoints.
-func (p *Prober) IsCut() bool {
+// IsCut reports whether this instance is known to be cut off from all endpoints of a service.
+func (p *Prober) IsCut(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state.IsCut()
+	return p.wayTo(service).state.IsCut()
 }
 
-// WasCutSince reports whether this instance is cut off from all endpoints, or was at a time or later.
-func (p *Prober) WasCutSince(t time.Time) bool {
+// WasCutSince reports whether this instance is cut off from a service, or was at a time or later.
+func (p *Prober) WasCutSince(service string, t time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state.IsCut() || p.state.ChangedAt().After(t)
+	w := p.wayTo(service)
+	return w.state.IsCut() || w.state.ChangedAt().After(t)
 }
 
-// Cut returns a channel that is closed while this instance is cut off.
-func (p *Prober) Cut() <-chan struct{} {
+// Cut returns a channel that is closed while this instance is cut off from a service.
+func (p *Prober) Cut(service string) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cut
+	return p.wayTo(service).cut
 }
 
-// Check finds out, after a failure, whether this instance is cut off from all endpoints.
-func (p *Prober) Check(ctx context.Context) bool {
-	if !p.IsCut() {
-		p.round(ctx)
+// Check finds out, after a failure, whether this instance is cut off from all endpoints of a service.
+func (p *Prober) Check(ctx context.Context, service string) bool {
+	if !p.IsCut(service) {
+		p.round(ctx, service)
 	}
-	return p.IsCut()
+	return p.IsCut(service)
+}
+
+// CheckAll finds out whether this instance is cut off from all services.
+func (p *Prober) CheckAll(ctx context.Context) bool {
+	services := p.o.Services()
+	p.roundOf(ctx, services)
+	return !slices.ContainsFunc(services, func(s string) bool { return !p.IsCut(s) })
 }
 
-// round dials endpoints, unless another round is under way, and waits for its end.
-func (p *Prober) round(ctx context.Context) {
+// round dials endpoints of a service, unless another round is under way, and waits for its end.
+func (p *Prober) round(ctx context.Context, service string) {
 	p.mu.Lock()
-	ended := p.ended
+	w := p.wayTo(service)
+	ended := w.ended
 	if ended == nil && p.ctx.Err() == nil {
 		ended = make(chan struct{})
-		p.ended = ended
+		w.ended = ended
 		// The round is for all who wait, not only for the one who began it.
-		p.dialling.Go(func() { p.dialAll(ended) })
+		p.dialling.Go(func() { p.dialAll(service, w) })
 	}
 	p.mu.Unlock()
 	if ended == nil {
@@ -162,7 +212,7 @@
 	}
 }
 
-// end ends the round under way; none begins afterwards.
+// end ends the rounds under way; none begins afterwards.
 func (p *Prober) end() {
 	p.mu.Lock()
 	p.stop()
@@ -170,12 +220,12 @@
 	p.dialling.Wait()
 }
 
-// dialAll dials some endpoints, and more if the first give no word.
-func (p *Prober) dialAll(ended chan struct{}) {
+// dialAll dials some endpoints of a service, and more if the first give no word.
+func (p *Prober) dialAll(service string, w *way) {
 	p.o.Count(Rounds)
 	began := p.o.Now()
 	ctx, stop := context.WithTimeout(p.ctx, moreAfter+dialTimeout)
-	list := p.targets()
+	list := p.targets(service)
 	results := make(chan error, len(list))
 	var dialling sync.WaitGroup
 	dialled := 0
@@ -202,20 +252,20 @@
 		}
 	}
 	if p.ctx.Err() == nil {
-		p.settle(began, dialled, reached)
+		p.settle(service, w, began, dialled, reached)
 	}
 	stop()
 	dialling.Wait()
 	p.mu.Lock()
-	p.ended = nil
-	p.mu.Unlock()
-	close(ended)
+	defer p.mu.Unlock()
+	close(w.ended)
+	w.ended = nil
 }
 
-// targets returns the endpoints to dial, in random order, those last that are doubted: where
+// targets returns the endpoints of a service to dial, in random order, those last that are doubted: where
 // most endpoints are down, the others tell that the instance is not cut off.
-func (p *Prober) targets() []tlendpoint.Endpoint {
-	list := slices.Clone(p.o.Endpoints())
+func (p *Prober) targets(service string) []tlendpoint.Endpoint {
+	list := slices.Clone(p.o.Endpoints(service))
 	p.mu.Lock()
 	p.o.Random.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
 	p.mu.Unlock()
@@ -232,17 +282,17 @@
 }
 
 // settle takes in what a round has shown.
-func (p *Prober) settle(began time.Time, tried int, reached bool) {
+func (p *Prober) settle(service string, w *way, began time.Time, tried int, reached bool) {
 	now := p.o.Now()
 	p.mu.Lock()
-	before := p.state.ChangedAt()
-	isChange := p.state.Round(began, now, tried, reached)
-	isCut := p.state.IsCut()
+	before := w.state.ChangedAt()
+	isChange := w.state.Round(began, now, tried, reached)
+	isCut := w.state.IsCut()
 	switch {
 	case isChange && isCut:
-		close(p.cut)
+		close(w.cut)
 	case isChange:
-		p.cut = make(chan struct{})
+		w.cut = make(chan struct{})
 	}
 	p.mu.Unlock()
 	if !isChange {
@@ -250,9 +300,9 @@
 	}
 	if isCut {
 		p.o.Count(CutOff)
-		p.o.Log.WithField("Tried", tried).Warn("cut off from all endpoints")
+		p.o.Log.WithFields(logrus.Fields{"Service": service, "Tried": tried}).Warn("cut off from all endpoints")
 	} else {
-		p.o.Log.WithField("CutMs", now.Sub(before).Milliseconds()).Info("endpoints reached again")
+		p.o.Log.WithFields(logrus.Fields{"Service": service, "CutMs": now.Sub(before).Milliseconds()}).Info("endpoints reached again")
 	}
-	p.o.OnChange(isCut)
+	p.o.OnChange(service, isCut)
 }
--- a/io/tlprober/prober_test.go
+++ b/io/tlprober/prober_test.go
@@ -62,9 +62,10 @@
 	l := logrus.New()
 	l.SetOutput(io.Discard)
 	p := New(Options{
-		Endpoints: n.list, IsDoubted: n.isDoubted, Dial: n.dial,
+		Services:  func() []string { return []string{"s"} },
+		Endpoints: func(string) []tlendpoint.Endpoint { return n.list() }, IsDoubted: n.isDoubted, Dial: n.dial,
 		QuietFor: func() time.Duration { return time.Duration(n.quiet.Load()) },
-		OnChange: func(bool) {}, Now: time.Now, Random: rand.New(rand.NewPCG(1, 2)),
+		OnChange: func(string, bool) {}, Now: time.Now, Random: rand.New(rand.NewPCG(1, 2)),
 		Log: logrus.NewEntry(l), Count: func(string) {},
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -99,7 +100,7 @@
 			t.Parallel()
 			p := newProber(t, c.network)
 			began := time.Now()
-			assert.Equal(t, c.isCut, p.Check(context.Background()))
+			assert.Equal(t, c.isCut, p.Check(context.Background(), "s"))
 			assert.Less(t, time.Since(began), time.Second)
 		})
 	}
@@ -111,7 +112,7 @@
 	p := newProber(t, n)
 	var asking sync.WaitGroup
 	for range 50 {
-		asking.Go(func() { assert.True(t, p.Check(context.Background())) })
+		asking.Go(func() { assert.True(t, p.Check(context.Background(), "s")) })
 	}
 	asking.Wait()
 	assert.LessOrEqual(t, int(n.dials.Load()), 24)
@@ -121,15 +122,15 @@
 	n := &testNetwork{endpoints: 3}
 	n.isCut.Store(true)
 	p := newProber(t, n)
-	assert.True(t, p.Check(context.Background()))
+	assert.True(t, p.Check(context.Background(), "s"))
 	select {
-	case <-p.Cut():
+	case <-p.Cut("s"):
 	default:
 		t.Error("those who wait for a cut are not told")
 	}
 	n.isCut.Store(false)
 	back := time.Now()
-	assert.Eventually(t, func() bool { return !p.IsCut() }, testTimeout, 5*time.Millisecond)
+	assert.Eventually(t, func() bool { return !p.IsCut("s") }, testTimeout, 5*time.Millisecond)
 	assert.Less(t, time.Since(back), time.Second)
 }
 
@@ -138,7 +139,7 @@
 	p := newProber(t, n)
 	n.isCut.Store(true)
 	n.quiet.Store(int64(time.Second))
-	assert.Eventually(t, p.IsCut, testTimeout, 5*time.Millisecond)
+	assert.Eventually(t, func() bool { return p.IsCut("s") }, testTimeout, 5*time.Millisecond)
 }
 
 func TestCallerWhoLeavesEndsTheRoundOfOthers(t *testing.T) {
@@ -147,6 +148,6 @@
 	p := newProber(t, n)
 	ctx, leave := context.WithCancel(context.Background())
 	leave()
-	p.Check(ctx)
-	assert.True(t, p.Check(context.Background()))
+	p.Check(ctx, "s")
+	assert.True(t, p.Check(context.Background(), "s"))
 }
