Test that a drain waits for what another instance forwarded

Cause: what a peer serves for a cut instance is not on the listener of callers, whose shutdown a drain waits for.

--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -391,6 +391,33 @@
 	assert.False(t, isCutOff(f.instances[0]))
 }
 
+func TestDrainCutsARequestThatAnotherInstanceForwarded(t *testing.T) {
+	t.Parallel()
+	f := newCutFleet(t)
+	f.networks[0].cut(refuses)
+	answered := make(chan answer, 1)
+	go func() {
+		c := plainStreamCall("id")
+		c.Deadline = testTimeout
+		answered <- f.w.call(f.instances[0], c)
+	}()
+	var peer *Instance
+	f.w.eventually(func() bool {
+		for _, i := range f.instances[1:] {
+			if i.open() > 0 && f.arrivals("v1", "id") > 0 {
+				peer = i
+			}
+		}
+		return peer != nil
+	})
+	peer.Drain(context.Background())
+	closeOnce(peer)
+	a := <-answered
+	assert.Equal(t, http.StatusOK, a.status)
+	assert.True(t, a.isComplete)
+	assert.EqualValues(t, 1, f.instances[0].counters.gateway.Value(tlgateway.Forwarded))
+}
+
 func TestForwardedRequestHasMoreThanItsTime(t *testing.T) {
 	t.Parallel()
 	f := newCutFleet(t)
