Read the log of origins no more often than it is written

Cause: a caller that takes up streams which nobody knows had each take-up read the log. Change: the least time between two appends holds between two reads as well; those who ask meanwhile are served by the next read.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -17,16 +17,16 @@
 
 func (i *Instance) registryOptions() tlregistry.Options {
 	return tlregistry.Options{
-		Self:           i.settings.Name,
-		Mesh:           i.mesh,
-		Home:           i.homeOf,
-		Post:           i.outboxPost,
-		Append:         i.appendOrigins,
-		Read:           i.readOrigins,
-		AppendInterval: i.originsInterval,
-		Now:            time.Now,
-		Log:            i.log,
-		Count:          i.counters.origins.Count,
+		Self:         i.settings.Name,
+		Mesh:         i.mesh,
+		Home:         i.homeOf,
+		Post:         i.outboxPost,
+		Append:       i.appendOrigins,
+		Read:         i.readOrigins,
+		CallInterval: i.originsInterval,
+		Now:          time.Now,
+		Log:          i.log,
+		Count:        i.counters.origins.Count,
 	}
 }
 
@@ -48,8 +48,9 @@
 	return b, 0, false, err
 }
 
-// originsInterval returns the least time between two appends to the log of origins, at
-// which all instances together stay within their share of the store's write calls.
+// originsInterval returns the least time between two appends to the log of origins, and
+// between two reads of it, at which all instances together stay within their share of the
+// store's write calls; it takes several times as many reads.
 func (i *Instance) originsInterval() time.Duration {
 	return time.Duration(float64(i.fleetSize()) * float64(time.Second) / (originsWriteShare * i.settings.Gateway.StoreWrites))
 }
--- a/io/tlregistry/lookup.go
+++ b/io/tlregistry/lookup.go
@@ -78,7 +78,12 @@
 	if r.readBegan.After(since) {
 		return nil
 	}
+	sleep(ctx, r.nextRead.Sub(r.o.Now()))
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	began := r.o.Now()
+	r.nextRead = began.Add(r.o.CallInterval())
 	for {
 		b, first, isCompacted, err := r.o.Read(ctx, r.position.Offset)
 		switch {
--- a/io/tlregistry/registry.go
+++ b/io/tlregistry/registry.go
@@ -72,8 +72,8 @@
 	// Read returns records of the log from an offset on; if they have been deleted, it
 	// returns the offset of the first that has not, and true.
 	Read func(ctx context.Context, from uint64) (b tlkeyed.Batch, first uint64, isCompacted bool, err error)
-	// AppendInterval returns the least time between two appends.
-	AppendInterval func() time.Duration
+	// CallInterval returns the least time between two appends, and between two reads of the log.
+	CallInterval func() time.Duration
 	// Now returns the current time.
 	Now func() time.Time
 	// Log receives failures of the log.
@@ -89,9 +89,11 @@
 	// wake signals that there is something to append.
 	wake chan struct{}
 
-	// reading guards position and readBegan while the log is read.
+	// reading guards position, readBegan and nextRead while the log is read.
 	reading  chan struct{}
 	position tlkeyed.Position
+	// nextRead is when the log may be read again.
+	nextRead time.Time
 	// readBegan is when the last read that succeeded began.
 	readBegan time.Time
 
--- a/io/tlregistry/registry_test.go
+++ b/io/tlregistry/registry_test.go
@@ -113,7 +113,7 @@
 	r := New(Options{
 		Self: "a", Mesh: m, Home: func(string) string { return "a" },
 		Post:   func(string, string, func(context.Context) error) {},
-		Append: l.append, Read: l.read, AppendInterval: func() time.Duration { return interval },
+		Append: l.append, Read: l.read, CallInterval: func() time.Duration { return interval },
 		Now: time.Now, Log: logrus.NewEntry(log), Count: func(string) {},
 	})
 	m.Start()
@@ -255,6 +255,17 @@
 	assert.LessOrEqual(t, l.counted(&l.reads), 4)
 }
 
+func TestReadsExceedTheirShareOfTheLogsRate(t *testing.T) {
+	l := &testLog{era: 1}
+	r := newRegistry(t, l, 50*time.Millisecond)
+	began := time.Now()
+	for n := range 6 {
+		_, err := r.Find(context.Background(), "s", fmt.Sprint("unknown", n))
+		assert.ErrorIs(t, err, ErrNotKnown)
+	}
+	assert.LessOrEqual(t, l.counted(&l.reads), int(time.Since(began)/(50*time.Millisecond))+1)
+}
+
 func TestAppendsExceedTheirShareOfTheLogsRate(t *testing.T) {
 	l := &testLog{era: 1}
 	r := newRegistry(t, l, 50*time.Millisecond)
--- a/io/tlregistry/write.go
+++ b/io/tlregistry/write.go
@@ -56,7 +56,7 @@
 		for range list {
 			r.o.Count(Written)
 		}
-		sleep(ctx, r.o.AppendInterval())
+		sleep(ctx, r.o.CallInterval())
 	}
 }
 
