Let an instance that knows an endpoint to leave say so when asked for its end

Change: the instance that is asked whether an endpoint has ended says no if it is listed as draining there.

--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -54,14 +54,14 @@
 	return !i.prober.CheckAll(ctx)
 }
 
-// handleEndedCalls answers other instances that ask whether an endpoint has ended.
+// handleEndedCalls answers other instances that ask whether an endpoint has ended, other than on purpose.
 func (i *Instance) handleEndedCalls() {
 	tlpeer.Handle(i.mesh, kindEnded, func(ctx context.Context, _ tlpeer.Peer, c tlwire.EndedCall) (tlwire.EndedAnswer, error) {
 		e, ok := i.directory.FindListed(c.Endpoint)
 		if !ok || e.Incarnation != c.Incarnation {
 			return tlwire.EndedAnswer{}, errNotListed
 		}
-		hasEnded := i.sender.HasEnded(ctx, e)
+		hasEnded := !e.IsDraining && i.sender.HasEnded(ctx, e)
 		if hasEnded && i.prober.Check(ctx, e.Service) {
 			return tlwire.EndedAnswer{}, errCutOff
 		}
