Say once what a cut may cause, how it is refused and how the agent is left out

Cause: reading the change again: the refusal of a cut instance, the outcomes that a cut may cause, and the empty User-Agent stood twice each. Change: CutOffError and mayBeCut in io/tlgateway, newRequest in io/tlsend serve both places. Behaviour stays.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"trefoillanding/core/tlhealth"
-	"trefoillanding/core/tlverdict"
 	"trefoillanding/io/tlgateway"
 	"trefoillanding/io/tlsend"
 	"trefoillanding/platform"
@@ -107,8 +106,7 @@
 		}
 		failed = err
 	}
-	refusal := tlverdict.New(tlverdict.CutOff, "no instance that was asked reaches an endpoint").WithRetryAfter(tlgateway.CutRetryAfter)
-	return nil, last, &tlsend.Error{Endpoint: last, Outcome: tlhealth.Refused, Err: errors.Join(refusal, failed)}
+	return nil, last, &tlsend.Error{Endpoint: last, Outcome: tlhealth.Refused, Err: errors.Join(tlgateway.CutOffError(), failed)}
 }
 
 func (i *Instance) forwardHeader(f tlgateway.Forward) http.Header {
@@ -120,10 +118,6 @@
 	if t := i.settings.Security.PeerToken; t != "" {
 		h.Set(headerForwardToken, t)
 	}
-	if _, ok := h["User-Agent"]; !ok {
-		// An empty value prevents the Transport from adding its default.
-		h.Set("User-Agent", "")
-	}
 	return h
 }
 
--- a/io/tlgateway/forward.go
+++ b/io/tlgateway/forward.go
@@ -35,8 +35,8 @@
 	blameWindow = time.Second
 	// maxRefusalBytes bounds the body of another instance's refusal.
 	maxRefusalBytes = 64 << 10
-	// CutRetryAfter is the Retry-After where no instance that was asked reaches endpoints.
-	CutRetryAfter = 500 * time.Millisecond
+	// cutRetryAfter is the Retry-After where no instance that was asked reaches endpoints.
+	cutRetryAfter = 500 * time.Millisecond
 )
 
 // Forwarding is what an instance that is cut off from all endpoints says of a request
@@ -62,10 +62,14 @@
 	return x.g.deps.Prober.IsCut(x.service.Name)
 }
 
+// mayBeCut reports whether a send may have failed so since this instance is cut off.
+func mayBeCut(o tlhealth.Outcome) bool {
+	return o == tlhealth.ConnectFailed || o == tlhealth.Broken || o == tlhealth.TimedOut
+}
+
 // checkCut finds out whether a send failed since this instance is cut off from all endpoints.
 func (x *exchange) checkCut(ctx context.Context, o tlhealth.Outcome) bool {
-	switch o {
-	case tlhealth.ConnectFailed, tlhealth.Broken, tlhealth.TimedOut:
+	if mayBeCut(o) {
 		return x.g.deps.Prober.Check(context.WithoutCancel(ctx), x.service.Name)
 	}
 	return x.isCut()
@@ -79,11 +83,8 @@
 
 // observe records how a send went; what a cut made fail says nothing of the endpoint.
 func (x *exchange) observe(id string, o tlhealth.Outcome, took time.Duration) {
-	switch o {
-	case tlhealth.ConnectFailed, tlhealth.Broken, tlhealth.TimedOut:
-		if x.isCut() {
-			o = tlhealth.CallerGone
-		}
+	if mayBeCut(o) && x.isCut() {
+		o = tlhealth.CallerGone
 	}
 	x.g.deps.Directory.Observe(x.g.deps.Now(), id, o, took)
 }
@@ -166,11 +167,12 @@
 	if x.forwarding == nil || !x.isCut() {
 		return nil
 	}
-	return cutOffError()
+	return CutOffError()
 }
 
-func cutOffError() *tlverdict.Error {
-	return tlverdict.New(tlverdict.CutOff, "no instance that was asked reaches an endpoint").WithRetryAfter(CutRetryAfter)
+// CutOffError returns the refusal of a request that no instance can serve which was asked.
+func CutOffError() *tlverdict.Error {
+	return tlverdict.New(tlverdict.CutOff, "no instance that was asked reaches an endpoint").WithRetryAfter(cutRetryAfter)
 }
 
 // attemptForward gives the generation to another instance; its results are those of attempt.
@@ -212,7 +214,7 @@
 		return g.finalError(e)
 	}
 	if g.ctx.Err() != nil || !g.mayRetry() {
-		return g.finalError(cutOffError())
+		return g.finalError(CutOffError())
 	}
 	return nil
 }
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -198,15 +198,15 @@
 	h := r.Header.Clone()
 	c.Endpoint = e.ID
 	s.codec.EncodeSend(h, c)
-	if _, ok := h["User-Agent"]; !ok {
-		// An empty value prevents the Transport from adding its default.
-		h.Set("User-Agent", "")
-	}
 	return newRequest(ctx, e.Address.String(), r.Target, r, h)
 }
 
-// newRequest returns the HTTP request for a target at an address, with a header.
+// newRequest returns the HTTP request for a target at an address, with a header, which it keeps.
 func newRequest(ctx context.Context, address, target string, r Request, h http.Header) *http.Request {
+	if _, ok := h["User-Agent"]; !ok {
+		// An empty value prevents the Transport from adding its default.
+		h.Set("User-Agent", "")
+	}
 	q := (&http.Request{
 		Method:     r.Method,
 		URL:        targetURL(address, target),
