review: case 2, a success without id and seal reaches the client

Cause: the sender accepts an answer without an attempt id, and nothing looks at the seal of a success.

--- a/review/_stand/keyed.go
+++ b/review/_stand/keyed.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,13 @@
 		return false, err
 	}
 	var lostCount atomic.Int64
+	// KEY=0 leaves the header out, to show that it makes the difference.
+	header := func(id string) map[string]string {
+		if os.Getenv("KEY") == "0" {
+			return nil
+		}
+		return map[string]string{"Idempotency-Key": "key-" + id}
+	}
 	lose := func(e *replica) {
 		e.setAfter(func(a http.ResponseWriter, id string) bool {
 			if rand.Float64() >= lost {
@@ -77,7 +85,7 @@
 		sending.Go(func() {
 			o := c.do(g.listen, request{
 				id: id, method: http.MethodPost, path: tlstand.AtMostOncePath + "invoices/" + id + "/confirm",
-				deadline: 1500 * time.Millisecond, header: map[string]string{"Idempotency-Key": "key-" + id},
+				deadline: 1500 * time.Millisecond, header: header(id),
 			})
 			mu.Lock()
 			status[o.status]++
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -17,7 +17,9 @@
 
 // cases holds the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(w *world, hasTrouble bool) (isBroken bool, err error){
-	"keyed-payments": keyedPayments,
+	"chaos":            chaos,
+	"keyed-payments":   keyedPayments,
+	"garbled-payments": garbledPayments,
 }
 
 func main() {
