--- a/review/_stand/engine.go
+++ b/review/_stand/engine.go
@@ -39,7 +39,7 @@
 }
 
 func (w *world) newEngine(id, service, zone, phase, version string) *engine {
-	return &engine{w: w, id: id, service: service, zone: zone, phase: phase, version: version, address: freeAddress(), events: 30, every: 60 * time.Millisecond, runs: map[string]int{}}
+	return &engine{w: w, id: id, service: service, zone: zone, phase: phase, version: version, address: freeAddress(freeIP()), events: 30, every: 60 * time.Millisecond, runs: map[string]int{}}
 }
 
 // start starts the engine, or starts it again, with a version of its software.
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -18,6 +18,8 @@
 // cases holds the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(w *world, hasTrouble bool) (isBroken bool, err error){
 	"chaos":            chaos,
+	"failed-payments":  failedPayments,
+	"doubled-slashes":  doubledSlashes,
 	"keyed-payments":   keyedPayments,
 	"garbled-payments": garbledPayments,
 }
--- a/review/_stand/replica.go
+++ b/review/_stand/replica.go
@@ -22,6 +22,8 @@
 	work    time.Duration
 	// after, if set, is called once a request has run, and reports whether it dealt with the answer.
 	after func(w http.ResponseWriter, id string) bool
+	// onRun, if set, is told of each run: its request's id, method and target.
+	onRun func(id, method, target string)
 
 	mu       sync.Mutex
 	runs     map[string]int
@@ -95,6 +97,9 @@
 	n := e.runs[id]
 	e.mu.Unlock()
 	e.w.note("replica %s runs %s, run %d, on connection %s", e.id, id, n, r.RemoteAddr)
+	if e.onRun != nil {
+		e.onRun(id, r.Method, r.RequestURI)
+	}
 	time.Sleep(e.work)
 	e.mu.Lock()
 	after := e.after
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -72,8 +73,15 @@
 	fmt.Printf(format+"\n", a...)
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// freeIP returns a loopback address of which nobody else takes ports: those of 127.0.0.1
+// go to outgoing connections at any time.
+func freeIP() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(256), 1+rand.IntN(250))
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(ip string) string {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		panic(err)
 	}
@@ -99,9 +107,10 @@
 
 // startGateway starts a process with the run command of the deploy file.
 func (w *world) startGateway(name, zone string) (*gatewayProcess, error) {
-	g := &gatewayProcess{name: name, zone: zone, listen: freeAddress(), readiness: freeAddress(), lookup: freeAddress(), metrics: freeAddress()}
+	ip := freeIP()
+	g := &gatewayProcess{name: name, zone: zone, listen: freeAddress(ip), readiness: freeAddress(ip), lookup: freeAddress(ip), metrics: freeAddress(ip)}
 	file := filepath.Join(w.dir, name+".yaml")
-	if err := os.WriteFile(file, []byte(w.settings(g, freeAddress())), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(w.settings(g, freeAddress(ip))), 0o600); err != nil {
 		return nil, err
 	}
 	w.gateways = append(w.gateways, g)
