review: case 5, another writer's entry brings back a replica that has left

Cause: an entry in which fields are missing counts as one of a replica.

Change: a script in which a replica leaves and another writer puts such an entry under its id.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -20,6 +20,7 @@
 	"chaos":            chaos,
 	"failed-payments":  failedPayments,
 	"doubled-slashes":  doubledSlashes,
+	"foreign-entry":    foreignEntry,
 	"keyed-payments":   keyedPayments,
 	"garbled-payments": garbledPayments,
 }
