--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -17,10 +17,9 @@
 
 // cases holds the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(w *world, hasTrouble bool) (isBroken bool, err error){
-	"chaos":            chaos,
-	"failed-payments":  failedPayments,
 	"doubled-slashes":  doubledSlashes,
 	"foreign-entry":    foreignEntry,
+	"uploads":          uploads,
 	"keyed-payments":   keyedPayments,
 	"garbled-payments": garbledPayments,
 }
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -273,11 +272,3 @@
 	c.w.note("client gets %s: %s, %d bytes", r.id, o, len(b))
 	return o
 }
-
-func mustJSON(v any) []byte {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return b
-}
