review: a stand-in of engines, and streams whose origin only a killed process knew

Cause: while the store is away only the home of a service holds the origins of the streams that it serves itself.

Change: a script (not yet a case) that has the store down for 8 s and kills the home 2 s before it returns.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -21,6 +21,7 @@
 	"foreign-entry":    foreignEntry,
 	"uploads":          uploads,
 	"keyed-payments":   keyedPayments,
+	"lost-origins":     lostOrigins,
 	"garbled-payments": garbledPayments,
 }
 
