--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -18,7 +18,6 @@
 // cases holds the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(w *world, hasTrouble bool) (isBroken bool, err error){
 	"doubled-slashes":  doubledSlashes,
-	"foreign-entry":    foreignEntry,
 	"uploads":          uploads,
 	"keyed-payments":   keyedPayments,
 	"lost-origins":     lostOrigins,
--- a/review/_stand/origins.go
+++ b/review/_stand/origins.go
@@ -83,6 +83,8 @@
 	const (
 		every   = 70 * time.Millisecond
 		downAt  = 6 * time.Second
+		copyAt  = 6500 * time.Millisecond
+		drillAt = 12500 * time.Millisecond
 		killAt  = 12 * time.Second
 		backAt  = 14 * time.Second
 		startAt = 15500 * time.Millisecond
@@ -96,6 +98,7 @@
 		}
 	}
 	w.putConfig(config)
+	var engines []*engine
 	for k := range 6 {
 		phase := "decode"
 		if k < 2 {
@@ -107,6 +110,7 @@
 			return false, err
 		}
 		e.put("ready")
+		engines = append(engines, e)
 	}
 	// The first to start is the oldest, which is the home of each service.
 	for k := range 3 {
@@ -128,9 +132,33 @@
 			f()
 		})
 	}
+	// DRILL=1 has the store come back from a copy that is 6 s old, after a moment away, in
+	// place of the outage.
+	if hasTrouble && os.Getenv("DRILL") == "1" {
+		var old tlstand.Copy
+		at(copyAt, func() {
+			old = w.store.Copy()
+			w.note("a copy of the store is made")
+		})
+		at(drillAt, func() {
+			w.note("the store is away for a moment")
+			w.store.SetIntercept(func(a http.ResponseWriter, _ *http.Request) bool {
+				a.WriteHeader(http.StatusServiceUnavailable)
+				return true
+			})
+			time.Sleep(500 * time.Millisecond)
+			w.store.GoBack(old)
+			w.store.SetIntercept(nil)
+			w.note("the store comes back from the copy")
+			w.putConfig(config)
+			for _, e := range engines {
+				e.put("ready")
+			}
+		})
+	}
 	// ONLY=kill and ONLY=store leave one of the two disruptions out.
 	only := os.Getenv("ONLY")
-	if hasTrouble && only != "kill" {
+	if hasTrouble && only != "kill" && os.Getenv("DRILL") != "1" {
 		at(downAt, func() {
 			w.note("the store is down")
 			w.store.SetIntercept(func(a http.ResponseWriter, _ *http.Request) bool {
