review: the stand-ins move to review/platform, and note what was sent and answered

Change: the folder moves; the records of cases 2 and 4 hold sends and answers; the stand-in ends what it started when it is ended itself.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-go build -o review/bin/stand ./review/_stand
+go build -o review/bin/stand ./review/platform/_stand
--- a/review/_stand/main.go
+++ b/review/platform/_stand/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // The exit codes.
@@ -39,6 +41,13 @@
 		return noCase
 	}
 	defer w.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		w.close()
+		os.Exit(noCase)
+	}()
 	isBroken, err := cases[name](w, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/_stand/origins.go
+++ b/review/platform/_stand/origins.go
@@ -71,7 +71,9 @@
 	}
 	s.isBroken = !s.isDone
 	if s.isBroken {
-		w.note("%s of %s breaks after event %s", attempt, s.id, s.last)
+		w.note("client's %s of %s breaks after event %s", attempt, s.id, s.last)
+	} else {
+		w.note("client gets %s: 200, whole, last event %s", attempt, s.last)
 	}
 	return hasEvent
 }
--- a/review/_stand/uploads.go
+++ b/review/platform/_stand/uploads.go
@@ -111,7 +111,9 @@
 				id := fmt.Sprintf("%s-%02d-%02d", g.name, round, k)
 				sending.Go(func() {
 					time.Sleep(time.Duration(k) * 5 * time.Millisecond)
+					w.note("client sends %s, %d bytes, to %s", id, len(body), g.name)
 					line, isKept := upload(g.listen, id, body)
+					w.note("client gets %s: %s", id, line)
 					mu.Lock()
 					defer mu.Unlock()
 					status[line]++
