--- a/review/platform/_stand/main.go
+++ b/review/platform/_stand/main.go
@@ -11,10 +11,9 @@
 
 // The exit codes.
 const (
-	held    = 0
-	broken  = 1
-	noCase  = 2
-	minArgs = 3
+	held   = 0
+	broken = 1
+	noCase = 2
 )
 
 // cases holds the cases by name; each reports whether the rule was broken.
@@ -26,15 +25,22 @@
 	"garbled-payments": garbledPayments,
 }
 
+// troubles says which words have the disruption played.
+var troubles = map[string]bool{"with": true, "without": false}
+
 func main() {
-	if len(os.Args) < minArgs || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
+	hasTrouble, isKnown := false, false
+	if len(os.Args) == 4 {
+		hasTrouble, isKnown = troubles[os.Args[3]]
+	}
+	if !isKnown || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD with|without")
 		os.Exit(noCase)
 	}
-	os.Exit(play(os.Args[1], os.Args[2]))
+	os.Exit(play(os.Args[1], os.Args[2], hasTrouble))
 }
 
-func play(name, record string) int {
+func play(name, record string, hasTrouble bool) int {
 	w, err := newWorld(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -48,7 +54,12 @@
 		w.close()
 		os.Exit(noCase)
 	}()
-	isBroken, err := cases[name](w, os.Getenv("TROUBLE") != "0")
+	if hasTrouble {
+		w.note("case %s, with the disruption", name)
+	} else {
+		w.note("case %s, TROUBLE=0: without the disruption", name)
+	}
+	isBroken, err := cases[name](w, hasTrouble)
 	switch {
 	case err != nil:
 		w.say("the case could not run: %v", err)
