Take an answer only if it proves to be that to its request

Cause: Sender.Send refused an answer only if it named another request. One without an ID passed as a success, or as a refusal that says "not run". What a refused answer said of its endpoint (leaving, rest, a limit) was taken in. Answers passed on by another instance weren't looked at.

Change: an answer counts if it bears the request's ID and, where it is a success of a whole run, a seal. Calls without an ID (reports, orders, releases) each have a connection of their own, on which no other answer can be; so do requests that are forwarded to another instance, whose refusals name no request. Anything else counts as no answer: it may have run, nothing in it is taken in, its connection ends.

--- a/core/tlcall/send.go
+++ b/core/tlcall/send.go
@@ -47,6 +47,8 @@
 type Answer struct {
 	// ID is the ID of the attempt that it answers; empty if it is not given.
 	ID string
+	// IsSealed says that it bears the endpoint's seal, as each answer to a request that ran does.
+	IsSealed bool
 	// NotRun says that the endpoint did not run the request and never will, so that it is safe to retry.
 	NotRun bool
 	// IsMisdirected says that another endpoint now uses the address.
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -25,6 +25,7 @@
 	reportsFailed   = "ReportsFailed"
 	endpointLeaving = "Leaving"
 	endpointResting = "Resting"
+	answerUnproved  = "AnswerUnproved"
 )
 
 // counters holds the counter groups of an instance.
@@ -52,7 +53,7 @@
 	return counters{
 		gateway:      s.Group("Gateway", names...),
 		store:        s.Group("Store", storeCalls, storeOutages, storeWentBack, badEntry, badConfig),
-		endpoints:    s.Group("Endpoints", connectionsMade, reportsFailed, endpointLeaving, endpointResting),
+		endpoints:    s.Group("Endpoints", connectionsMade, reportsFailed, endpointLeaving, endpointResting, answerUnproved),
 		reservations: s.Group("Places", tlbooking.CounterNames...),
 		peers:        s.Group("Peers", tlpeer.CounterNames...),
 		traces:       s.Group("Traces", tltrace.CounterNames...),
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -22,6 +22,10 @@
 		Dial:     dial,
 		OnDial:   func() { i.counters.endpoints.Count(connectionsMade) },
 		OnAnswer: i.onAnswer,
+		OnUnproved: func(e tlendpoint.Endpoint, cause error) {
+			i.counters.endpoints.Count(answerUnproved)
+			i.log.WithFields(logrus.Fields{"Endpoint": e.ID, "Service": e.Service, "Cause": cause.Error()}).Debug("answer dropped")
+		},
 		Admit: func(ctx context.Context, e tlendpoint.Endpoint) error {
 			return i.limiter.Admit(ctx, e)
 		},
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -20,6 +20,9 @@
 		for _, f := range set {
 			f(w.Header())
 		}
+		if status == http.StatusOK {
+			tlstand.SetSeal(w.Header())
+		}
 		w.WriteHeader(status)
 		return true
 	}
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -141,6 +141,7 @@
 	for _, e := range []*tlstand.Endpoint{d1, d2} {
 		e.Intercept = func(w http.ResponseWriter, _ *http.Request, a *tlstand.Arrival) bool {
 			e.MarkRan(a)
+			tlstand.SetSeal(w.Header())
 			for n := range events {
 				fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, data)
 			}
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -36,6 +36,9 @@
 	Resumed = "Resumed"
 	// Forwarded counts requests that were given to another instance, since this one is cut off from all endpoints.
 	Forwarded = "Forwarded"
+	// ForwardUnproved counts endpoints' answers passed on by another instance that were dropped,
+	// since nothing proves that they are those to their requests.
+	ForwardUnproved = "ForwardUnproved"
 	// Unconfirmed counts answers that were dropped, since another incarnation of the engine may have given them.
 	Unconfirmed = "Unconfirmed"
 	// EngineSilent counts streams whose engine sent no header within its silence timeout.
@@ -47,7 +50,7 @@
 )
 
 // CounterNames lists the gateway's counters other than the reasons of refusals.
-var CounterNames = []string{Aborted, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Moved, Resumed, Forwarded, Unconfirmed, EngineSilent, Stalled, ReleaseFailed}
+var CounterNames = []string{Aborted, Answered, Retried, Hedged, BudgetSpent, PrefilledAtDecode, Moved, Resumed, Forwarded, ForwardUnproved, Unconfirmed, EngineSilent, Stalled, ReleaseFailed}
 
 // Reasons lists the reasons for which the gateway refuses or fails a request.
 var Reasons = []tlverdict.Reason{
--- a/io/tlgateway/forward.go
+++ b/io/tlgateway/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"trefoillanding/core/tlcall"
 	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlhealth"
 	"trefoillanding/core/tlverdict"
@@ -111,13 +112,26 @@
 	}
 	if r.Header.Get(headerForwarded) == forwarded {
 		r.Header.Del(headerForwarded)
-		return r, peer, nil
+		return x.proveForwarded(r, peer)
 	}
 	defer r.Body.Close()
 	e := decodeRefusal(r)
 	return nil, peer, &tlsend.Error{Endpoint: peer, MayHaveRun: !tlverdict.NotRun(e), Outcome: tlhealth.Refused, Err: e}
 }
 
+// proveForwarded returns an endpoint's answer that another instance passed on, or an error
+// if it is not proved to be that to the request.
+func (x *exchange) proveForwarded(r *tlsend.Reply, peer string) (*tlsend.Reply, string, error) {
+	err := tlsend.Unproved(x.request, tlcall.Whole, r)
+	if err == nil {
+		return r, peer, nil
+	}
+	_ = r.Body.Close()
+	x.g.deps.Count(ForwardUnproved)
+	x.step("forwarded answer dropped", logrus.Fields{"Peer": peer, "Cause": err.Error()})
+	return nil, peer, &tlsend.Error{Endpoint: peer, MayHaveRun: true, Outcome: tlhealth.Broken, Err: err}
+}
+
 // decodeRefusal returns the refusal of another instance.
 func decodeRefusal(r *tlsend.Reply) *tlverdict.Error {
 	var k tlwire.Refusal
--- a/io/tlsend/forward.go
+++ b/io/tlsend/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"time"
 
@@ -12,14 +11,11 @@
 	"trefoillanding/core/tlendpoint"
 )
 
-const (
-	// forwardDialTimeout bounds the opening of a connection to another instance.
-	forwardDialTimeout = 250 * time.Millisecond
-	// forwardIdleTimeout is how long an unused connection to another instance is kept.
-	forwardIdleTimeout = 10 * time.Second
-)
+// forwardDialTimeout bounds the opening of a connection to another instance.
+const forwardDialTimeout = 250 * time.Millisecond
 
-// Forwarder gives requests to other instances.
+// Forwarder gives requests to other instances, each on a connection of its own, by which
+// also a refusal, which names no request, is proved to be that of the request.
 type Forwarder struct {
 	transport    *http.Transport
 	decodeAnswer func(status int, h http.Header) tlcall.Answer
@@ -36,18 +32,9 @@
 		}
 		return &connection{Conn: c, onRead: func() {}}, nil
 	}
-	return &Forwarder{
-		transport: &http.Transport{
-			DialContext:            dial,
-			DisableCompression:     true,
-			IdleConnTimeout:        forwardIdleTimeout,
-			MaxIdleConnsPerHost:    idlePerEndpoint,
-			MaxResponseHeaderBytes: headerBytes,
-			ReadBufferSize:         bufferBytes,
-			WriteBufferSize:        bufferBytes,
-		},
-		decodeAnswer: decodeAnswer,
-	}
+	t := newTransport(dial)
+	t.DisableKeepAlives = true
+	return &Forwarder{transport: t, decodeAnswer: decodeAnswer}
 }
 
 // Close closes idle connections.
@@ -58,10 +45,8 @@
 // Send gives a request to the instance at an address, on a path that leads to its
 // gateway; an error is always an *Error.
 func (f *Forwarder) Send(ctx context.Context, peer string, a netip.AddrPort, path string, r Request) (*Reply, error) {
-	q := newRequest(ctx, a.String(), path, r, r.Header)
 	p := &progress{}
-	q = q.WithContext(httptrace.WithClientTrace(ctx, p.trace()))
-	answer, err := f.transport.RoundTrip(q)
+	answer, err := p.send(f.transport, newRequest(ctx, a.String(), path, r, r.Header))
 	if err != nil {
 		return nil, sendError(ctx, tlendpoint.Endpoint{ID: peer}, p, err)
 	}
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -38,10 +38,7 @@
 	bufferBytes = 4 << 10
 )
 
-var (
-	errOtherRequest = errors.New("the answer belongs to another request")
-	errResting      = errors.New("the endpoint wants no requests now")
-)
+var errResting = errors.New("the endpoint wants no requests now")
 
 // Codec encodes the headers of a send and decodes those of an answer.
 type Codec struct {
@@ -51,9 +48,12 @@
 
 // Sender sends requests to endpoints.
 type Sender struct {
-	codec     Codec
-	hooks     Hooks
+	codec Codec
+	hooks Hooks
+	// transport keeps connections, for callers' requests.
 	transport *http.Transport
+	// singleUse opens a connection for each send, whose only answer is that to it.
+	singleUse *http.Transport
 	quiet     quiet
 }
 
@@ -63,9 +63,11 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnDial is called before each new connection is opened.
 	OnDial func()
-	// OnAnswer is called with each answer, and with the time at which its request was sent;
-	// zero if that is not known.
+	// OnAnswer is called with each answer that is proved to be that to its request, and with
+	// the time at which the request was sent.
 	OnAnswer func(tlendpoint.Endpoint, tlcall.Answer, time.Time)
+	// OnUnproved is called for each answer that isn't.
+	OnUnproved func(tlendpoint.Endpoint, error)
 	// Admit is asked before each request that was not admitted before; nothing is sent if
 	// it returns an error.
 	Admit func(context.Context, tlendpoint.Endpoint) error
@@ -77,8 +79,15 @@
 // New returns a Sender.
 func New(w Codec, hooks Hooks) *Sender {
 	s := &Sender{codec: w, hooks: hooks}
-	s.transport = &http.Transport{
-		DialContext:            s.dial,
+	s.transport = newTransport(s.dial)
+	s.singleUse = newTransport(s.dial)
+	s.singleUse.DisableKeepAlives = true
+	return s
+}
+
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    idlePerEndpoint,
@@ -86,7 +95,6 @@
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 	}
-	return s
 }
 
 // NewDialer returns the dialer for connections to endpoints.
@@ -129,10 +137,12 @@
 // DropIdle closes the idle connections, which may be dead without a sign.
 func (s *Sender) DropIdle() {
 	s.transport.CloseIdleConnections()
+	s.singleUse.CloseIdleConnections()
 }
 
 // Send sends a request to an endpoint and returns the answer once its header has
-// arrived; an error is always an *Error.
+// arrived; an error is always an *Error. An answer that isn't proved to be that to the
+// request counts as none.
 func (s *Sender) Send(ctx context.Context, e tlendpoint.Endpoint, r Request, c tlcall.Send) (*Reply, error) {
 	if !c.IsAdmitted {
 		if err := s.Admit(ctx, e); err != nil {
@@ -142,10 +152,9 @@
 	if s.hooks.IsResting(e) {
 		return nil, &Error{Endpoint: e.ID, Outcome: tlhealth.Refused, IsUnsent: true, Err: errResting}
 	}
-	p, sent := &progress{}, time.Now()
-	ctx = httptrace.WithClientTrace(ctx, p.trace())
+	sent := time.Now()
 	s.quiet.begin()
-	a, err := s.transport.RoundTrip(s.newRequest(ctx, e, r, c))
+	a, p, err := s.roundTrip(ctx, e, r, c)
 	if err != nil {
 		s.quiet.end()
 		return nil, sendError(ctx, e, p, err)
@@ -153,19 +162,33 @@
 	a.Body = &openBody{a.Body, sync.OnceFunc(s.quiet.end)}
 	reply := newReply(a, s.codec.DecodeAnswer)
 	reply.DialedAt = p.dialedAt()
-	isOther := reply.Answer.ID != "" && reply.Answer.ID != r.ID
-	if isOther {
-		// A late answer to an earlier request says nothing of what holds since.
-		sent = time.Time{}
-	}
-	s.hooks.OnAnswer(e, reply.Answer, sent)
-	if isOther {
+	if err := Unproved(r, c.Stage, reply); err != nil {
+		p.endConnection()
 		_ = a.Body.Close()
-		return nil, &Error{Endpoint: e.ID, MayHaveRun: true, Outcome: tlhealth.Broken, Err: errOtherRequest}
+		s.hooks.OnUnproved(e, err)
+		return nil, &Error{Endpoint: e.ID, MayHaveRun: true, Outcome: tlhealth.Broken, Err: err}
 	}
+	s.hooks.OnAnswer(e, reply.Answer, sent)
 	return reply, nil
 }
 
+// roundTrip sends a request on a kept connection; on one of its own if it has no ID, by
+// which its answer could be told from others.
+func (s *Sender) roundTrip(ctx context.Context, e tlendpoint.Endpoint, r Request, c tlcall.Send) (*http.Response, *progress, error) {
+	t := s.transport
+	if r.ID == "" {
+		t = s.singleUse
+	}
+	p := &progress{}
+	a, err := p.send(t, s.newRequest(ctx, e, r, c))
+	return a, p, err
+}
+
+// send sends a request, whose progress p records.
+func (p *progress) send(t *http.Transport, q *http.Request) (*http.Response, error) {
+	return t.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), p.trace())))
+}
+
 // Admit asks whether a request may be sent to an endpoint now, ahead of a send with
 // tlcall.Send.IsAdmitted; an error is always an *Error.
 func (s *Sender) Admit(ctx context.Context, e tlendpoint.Endpoint) error {
