Send a request only once on a connection

What callers could see: a refusal, "not run", for a stream that an engine runs, or a run at a second engine, where a faulty endpoint has written an earlier refusal of the same request once more.

Cause: the ID in an answer tells requests apart, not the sends of one. A request that was turned away is sent again, and a prompt is read and answered under the same ID; on a kept connection the repeated answer to the first send came in the place of that to the second.

Change: a connection knows which requests it has carried (hashes of their IDs; it is replaced after 1,024). A request that meets one that has carried it is not written there, which is certain, and gets a connection of its own.

Evidence: TestRequestIsNotSentAgainOnAConnectionThatHasCarriedIt fails without the change: the second send got the first one's refusal.

--- a/io/tlsend/connection.go
+++ b/io/tlsend/connection.go
@@ -1,16 +1,29 @@
 package tlsend
 
 import (
+	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"net/http/httptrace"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// maxCarried bounds the requests that a connection carries before it is replaced, and
+// thereby the memory for their IDs.
+const maxCarried = 1024
+
 var errRefused = errors.New("nothing more may be written on the connection")
 
-// connection counts the bytes written to it: a request of which no byte was written can't have run.
+// idSeed is the seed of the hashes of IDs.
+var idSeed = maphash.MakeSeed()
+
+// connection counts the bytes written to it: a request of which no byte was written can't
+// have run. It knows which requests it has carried: an answer written once more can't be
+// told from that to a second send of the same request.
 type connection struct {
 	net.Conn
 	written   atomic.Int64
@@ -18,6 +31,10 @@
 	onRead    func()
 	// dialed is when the connection was opened.
 	dialed time.Time
+
+	mu sync.Mutex
+	// carried holds hashes of the IDs of the requests carried so far.
+	carried []uint64
 }
 
 // Read reads from the connection.
@@ -45,11 +62,29 @@
 	_ = c.Close()
 }
 
-// progress records how far a send has got.
+// carry notes that the connection carries a request; it reports whether it may.
+func (c *connection) carry(id string) bool {
+	h := maphash.String(idSeed, id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.carried) == maxCarried || slices.Contains(c.carried, h) {
+		return false
+	}
+	c.carried = append(c.carried, h)
+	return true
+}
+
+// progress records how far a send has got. It sees to it that a request is written on no
+// connection that has carried it before.
 type progress struct {
+	// id is the ID of the request; empty for a call that is alone on its connection.
+	id            string
+	cancel        context.CancelCauseFunc
 	conn          atomic.Pointer[connection]
 	writtenBefore atomic.Int64
 	wroteHeaders  atomic.Bool
+	// hasCarried says that the connection has carried the request before, so that nothing was written.
+	hasCarried atomic.Bool
 }
 
 func (p *progress) trace() *httptrace.ClientTrace {
@@ -64,8 +99,15 @@
 }
 
 func (p *progress) gotConnection(c *connection) {
-	p.writtenBefore.Store(c.written.Load())
-	p.conn.Store(c)
+	switch {
+	case p.id != "" && !c.carry(p.id):
+		c.isRefused.Store(true)
+		p.hasCarried.Store(true)
+		p.cancel(errRefused)
+	default:
+		p.writtenBefore.Store(c.written.Load())
+		p.conn.Store(c)
+	}
 }
 
 // dialedAt returns when the connection was opened; zero if there is none.
--- a/io/tlsend/proof_test.go
+++ b/io/tlsend/proof_test.go
@@ -85,6 +85,34 @@
 	}
 }
 
+// Guards against a refusal, written once more, that is taken for the answer to a later
+// send of the same request on the same connection.
+func TestRequestIsNotSentAgainOnAConnectionThatHasCarriedIt(t *testing.T) {
+	e := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
+		answers := []string{refusalOf1}
+		if n > 0 {
+			answers = []string{sealedOf1}
+		}
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			for _, a := range answers {
+				_, _ = io.WriteString(c, a)
+			}
+		}
+	})
+	s := newSender(t)
+	r, err := s.Send(context.Background(), e, newGetRequest("1"), tlcall.Send{})
+	require.NoError(t, err)
+	assert.True(t, r.Answer.NotRun)
+	readBody(t, r)
+	r, err = s.Send(context.Background(), e, newGetRequest("1"), tlcall.Send{})
+	require.NoError(t, err)
+	assert.False(t, r.Answer.NotRun, "the first connection would have answered as before")
+	assert.Equal(t, "ok", readBody(t, r))
+}
+
 // Guards against the answer to an earlier order that is taken for that to the next one.
 func TestCallWithoutIDIsAloneOnItsConnection(t *testing.T) {
 	var connections, calls atomic.Int32
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -173,20 +173,32 @@
 }
 
 // roundTrip sends a request on a kept connection; on one of its own if it has no ID, by
-// which its answer could be told from others.
+// which its answer could be told from others, or if the kept one has carried it before.
 func (s *Sender) roundTrip(ctx context.Context, e tlendpoint.Endpoint, r Request, c tlcall.Send) (*http.Response, *progress, error) {
-	t := s.transport
-	if r.ID == "" {
-		t = s.singleUse
+	if r.ID != "" {
+		p := &progress{id: r.ID}
+		a, err := p.send(s.transport, s.newRequest(ctx, e, r, c))
+		if err == nil || !p.hasCarried.Load() {
+			return a, p, err
+		}
 	}
 	p := &progress{}
-	a, err := p.send(t, s.newRequest(ctx, e, r, c))
+	a, err := p.send(s.singleUse, s.newRequest(ctx, e, r, c))
 	return a, p, err
 }
 
-// send sends a request, whose progress p records.
+// send sends a request, whose progress p records. The context that ends one that
+// may not be written outlives it, as the answer's body does.
 func (p *progress) send(t *http.Transport, q *http.Request) (*http.Response, error) {
-	return t.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), p.trace())))
+	var ctx context.Context
+	ctx, p.cancel = context.WithCancelCause(httptrace.WithClientTrace(q.Context(), p.trace()))
+	a, err := t.RoundTrip(q.WithContext(ctx))
+	if err != nil {
+		p.cancel(err)
+		return nil, err
+	}
+	a.Body = &cancelledBody{a.Body, p.cancel}
+	return a, nil
 }
 
 // Admit asks whether a request may be sent to an endpoint now, ahead of a send with
