Write a request on one connection, whatever the library repeats

Cause: net/http's Transport repeats a request without a body by itself if its method or a header says that it may be.

Change: a send is told which connection it gets. Once a byte of it was written on one, any other refuses all writes, and the send ends as one that may have run. That holds for sends to endpoints and to other instances, by the bytes written and not by method, header or body.

Evidence: cases 5, 6 and 7 of TestLibraryRepeatsNoRequest fail without the change, directly and forwarded.

--- a/io/tlsend/connection.go
+++ b/io/tlsend/connection.go
@@ -16,7 +16,10 @@
 // thereby the memory for their IDs.
 const maxCarried = 1024
 
-var errRefused = errors.New("nothing more may be written on the connection")
+var (
+	errRefused  = errors.New("nothing more may be written on the connection")
+	errRepeated = errors.New("the library would have sent the request a second time")
+)
 
 // idSeed is the seed of the hashes of IDs.
 var idSeed = maphash.MakeSeed()
@@ -74,8 +77,8 @@
 	return true
 }
 
-// progress records how far a send has got. It sees to it that a request is written on no
-// connection that has carried it before.
+// progress records how far a send has got. It sees to it that a request is written on one
+// connection, and on none that has carried it before.
 type progress struct {
 	// id is the ID of the request; empty for a call that is alone on its connection.
 	id            string
@@ -100,6 +103,10 @@
 
 func (p *progress) gotConnection(c *connection) {
 	switch {
+	case p.hasWritten():
+		// The Transport repeats by itself a request that it holds for idempotent.
+		c.isRefused.Store(true)
+		p.cancel(errRepeated)
 	case p.id != "" && !c.carry(p.id):
 		c.isRefused.Store(true)
 		p.hasCarried.Store(true)
--- a/io/tlsend/proof_test.go
+++ b/io/tlsend/proof_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -135,3 +136,78 @@
 	assert.Equal(t, int32(3), calls.Load())
 	assert.Equal(t, int32(3), connections.Load())
 }
+
+// Guards against requests that net/http's Transport repeats by itself, since it holds them
+// for replayable.
+func TestLibraryRepeatsNoRequest(t *testing.T) {
+	cases := []struct {
+		name, method, header string
+		body                 []byte
+	}{
+		{"1 GET", http.MethodGet, "", nil},
+		{"2 POST", http.MethodPost, "", []byte("pay")},
+		{"3 POST without a body", http.MethodPost, "", nil},
+		{"4 POST with a key", http.MethodPost, "Idempotency-Key", []byte("pay")},
+		{"5 POST with a key, without a body", http.MethodPost, "Idempotency-Key", nil},
+		{"6 POST with the other key, without a body", http.MethodPost, "X-Idempotency-Key", nil},
+		{"7 DELETE with a key", http.MethodDelete, "Idempotency-Key", nil},
+	}
+	for _, c := range cases {
+		for _, isForwarded := range []bool{false, true} {
+			name := c.name
+			if isForwarded {
+				name += ", forwarded"
+			}
+			t.Run(name, func(t *testing.T) {
+				var arrived atomic.Int32
+				e := listen(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+					for {
+						q, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, q.Body)
+						if q.Header.Get("Breaks") != "" {
+							arrived.Add(1)
+							return
+						}
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+q.Header.Get("Wants")+"\r\nContent-Length: 2\r\n\r\nok")
+					}
+				})
+				send := sendTo(t, e, isForwarded)
+				// Several kept connections, each of which a repeat could take.
+				var kept []*Reply
+				for _, id := range []string{"first", "second", "third"} {
+					r, err := send(wanting(id))
+					require.NoError(t, err)
+					kept = append(kept, r)
+				}
+				for _, r := range kept {
+					readBody(t, r)
+				}
+				time.Sleep(20 * time.Millisecond)
+				q := Request{ID: "1", Method: c.method, Target: "/x", Host: "h.example", Header: http.Header{"Breaks": {"1"}}, Body: c.body}
+				if c.header != "" {
+					q.Header.Set(c.header, "k")
+				}
+				_, err := send(q)
+				var f *Error
+				require.ErrorAs(t, err, &f)
+				assert.True(t, f.MayHaveRun)
+				assert.Equal(t, int32(1), arrived.Load())
+			})
+		}
+	}
+}
+
+// sendTo returns a function that sends requests to an endpoint, or forwards them.
+func sendTo(t *testing.T, e tlendpoint.Endpoint, isForwarded bool) func(Request) (*Reply, error) {
+	if !isForwarded {
+		s := newSender(t)
+		return func(q Request) (*Reply, error) { return s.Send(context.Background(), e, q, tlcall.Send{}) }
+	}
+	f := NewForwarder(codec.DecodeAnswer)
+	t.Cleanup(f.Close)
+	address := netip.MustParseAddrPort(e.Address.String())
+	return func(q Request) (*Reply, error) { return f.Send(context.Background(), "b", address, "/forward", q) }
+}
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -187,8 +187,8 @@
 	return a, p, err
 }
 
-// send sends a request, whose progress p records. The context that ends one that
-// may not be written outlives it, as the answer's body does.
+// send sends a request, whose progress p records. The context that ends a send which the
+// library would repeat outlives it, as the answer's body does.
 func (p *progress) send(t *http.Transport, q *http.Request) (*http.Response, error) {
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancelCause(httptrace.WithClientTrace(q.Context(), p.trace()))
