Keep copies of an origin at two instances besides the home

Cause: without the store an origin stood at the instance that began the stream and at the home; for the home's own streams they are one process.

Change: two other instances get a copy at once, drawn for the attempt by rendezvous hashing; a take-up asks them and the home at the same time. If one of them gives no answer, the refusal has a time to return. What the log does not have yet is copied again as instances end, start or restart. No message is new; instances of the code before hold copies and answer for them.

--- /dev/null
+++ b/core/tlorigin/holders_test.go
@@ -0,0 +1,54 @@
+package tlorigin
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func fleet(n int) []Holder {
+	var all []Holder
+	for k := range n {
+		all = append(all, Holder{Name: fmt.Sprint("i", k), Incarnation: uint64(k + 1)})
+	}
+	return all
+}
+
+func TestHoldersOfAnOriginStayAsInstancesComeAndGo(t *testing.T) {
+	all := fleet(20)
+	for k := range 100 {
+		attempt := fmt.Sprint("attempt-", k)
+		chosen := Holders(attempt, all, 2)
+		assert.Len(t, chosen, 2)
+		reversed := slices.Clone(all)
+		slices.Reverse(reversed)
+		assert.Equal(t, chosen, Holders(attempt, reversed, 2), "whoever asks finds the same")
+		left := slices.DeleteFunc(slices.Clone(all), func(h Holder) bool { return h == chosen[0] })
+		assert.Equal(t, chosen[1], Holders(attempt, left, 2)[0])
+		assert.Len(t, NewHolders(attempt, all, left, 2), 1, "one copy is missing")
+		assert.Empty(t, NewHolders(attempt, all, slices.DeleteFunc(slices.Clone(all), func(h Holder) bool { return !slices.Contains(chosen, h) }), 2))
+		more := append(slices.Clone(all), Holder{Name: "new", Incarnation: 99})
+		assert.Subset(t, Holders(attempt, more, 3), chosen, "one more that is asked makes up for one that has joined")
+	}
+}
+
+func TestRestartedHolderIsANewOne(t *testing.T) {
+	before, now := fleet(2), fleet(2)
+	now[0].Incarnation = 7
+	assert.Equal(t, []Holder{now[0]}, NewHolders("a", before, now, 2))
+	assert.Empty(t, NewHolders("a", now, now, 2))
+}
+
+func TestHoldersShareTheOriginsEvenly(t *testing.T) {
+	all, held := fleet(20), map[string]int{}
+	for k := range 10_000 {
+		for _, h := range Holders(fmt.Sprint("attempt-", k), all, 2) {
+			held[h.Name]++
+		}
+	}
+	for _, h := range all {
+		assert.InDelta(t, 1000, held[h.Name], 200, h.Name)
+	}
+}
--- a/fleet_bench_test.go
+++ b/fleet_bench_test.go
@@ -356,5 +356,8 @@
 		b.ReportMetric(size(tlwire.Report{
 			Pool: "kiosk-llm-izmir", Request: id, Attempt: id + "-1", Kind: tlwire.ReportKindPrefillDone, Tokens: 10_000, Bytes: 1 << 30,
 		}), "report-B")
+		b.ReportMetric(size(tlwire.StreamOrigins{Origins: []tlwire.StreamOrigin{
+			{Attempt: "9c41d07be2a35f68", Service: "kiosk-llm", Version: "v1.1", Left: 14 * time.Second},
+		}}), "origin-B")
 	}
 }
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -7,6 +7,7 @@
 
 	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlkeyed"
+	"trefoillanding/core/tlorigin"
 	"trefoillanding/io/tlregistry"
 	"trefoillanding/platform"
 )
@@ -20,6 +21,7 @@
 		Self:         i.settings.Name,
 		Mesh:         i.mesh,
 		Home:         i.homeOf,
+		Others:       i.originHolders,
 		Post:         i.outboxPost,
 		Append:       i.appendOrigins,
 		Read:         i.readOrigins,
@@ -30,6 +32,18 @@
 	}
 }
 
+// originHolders returns the other instances, which hold copies of the origins of streams.
+func (i *Instance) originHolders() []tlorigin.Holder {
+	live := i.gossip.Live()
+	list := make([]tlorigin.Holder, 0, len(live))
+	for _, m := range live {
+		if m.Name != i.settings.Name {
+			list = append(list, tlorigin.Holder{Name: m.Name, Incarnation: m.Incarnation})
+		}
+	}
+	return list
+}
+
 func (i *Instance) appendOrigins(ctx context.Context, record []byte) error {
 	ctx, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
--- a/io/tlgateway/takeup.go
+++ b/io/tlgateway/takeup.go
@@ -39,7 +39,7 @@
 	o, err := x.g.deps.Origins.Find(ctx, x.service.Name, x.call.Resumes)
 	x.step("origin", logrus.Fields{"Resumes": x.call.Resumes, "Service": o.Service, "Version": o.Version, "IsKnown": err == nil})
 	switch {
-	case errors.Is(err, tlregistry.ErrLogUnread):
+	case errors.Is(err, tlregistry.ErrUnread):
 		return "", tlverdict.New(tlverdict.OriginUnread, "which version began the stream can't be read now").WithRetryAfter(originRetryAfter)
 	case err != nil:
 		return "", tlverdict.New(tlverdict.OriginUnknown, "nobody knows which version began the stream")
--- a/io/tlregistry/lookup.go
+++ b/io/tlregistry/lookup.go
@@ -4,15 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"trefoillanding/core/tlcodec"
 	"trefoillanding/core/tlkeyed"
 	"trefoillanding/core/tlorigin"
 	"trefoillanding/core/tlwire"
-	"trefoillanding/io/tlpeer"
 )
 
 // Find returns the origin of the stream that an attempt began; service is where it is
-// likely to have begun. The error is ErrNotKnown, or ErrLogUnread if it may be known later.
+// likely to have begun. The error is ErrNotKnown, or ErrUnread if it may be known later.
 func (r *Registry) Find(ctx context.Context, service, attempt string) (tlorigin.Origin, error) {
 	if attempt == "" {
 		r.o.Count(NotKnown)
@@ -22,19 +23,18 @@
 	if o, ok := r.find(attempt); ok {
 		return r.found(o, FoundHere)
 	}
-	if r.askHome(ctx, service, attempt) {
-		if o, ok := r.find(attempt); ok {
-			return r.found(o, FoundAtHome)
-		}
+	where, isSilent := r.askOthers(ctx, service, attempt)
+	if o, ok := r.find(attempt); ok {
+		return r.found(o, where)
 	}
 	err := r.catchUp(ctx, asked)
 	if o, ok := r.find(attempt); ok {
 		return r.found(o, FoundInLog)
 	}
-	if err != nil {
-		r.o.Count(LogUnread)
-		r.o.Log.WithField("Cause", err.Error()).Debug("origins not read")
-		return tlorigin.Origin{}, ErrLogUnread
+	if err != nil || isSilent {
+		r.o.Count(Unread)
+		r.o.Log.WithFields(logrus.Fields{"Cause": err, "IsSilent": isSilent}).Debug("origin not found yet")
+		return tlorigin.Origin{}, ErrUnread
 	}
 	r.o.Count(NotKnown)
 	return tlorigin.Origin{}, ErrNotKnown
@@ -49,23 +49,6 @@
 	return o, nil
 }
 
-// askHome asks the home of a service for an origin; it reports whether the home knew it.
-func (r *Registry) askHome(ctx context.Context, service, attempt string) bool {
-	home := r.o.Home(service)
-	if home == r.o.Self || home == "" {
-		return false
-	}
-	ctx, stop := context.WithTimeout(ctx, homeTimeout)
-	defer stop()
-	m, err := tlpeer.Call[tlwire.OriginCall, tlwire.StreamOrigins](ctx, r.o.Mesh, home, kindOrigin, tlwire.OriginCall{Attempt: attempt})
-	if err != nil {
-		r.o.Log.WithField("Cause", err.Error()).Debug("home not asked for an origin")
-		return false
-	}
-	r.learn(m)
-	return len(m.Origins) > 0
-}
-
 // catchUp reads the log to its end, unless that was done since a time. Many that ask at
 // once, after all instances lost power, read it once.
 func (r *Registry) catchUp(ctx context.Context, since time.Time) error {
--- a/io/tlregistry/registry.go
+++ b/io/tlregistry/registry.go
@@ -35,26 +35,29 @@
 	Noted       = "Noted"
 	Written     = "Written"
 	WriteFailed = "WriteFailed"
-	// FoundHere, FoundAtHome and FoundInLog count the origins that were found, by place;
-	// NotKnown those that nobody knows, and LogUnread those that only the log may know,
-	// which could not be read.
+	// Copied counts the copies of origins that were sent to instances other than the home.
+	Copied = "Copied"
+	// FoundHere, FoundAtHome, FoundInCopy and FoundInLog count the origins that were found, by place;
+	// NotKnown those that nobody knows, and Unread those that the log or an instance may
+	// know, which gave no answer.
 	FoundHere   = "FoundHere"
 	FoundAtHome = "FoundAtHome"
+	FoundInCopy = "FoundInCopy"
 	FoundInLog  = "FoundInLog"
 	NotKnown    = "NotKnown"
-	LogUnread   = "LogUnread"
+	Unread      = "LogUnread"
 	// BadRecord counts the records of the log that could not be decoded.
 	BadRecord = "BadRecord"
 )
 
 // CounterNames lists the counters of a Registry.
-var CounterNames = []string{Noted, Written, WriteFailed, FoundHere, FoundAtHome, FoundInLog, NotKnown, LogUnread, BadRecord}
+var CounterNames = []string{Noted, Written, WriteFailed, Copied, FoundHere, FoundAtHome, FoundInCopy, FoundInLog, NotKnown, Unread, BadRecord}
 
 var (
 	// ErrNotKnown reports that nobody knows which version began a stream.
 	ErrNotKnown = errors.New("nobody knows which version began the stream")
-	// ErrLogUnread reports that only the log may know, which could not be read.
-	ErrLogUnread = errors.New("the log of origins could not be read")
+	// ErrUnread reports that the log or an instance may know, which gave no answer.
+	ErrUnread = errors.New("who may know which version began the stream gave no answer")
 )
 
 // Options holds what a Registry depends on.
@@ -65,6 +68,8 @@
 	Mesh *tlpeer.Mesh
 	// Home returns the instance that is the home of a service.
 	Home func(service string) string
+	// Others returns the other live instances.
+	Others func() []tlorigin.Holder
 	// Post sends a one-way message to another instance without waiting.
 	Post func(peer, kind string, send func(context.Context) error)
 	// Append appends a record to the log.
@@ -100,10 +105,13 @@
 	mu sync.Mutex
 	// known holds all origins, own those of streams that this instance served.
 	known, own *tlorigin.Table
-	// unwritten holds those of own that the log does not have yet.
-	unwritten []tlorigin.Origin
+	// unwritten holds those of own that the log does not have yet, and writing those of them
+	// that are being appended.
+	unwritten, writing []tlorigin.Origin
 	// homes holds the home that was told of the origins of each service.
 	homes map[string]string
+	// others holds the instances among which those of unwritten have copies.
+	others []tlorigin.Holder
 }
 
 // New returns a Registry and registers its handlers with the mesh, which must not have been started.
@@ -146,6 +154,7 @@
 	r.o.Count(Noted)
 	r.signal()
 	r.tell(home, []tlorigin.Origin{o})
+	r.copyOrigin(o)
 }
 
 func (r *Registry) signal() {
--- a/io/tlregistry/registry_test.go
+++ b/io/tlregistry/registry_test.go
@@ -112,6 +112,7 @@
 	require.NoError(t, err)
 	r := New(Options{
 		Self: "a", Mesh: m, Home: func(string) string { return "a" },
+		Others: func() []tlorigin.Holder { return nil },
 		Post:   func(string, string, func(context.Context) error) {},
 		Append: l.append, Read: l.read, CallInterval: func() time.Duration { return interval },
 		Now: time.Now, Log: logrus.NewEntry(log), Count: func(string) {},
@@ -225,7 +226,7 @@
 	assert.ErrorIs(t, err, ErrNotKnown)
 	l.set(func() { l.isAway = true })
 	_, err = r.Find(context.Background(), "s", "x")
-	assert.ErrorIs(t, err, ErrLogUnread)
+	assert.ErrorIs(t, err, ErrUnread)
 	_, err = r.Find(context.Background(), "s", "")
 	assert.ErrorIs(t, err, ErrNotKnown, "a take-up that names no attempt is not helped by the log")
 	r.Note(origin("x"))
--- a/io/tlregistry/write.go
+++ b/io/tlregistry/write.go
@@ -77,13 +77,15 @@
 	list := slices.DeleteFunc(r.unwritten, func(o tlorigin.Origin) bool { return !now.Before(o.Until) })
 	n := min(len(list), maxPerRecord)
 	r.unwritten = slices.Clone(list[n:])
-	return list[:n:n]
+	r.writing = list[:n:n]
+	return r.writing
 }
 
 func (r *Registry) putBack(list []tlorigin.Origin) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unwritten = append(list, r.unwritten...)
+	r.writing = nil
 }
 
 // Restore has all origins of this instance's streams written again, since the log has gone back.
@@ -94,7 +96,8 @@
 	r.signal()
 }
 
-// tellNewHomes tells each new home of a service of the origins of this instance's streams.
+// tellNewHomes tells each new home of a service of the origins of this instance's streams,
+// and new holders of copies of those that the log does not have.
 func (r *Registry) tellNewHomes(ctx context.Context) {
 	t := time.NewTicker(homeCheckInterval)
 	defer t.Stop()
@@ -106,6 +109,7 @@
 			for _, service := range r.services() {
 				r.checkHome(service)
 			}
+			r.renewCopies()
 		}
 	}
 }
