Play processes in trouble, and look for requests refused or run twice

Cause: the users saw REFUSED and TWICE with real processes on the large site, of which no case exists. The bench's endpoints don't answer with bytes of no request where a refusal is expected.

Change: TestProcessesInTrouble starts the gateway as processes beside endpoints that do (platform/tlstand, FaultyEndpoint) and sends signals in series and overlapping. TestProcessesOfTwoBuildsShareOrigins takes up at one build what the other has begun while the store is away; it needs the other's program.

--- /dev/null
+++ b/gateway/processes_soak_test.go
@@ -0,0 +1,411 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"trefoillanding/platform"
+	"trefoillanding/platform/tlstand"
+)
+
+// The environment of a soak started by hand.
+const (
+	// envSeeds is how many seeds are played from envFirst on, envSeconds how long each,
+	// envProcesses with how many processes.
+	envSeeds     = "TL_SEEDS"
+	envFirst     = "TL_FIRST"
+	envSeconds   = "TL_SECONDS"
+	envProcesses = "TL_PROCESSES"
+	// envBeside is the program of an earlier build, which every second process runs, or all
+	// of them if envOnlyBeside is set.
+	envBeside     = "TL_BESIDE"
+	envOnlyBeside = "TL_ONLY_BESIDE"
+)
+
+func number(t testing.TB, name string, usual int) int {
+	text := os.Getenv(name)
+	if text == "" {
+		return usual
+	}
+	n, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	return n
+}
+
+// process is a gateway instance that runs as a process of its own.
+type process struct {
+	name, program, file string
+	listen, readiness   netip.AddrPort
+
+	// changing is held while the process starts or ends.
+	changing sync.Mutex
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	log      *bytes.Buffer
+}
+
+func freeAddresses(t testing.TB, n int) []netip.AddrPort {
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(250)), byte(rand.IntN(256)), byte(1 + rand.IntN(250))})
+	var list []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+		require.NoError(t, err)
+		defer l.Close()
+		list = append(list, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return list
+}
+
+func newProcess(t testing.TB, name, program string, store netip.AddrPort) *process {
+	a := freeAddresses(t, 5)
+	p := &process{name: name, program: program, file: filepath.Join(t.TempDir(), name+".yaml"), listen: a[0], readiness: a[2]}
+	settings := fmt.Sprintf(`Name: %q
+DataCentre: z
+Region: r
+Listen: %q
+PeerListen: %q
+Platform:
+  Address: %q
+Peers:
+  Heartbeat: 250ms
+  SuspectAfter: 1s
+Gateway:
+  Readiness: %q
+  Lookup: %q
+  Metrics: %q
+  Grace: 4s
+  RetryBurst: 50
+  RetryWindow: 10s
+  StoreWrites: 400
+`, name, a[0], a[1], store, a[2], a[3], a[4])
+	require.NoError(t, os.WriteFile(p.file, []byte(settings), 0o600))
+	return p
+}
+
+// start starts the process, unless it runs.
+func (p *process) start(t testing.TB) {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return
+	}
+	p.log = &bytes.Buffer{}
+	c := exec.Command(p.program, "serve", "--settings", p.file)
+	c.Stdout, c.Stderr = p.log, p.log
+	if assert.NoError(t, c.Start()) {
+		p.cmd = c
+	}
+}
+
+// end sends a signal by which the process ends, and waits for that.
+func (p *process) end(s os.Signal) {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	p.mu.Lock()
+	c := p.cmd
+	p.cmd = nil
+	p.mu.Unlock()
+	if c == nil {
+		return
+	}
+	_ = c.Process.Signal(s)
+	_ = c.Process.Signal(syscall.SIGCONT)
+	_ = c.Wait()
+}
+
+// signal sends the process a signal, if it runs.
+func (p *process) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+func (p *process) isReady(c *http.Client) bool {
+	r, err := c.Get("http://" + p.readiness.String() + tlstand.ReadinessPath)
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// processFleet is processes between callers, endpoints and a store of the test.
+type processFleet struct {
+	t         testing.TB
+	store     *tlstand.Store
+	endpoints []*tlstand.FaultyEndpoint
+	engines   []*tlstand.Endpoint
+	processes []*process
+	client    *http.Client
+
+	mu      sync.Mutex
+	answers map[string]received
+}
+
+// received is what a caller got.
+type received struct {
+	status     int
+	body, seal string
+	isComplete bool
+	// isOld says that a process of an earlier build answered, whose faults are known.
+	isOld bool
+}
+
+// buildProgram builds the gateway's program.
+func buildProgram(t testing.TB) string {
+	program := filepath.Join(t.TempDir(), "gateway")
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/trefoillanding-gateway").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return program
+}
+
+func newProcessFleet(t testing.TB, program string, random *rand.Rand) *processFleet {
+	f := &processFleet{
+		t: t, store: tlstand.NewStore(), answers: map[string]received{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
+	}
+	t.Cleanup(f.store.Close)
+	t.Cleanup(f.client.CloseIdleConnections)
+	f.store.PutJSON(platform.TopicConfig, platform.KeyConfig, tlstand.Config(1))
+	for n := range 4 {
+		e, err := tlstand.NewFaultyEndpoint(fmt.Sprint("e", n), rand.New(rand.NewPCG(random.Uint64(), 1)))
+		require.NoError(t, err)
+		t.Cleanup(e.Close)
+		f.store.PutJSON(platform.TopicEndpoints, fmt.Sprint("e", n), e.Entry())
+		f.endpoints = append(f.endpoints, e)
+	}
+	for n, phase := range []string{"prefill", "decode", "decode"} {
+		e := tlstand.NewEndpoint(fmt.Sprint("d", n), phase)
+		e.Events, e.EventInterval = 20, 20*time.Millisecond
+		t.Cleanup(e.Close)
+		f.store.PutJSON(platform.TopicEndpoints, e.ID, e.Entry(tlstand.ModelService, "ready"))
+		f.engines = append(f.engines, e)
+	}
+	beside := os.Getenv(envBeside)
+	for n := range number(t, envProcesses, 3) {
+		run := program
+		if beside != "" && (n%2 == 1 || os.Getenv(envOnlyBeside) != "") {
+			run = beside
+		}
+		f.processes = append(f.processes, newProcess(t, fmt.Sprint("i", n), run, f.store.Address()))
+	}
+	for _, p := range f.processes {
+		p.start(t)
+		t.Cleanup(func() { p.end(syscall.SIGKILL) })
+	}
+	for _, p := range f.processes {
+		require.Eventually(t, func() bool { return p.isReady(f.client) }, 20*time.Second, 20*time.Millisecond, p.name)
+	}
+	return f
+}
+
+// call sends a call to a process and records what came back.
+func (f *processFleet) call(ctx context.Context, p *process, c tlstand.Call) received {
+	c.Host = tlstand.Host
+	q, err := c.Request(p.listen)
+	if err != nil {
+		return received{}
+	}
+	var a received
+	// A body that can't be read again keeps the caller's own library from repeating it.
+	q.Body, q.GetBody = io.NopCloser(q.Body), nil
+	r, err := f.client.Do(q.WithContext(ctx))
+	if err == nil {
+		b, failed := io.ReadAll(r.Body)
+		_ = r.Body.Close()
+		a = received{status: r.StatusCode, body: string(b), seal: tlstand.Seal(r), isComplete: failed == nil}
+	}
+	a.isOld = p.program == os.Getenv(envBeside) && os.Getenv(envOnlyBeside) == ""
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answers[c.ID] = a
+	return a
+}
+
+// payments sends payments to all processes until ctx ends.
+func (f *processFleet) payments(ctx context.Context, caller int, random *rand.Rand) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c := tlstand.Call{ID: fmt.Sprintf("pay-%d-%d", caller, n), Method: http.MethodPost, Path: tlstand.AtMostOncePath + "x", Body: "pay", Deadline: 1200 * time.Millisecond}
+		if random.IntN(4) == 0 {
+			c.Body, c.Header = "", http.Header{"Idempotency-Key": {c.ID}}
+		}
+		k, stop := context.WithTimeout(context.Background(), c.Deadline+time.Second)
+		f.call(k, f.processes[random.IntN(len(f.processes))], c)
+		stop()
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+	}
+}
+
+// streams sends streams that may be resumed, and takes those up that break.
+func (f *processFleet) streams(ctx context.Context, caller int, random *rand.Rand) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c := tlstand.Call{ID: fmt.Sprintf("stream-%d-%d", caller, n), Method: http.MethodPost, Path: tlstand.ResumablePath + "x", Body: "p", PromptTokens: 1000, OutputTokens: 20, Deadline: 4 * time.Second}
+		k, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		f.call(k, f.processes[random.IntN(len(f.processes))], c)
+		stop()
+	}
+}
+
+// spoil draws the faults of an endpoint.
+func (f *processFleet) spoil(e *tlstand.FaultyEndpoint, random *rand.Rand) {
+	share := func() float64 { return 0.1 * random.Float64() }
+	e.SetFaults(tlstand.Faults{LosesAnswer: share(), RefusesTwice: share(), AddsAnswer: share(), SpoilsHead: share(), Refuses: share(), IsSilent: share()})
+}
+
+// trouble does something to the processes, the endpoints or the store at random, in
+// series and overlapping, until ctx ends.
+func (f *processFleet) trouble(ctx context.Context, random *rand.Rand) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for ctx.Err() == nil {
+		p := f.processes[random.IntN(len(f.processes))]
+		d := time.Duration(300+random.IntN(1500)) * time.Millisecond
+		switch random.IntN(6) {
+		case 0:
+			running.Go(func() { p.end(syscall.SIGKILL); time.Sleep(d); p.start(f.t) })
+		case 1:
+			running.Go(func() { p.end(syscall.SIGTERM); time.Sleep(d); p.start(f.t) })
+		case 2:
+			running.Go(func() { p.signal(syscall.SIGSTOP); time.Sleep(d); p.signal(syscall.SIGCONT) })
+		case 3:
+			p.signal(syscall.SIGHUP)
+		case 4:
+			f.store.SetIntercept(func(w http.ResponseWriter, _ *http.Request) bool {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return true
+			})
+			running.Go(func() { time.Sleep(d); f.store.SetIntercept(nil) })
+		default:
+			f.spoil(f.endpoints[random.IntN(len(f.endpoints))], random)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(random.IntN(800)) * time.Millisecond):
+		}
+	}
+}
+
+// check checks all answers against what the endpoints have run.
+func (f *processFleet) check() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts, runs := map[string]int{}, 0
+	for id, a := range f.answers {
+		kind, _, _ := strings.Cut(id, "-")
+		if a.isOld {
+			kind += " (earlier build)"
+		}
+		counts[fmt.Sprint(kind, " ", a.status)]++
+		ran, isRight := 0, false
+		for _, e := range f.endpoints {
+			ran += e.Ran(id)
+			body, seal := e.Answer(id)
+			isRight = isRight || e.Ran(id) > 0 && a.body == body && a.seal == seal
+		}
+		runs += ran
+		if a.isOld {
+			continue
+		}
+		assert.LessOrEqual(f.t, ran, 1, "TWICE: %s ran %d times, status %d", id, ran, a.status)
+		switch a.status {
+		case http.StatusOK:
+			if kind == "pay" && a.isComplete {
+				assert.True(f.t, isRight, "MIXED: %s got %q with seal %q", id, a.body, a.seal)
+			}
+		case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			assert.Zero(f.t, ran, "REFUSED: %s got %d and ran: %s", id, a.status, a.body)
+		}
+	}
+	f.t.Logf("%d requests, %d runs of payments, statuses %v", len(f.answers), runs, counts)
+}
+
+// Guards against requests that run twice, are refused though they ran, or get an answer
+// that is not theirs, while processes, endpoints and the store are in trouble.
+func TestProcessesInTrouble(t *testing.T) {
+	t.Parallel()
+	program := buildProgram(t)
+	for n := range number(t, envSeeds, 2) {
+		seed := number(t, envFirst, 0) + n
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(uint64(seed), 7))
+			f := newProcessFleet(t, program, random)
+			for _, e := range f.endpoints {
+				f.spoil(e, random)
+			}
+			ctx, stop := context.WithTimeout(context.Background(), time.Duration(number(t, envSeconds, 8))*time.Second)
+			defer stop()
+			var calling sync.WaitGroup
+			for n := range 16 {
+				r := rand.New(rand.NewPCG(random.Uint64(), 2))
+				calling.Go(func() { f.payments(ctx, n, r) })
+			}
+			for n := range 4 {
+				r := rand.New(rand.NewPCG(random.Uint64(), 3))
+				calling.Go(func() { f.streams(ctx, n, r) })
+			}
+			f.trouble(ctx, random)
+			calling.Wait()
+			for _, p := range f.processes {
+				calling.Go(func() { p.end(syscall.SIGTERM) })
+			}
+			calling.Wait()
+			f.check()
+		})
+	}
+}
+
+// Guards against messages that an earlier build can't read, or this one can't read of it:
+// streams that one of them has begun and the other takes up, while the store is away.
+func TestProcessesOfTwoBuildsShareOrigins(t *testing.T) {
+	if os.Getenv(envBeside) == "" {
+		t.Skip("needs the program of an earlier build in " + envBeside)
+	}
+	t.Setenv(envProcesses, "6")
+	f := newProcessFleet(t, buildProgram(t), rand.New(rand.NewPCG(1, 1)))
+	for _, e := range f.engines {
+		e.EventInterval = 200 * time.Millisecond
+	}
+	time.Sleep(2 * time.Second)
+	f.store.SetIntercept(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	for begins, p := range f.processes {
+		for takesUp, q := range f.processes {
+			if p == q {
+				continue
+			}
+			id := fmt.Sprintf("stream-%d-%d", begins, takesUp)
+			c := tlstand.Call{ID: id, Method: http.MethodPost, Path: tlstand.ResumablePath + "x", Body: "p", PromptTokens: 1000, OutputTokens: 20, Deadline: 4 * time.Second}
+			ctx, stop := context.WithTimeout(context.Background(), 600*time.Millisecond)
+			f.call(ctx, p, c)
+			stop()
+			c.ID, c.Resumes, c.ResumeAfter = id+"-again", id, "2"
+			a := f.call(context.Background(), q, c)
+			assert.Equal(t, http.StatusOK, a.status, "begun at %d, taken up at %d: %s", begins, takesUp, a.body)
+			assert.True(t, a.isComplete)
+		}
+	}
+}
