Tell a caller of a time-out as one where another instance met it

What callers saw: 502 in place of 504 where the instance to which a request was forwarded had its time-out a moment before this one's own.

Cause: the time-out of the other instance came as a failure of the endpoint.

Change: it is passed on as the time-out that it is.

Result: the tests of cuts and of forwarding pass.

--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -350,6 +350,8 @@
 		x.forward(s.answer)
 	case c.possibleRuns == 0:
 		x.refuse(tlverdict.New(tlverdict.NoEndpoint, "no endpoint of service %s could be reached: %v", x.service.Name, s.err).WithRetryAfter(busyRetryAfter))
+	case c.refusal != nil && c.refusal.Reason == tlverdict.EndpointTimeout:
+		x.refuse(c.refusal)
 	default:
 		x.refuse(tlverdict.New(tlverdict.EndpointFailed, "the endpoint failed: %v", s.err))
 	}
