Count an origin that came by itself as found here, and rewrite no right entry

Cause, found by reading the change: an origin that another instance told while others were asked was counted under no name; and an instance whose own entry did not pass the check would have written it again without end.

Change: such an origin counts as FoundHere; an entry is written again only where what stands there is not the instance's own.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"slices"
@@ -163,7 +164,11 @@
 // replaceOddEntry writes this instance's entry again if another writer's stands in its
 // place: instances that start later would not know this one.
 func (i *Instance) replaceOddEntry(r tlkeyed.Record) {
-	if r.Key == i.settings.Name && incarnationOf(r) >= i.self.Incarnation {
+	if r.Key != i.settings.Name || incarnationOf(r) < i.self.Incarnation {
+		return
+	}
+	own, err := i.entry(tlwire.InstanceStateLive, i.self.Incarnation)
+	if err == nil && !bytes.Equal(own, r.Value) {
 		i.running.Go(func() { i.restoreEntry(i.ctx) })
 	}
 }
--- a/io/tlregistry/copies.go
+++ b/io/tlregistry/copies.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// copies is how many instances, besides this one and the home, are told of an origin: it
-	// then outlasts any two of them while the store is away.
+	// copies is how many instances, besides this one and the home, are told of an origin. It
+	// then outlasts any two instances while the store is away.
 	copies = 2
 	// askedCopies is how many are asked for one: one more, since an instance may have joined since.
 	askedCopies = copies + 1
--- a/io/tlregistry/lookup.go
+++ b/io/tlregistry/lookup.go
@@ -1,6 +1,7 @@
 package tlregistry
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -25,7 +26,8 @@
 	}
 	where, isSilent := r.askOthers(ctx, service, attempt)
 	if o, ok := r.find(attempt); ok {
-		return r.found(o, where)
+		// It may also have come by itself meanwhile.
+		return r.found(o, cmp.Or(where, FoundHere))
 	}
 	err := r.catchUp(ctx, asked)
 	if o, ok := r.find(attempt); ok {
