Take an entry of an instance that names no address for peers

Cause: the check of entries asked for a peer address, which the schema allows to be absent.

Change: a peer address that is there needs a port; one may be absent.

--- a/core/tlmember/entry.go
+++ b/core/tlmember/entry.go
@@ -23,7 +23,7 @@
 	switch {
 	case e.Name == "" || e.Kind != tlwire.InstanceKindEntry || !isKnownState:
 		return errNoEntry
-	case !e.Address.IsValid() || e.Address.Port() == 0 || !e.PeerAddress.IsValid() || e.PeerAddress.Port() == 0:
+	case !e.Address.IsValid() || e.Address.Port() == 0 || e.PeerAddress.IsValid() && e.PeerAddress.Port() == 0:
 		return errBadAddress
 	case math.IsNaN(e.Capacity) || e.Capacity < 0 || e.Capacity > maxCapacity:
 		return errBadCapacity
