--- a/io/tlgateway/forward.go
+++ b/io/tlgateway/forward.go
@@ -90,11 +90,10 @@
 	x.g.deps.Directory.Observe(x.g.deps.Now(), id, o, took)
 }
 
-// forwardRequest gives the request to another instance. The error is a *tlsend.Error,
+// forwardRequest gives the request to another instance; it may run beside the exchange. The error is a *tlsend.Error,
 // which wraps the refusal if the other instance refused it.
 func (x *exchange) forwardRequest(ctx context.Context, after string, runs int) (*tlsend.Reply, string, error) {
 	x.g.deps.Count(Forwarded)
-	x.sends++
 	f := Forward{
 		Forwarding:  Forwarding{Elapsed: x.g.deps.Now().Sub(x.arrived), Runs: runs},
 		Request:     x.request,
@@ -200,6 +199,7 @@
 		}
 	}
 	g.decodeSends++
+	g.x.sends++
 	r, peer, err := g.x.forwardRequest(g.ctx, g.lastEventID, g.possibleRuns)
 	if err != nil {
 		return false, g.forwardFailed(err)
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -220,6 +220,7 @@
 func (c *plainRequest) forwardNext() {
 	c.tried = append(c.tried, "")
 	c.inFlight++
+	c.x.sends++
 	runs := c.possibleRuns
 	c.start(tlendpoint.Endpoint{}, func() sendResult { return c.x.forwardPlain(c.ctx, runs) })
 }
