Wait for the copies that a test is about, and play processes by themselves

TestOriginOutlastsItsHomeAndTheStoresAbsence ended the home 50 ms after it had sent the copies, which had not arrived. TestProcessesInTrouble ran beside the tests of cuts, which count what is served in a time.

The processes are played serially.

--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -11,7 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoillanding/core/tlendpoint"
-	"trefoillanding/io/tlregistry"
 	"trefoillanding/platform"
 	"trefoillanding/platform/tlstand"
 )
@@ -36,6 +36,26 @@
 	}
 }
 
+// waitForCopies waits until two instances besides the one that began streams know the
+// origin of each.
+func (f *versionFleet) waitForCopies(begins *Instance, all []*begunStream) {
+	f.w.t.Helper()
+	// A registry whose question has no time tells only what it knows by itself.
+	ended, stop := context.WithCancel(context.Background())
+	stop()
+	for _, s := range all {
+		f.w.eventually(func() bool {
+			n := 0
+			for _, i := range f.instances {
+				if _, err := i.registry.Find(ended, tlstand.ModelService, s.id); i != begins && err == nil {
+					n++
+				}
+			}
+			return n >= 2
+		})
+	}
+}
+
 // Guards against streams that nobody can take up once the home of their service has ended,
 // which served them itself while the store was away, or before it lost its last seconds.
 func TestOriginOutlastsItsHomeAndTheStoresAbsence(t *testing.T) {
@@ -65,11 +85,7 @@
 			for range 6 {
 				all = append(all, f.begin(home))
 			}
-			f.w.eventually(func() bool {
-				k := home.counters.origins
-				return k.Value(tlregistry.Copied) == 2*k.Value(tlregistry.Noted)
-			})
-			time.Sleep(50 * time.Millisecond)
+			f.waitForCopies(home, all)
 			ended := []*Instance{home}
 			for _, i := range f.instances {
 				if i != home && len(ended) <= c.others {
--- a/gateway/processes_soak_test.go
+++ b/gateway/processes_soak_test.go
@@ -344,7 +344,6 @@
 // Guards against requests that run twice, are refused though they ran, or get an answer
 // that is not theirs, while processes, endpoints and the store are in trouble.
 func TestProcessesInTrouble(t *testing.T) {
-	t.Parallel()
 	program := buildProgram(t)
 	for n := range number(t, envSeeds, 2) {
 		seed := number(t, envFirst, 0) + n
