Draw the holders of origins by the rendezvous hashing that homes use

Cause: reading the change again: core/tlorigin wrote the scoring and the draw of core/tlmember anew, with a type of its own for an instance; the holders that are new were worked out for each origin, though a group has the same ones.

Change: tlmember.Pick serves both, on tlmember.Member; renewed copies are worked out once a group.

--- a/core/tlmember/home.go
+++ b/core/tlmember/home.go
@@ -53,14 +53,14 @@
 		from, to = 0, len(v.live)
 	}
 	var names []string
-	for _, m := range pick(purpose, v.live[from:to], n) {
+	for _, m := range Pick(purpose, v.live[from:to], n) {
 		names = append(names, m.Name)
 	}
 	return names
 }
 
-// pick returns at most n members that rendezvous hashing picks for a purpose, best first.
-func pick(purpose string, from []Member, n int) []Member {
+// Pick returns at most n members that rendezvous hashing picks for a purpose, best first.
+func Pick(purpose string, from []Member, n int) []Member {
 	type scored struct {
 		Member
 		score uint64
@@ -87,7 +87,7 @@
 // whole fleet off instances with a small share of a core while larger ones live.
 func (v *View) Largest(purpose string, n int) []Member {
 	v.refresh()
-	return pick(purpose, v.largest, n)
+	return Pick(purpose, v.largest, n)
 }
 
 // largest returns the members with at least largestShare of the largest capacity.
--- a/core/tlorigin/holders_test.go
+++ b/core/tlorigin/holders_test.go
@@ -6,12 +6,14 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+
+	"trefoillanding/core/tlmember"
 )
 
-func fleet(n int) []Holder {
-	var all []Holder
+func fleet(n int) []tlmember.Member {
+	var all []tlmember.Member
 	for k := range n {
-		all = append(all, Holder{Name: fmt.Sprint("i", k), Incarnation: uint64(k + 1)})
+		all = append(all, tlmember.Member{Name: fmt.Sprint("i", k), Incarnation: uint64(k + 1)})
 	}
 	return all
 }
@@ -25,11 +27,11 @@
 		reversed := slices.Clone(all)
 		slices.Reverse(reversed)
 		assert.Equal(t, chosen, Holders(attempt, reversed, 2), "whoever asks finds the same")
-		left := slices.DeleteFunc(slices.Clone(all), func(h Holder) bool { return h == chosen[0] })
+		left := slices.DeleteFunc(slices.Clone(all), func(h tlmember.Member) bool { return h == chosen[0] })
 		assert.Equal(t, chosen[1], Holders(attempt, left, 2)[0])
 		assert.Len(t, NewHolders(attempt, all, left, 2), 1, "one copy is missing")
-		assert.Empty(t, NewHolders(attempt, all, slices.DeleteFunc(slices.Clone(all), func(h Holder) bool { return !slices.Contains(chosen, h) }), 2))
-		more := append(slices.Clone(all), Holder{Name: "new", Incarnation: 99})
+		assert.Empty(t, NewHolders(attempt, all, slices.DeleteFunc(slices.Clone(all), func(h tlmember.Member) bool { return !slices.Contains(chosen, h) }), 2))
+		more := append(slices.Clone(all), tlmember.Member{Name: "new", Incarnation: 99})
 		assert.Subset(t, Holders(attempt, more, 3), chosen, "one more that is asked makes up for one that has joined")
 	}
 }
@@ -37,7 +39,7 @@
 func TestRestartedHolderIsANewOne(t *testing.T) {
 	before, now := fleet(2), fleet(2)
 	now[0].Incarnation = 7
-	assert.Equal(t, []Holder{now[0]}, NewHolders("a", before, now, 2))
+	assert.Equal(t, []tlmember.Member{now[0]}, NewHolders("a", before, now, 2))
 	assert.Empty(t, NewHolders("a", now, now, 2))
 }
 
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlkeyed"
-	"trefoillanding/core/tlorigin"
+	"trefoillanding/core/tlmember"
 	"trefoillanding/io/tlregistry"
 	"trefoillanding/platform"
 )
@@ -33,15 +34,9 @@
 }
 
 // originHolders returns the other instances, which hold copies of the origins of streams.
-func (i *Instance) originHolders() []tlorigin.Holder {
-	live := i.gossip.Live()
-	list := make([]tlorigin.Holder, 0, len(live))
-	for _, m := range live {
-		if m.Name != i.settings.Name {
-			list = append(list, tlorigin.Holder{Name: m.Name, Incarnation: m.Incarnation})
-		}
-	}
-	return list
+func (i *Instance) originHolders() []tlmember.Member {
+	// The list that Live returns is shared.
+	return slices.DeleteFunc(slices.Clone(i.gossip.Live()), func(m tlmember.Member) bool { return m.Name == i.settings.Name })
 }
 
 func (i *Instance) appendOrigins(ctx context.Context, record []byte) error {
--- a/io/tlregistry/copies.go
+++ b/io/tlregistry/copies.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlorigin"
 	"trefoillanding/core/tlwire"
 	"trefoillanding/io/tlpeer"
@@ -51,9 +52,13 @@
 	if slices.Equal(before, now) {
 		return
 	}
-	byPeer := map[string][]tlorigin.Origin{}
+	byPeer, added := map[string][]tlorigin.Origin{}, map[string][]tlmember.Member{}
 	for _, o := range list {
-		for _, h := range tlorigin.NewHolders(o.Attempt, before, now, copies) {
+		group := tlorigin.Group(o.Attempt)
+		if _, ok := added[group]; !ok {
+			added[group] = tlorigin.NewHolders(o.Attempt, before, now, copies)
+		}
+		for _, h := range added[group] {
 			byPeer[h.Name] = append(byPeer[h.Name], o)
 		}
 	}
--- a/io/tlregistry/registry.go
+++ b/io/tlregistry/registry.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"trefoillanding/core/tlkeyed"
+	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlorigin"
 	"trefoillanding/core/tlwire"
 	"trefoillanding/io/tlpeer"
@@ -69,7 +70,7 @@
 	// Home returns the instance that is the home of a service.
 	Home func(service string) string
 	// Others returns the other live instances.
-	Others func() []tlorigin.Holder
+	Others func() []tlmember.Member
 	// Post sends a one-way message to another instance without waiting.
 	Post func(peer, kind string, send func(context.Context) error)
 	// Append appends a record to the log.
@@ -111,7 +112,7 @@
 	// homes holds the home that was told of the origins of each service.
 	homes map[string]string
 	// others holds the instances among which those of unwritten have copies.
-	others []tlorigin.Holder
+	others []tlmember.Member
 }
 
 // New returns a Registry and registers its handlers with the mesh, which must not have been started.
--- a/io/tlregistry/registry_test.go
+++ b/io/tlregistry/registry_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"trefoillanding/core/tlkeyed"
+	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlorigin"
 	"trefoillanding/io/tlpeer"
 )
@@ -112,7 +113,7 @@
 	require.NoError(t, err)
 	r := New(Options{
 		Self: "a", Mesh: m, Home: func(string) string { return "a" },
-		Others: func() []tlorigin.Holder { return nil },
+		Others: func() []tlmember.Member { return nil },
 		Post:   func(string, string, func(context.Context) error) {},
 		Append: l.append, Read: l.read, CallInterval: func() time.Duration { return interval },
 		Now: time.Now, Log: logrus.NewEntry(log), Count: func(string) {},
