One body type for what happens at its close, and one busy store in the tests

Cause: reading the change again: cancelledBody was openBody written anew; a transport without kept connections has no idle ones to drop; three tests spelled out the store that refuses all calls beside busyStore.

Change: openBody closes the body and then calls its function, for both uses; the others are gone. No assertion changed.

--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -11,7 +11,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"trefoillanding/core/tlendpoint"
 	"trefoillanding/platform"
 	"trefoillanding/platform/tlstand"
 )
@@ -136,7 +135,7 @@
 				}
 			}
 			f.waitUntilWritten()
-			late.publishEndpoints(slices.Concat(old, []tlendpoint.Endpoint{}))
+			late.publishEndpoints(old)
 			if c.isStoreAway {
 				busyStore(f.w.store)
 			}
--- a/gateway/processes_soak_test.go
+++ b/gateway/processes_soak_test.go
@@ -292,10 +292,7 @@
 		case 3:
 			p.signal(syscall.SIGHUP)
 		case 4:
-			f.store.SetIntercept(func(w http.ResponseWriter, _ *http.Request) bool {
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return true
-			})
+			busyStore(f.store)
 			running.Go(func() { time.Sleep(d); f.store.SetIntercept(nil) })
 		default:
 			f.spoil(f.endpoints[random.IntN(len(f.endpoints))], random)
@@ -387,10 +384,7 @@
 		e.EventInterval = 200 * time.Millisecond
 	}
 	time.Sleep(2 * time.Second)
-	f.store.SetIntercept(func(w http.ResponseWriter, _ *http.Request) bool {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return true
-	})
+	busyStore(f.store)
 	for begins, p := range f.processes {
 		for takesUp, q := range f.processes {
 			if p == q {
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -361,10 +361,7 @@
 func TestStreamBegunWhileTheStoreIsAwayGoesOnAtAnotherVersion(t *testing.T) {
 	t.Parallel()
 	f := newVersionFleet(t, 3, "v1", "v2")
-	f.w.store.SetIntercept(func(w http.ResponseWriter, _ *http.Request) bool {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return true
-	})
+	busyStore(f.w.store)
 	for n := range 6 {
 		s := f.begin(f.instances[n%3])
 		require.NoError(t, s.response.Body.Close())
--- a/io/tlsend/proof.go
+++ b/io/tlsend/proof.go
@@ -1,9 +1,7 @@
 package tlsend
 
 import (
-	"context"
 	"errors"
-	"io"
 	"net/http"
 
 	"trefoillanding/core/tlcall"
@@ -33,16 +31,3 @@
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
-
-// cancelledBody is the body of an answer; the context of its request ends once it is closed.
-type cancelledBody struct {
-	io.ReadCloser
-	cancel context.CancelCauseFunc
-}
-
-// Close closes the body.
-func (b *cancelledBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.cancel(nil)
-	return err
-}
--- a/io/tlsend/quiet.go
+++ b/io/tlsend/quiet.go
@@ -50,14 +50,15 @@
 	return s.quiet.duration()
 }
 
-// openBody is the body of an answer, which is awaited until it is closed.
+// openBody is the body of an answer; onClose is called once it is closed.
 type openBody struct {
 	io.ReadCloser
-	close func()
+	onClose func()
 }
 
 // Close closes the body.
 func (b *openBody) Close() error {
-	b.close()
-	return b.ReadCloser.Close()
+	err := b.ReadCloser.Close()
+	b.onClose()
+	return err
 }
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -137,7 +137,6 @@
 // DropIdle closes the idle connections, which may be dead without a sign.
 func (s *Sender) DropIdle() {
 	s.transport.CloseIdleConnections()
-	s.singleUse.CloseIdleConnections()
 }
 
 // Send sends a request to an endpoint and returns the answer once its header has
@@ -197,7 +196,7 @@
 		p.cancel(err)
 		return nil, err
 	}
-	a.Body = &cancelledBody{a.Body, p.cancel}
+	a.Body = &openBody{a.Body, func() { p.cancel(nil) }}
 	return a, nil
 }
 
