--- a/review/_rig2/fleet.go
+++ b/review/_rig2/fleet.go
@@ -171,12 +171,13 @@
 	return f, nil
 }
 
-// start starts all gateways and waits until they are ready.
+// start starts all gateways within 0.3 s, the last one first, and waits until they are ready.
 func (f *fleet) start() error {
-	for _, g := range f.gateways {
-		if err := g.start(); err != nil {
+	for n := len(f.gateways) - 1; n >= 0; n-- {
+		if err := f.gateways[n].start(); err != nil {
 			return err
 		}
+		time.Sleep(40 * time.Millisecond)
 	}
 	until := time.Now().Add(15 * time.Second)
 	for _, g := range f.gateways {
@@ -197,3 +198,8 @@
 	f.store.Close()
 	_ = os.RemoveAll(f.folder)
 }
+
+func mustAddress(text string) netip.AddrPort {
+	a, _ := netip.ParseAddrPort(text)
+	return a
+}
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -41,6 +41,9 @@
 // cases has the function of each case; it returns how often the rule was broken.
 var cases = map[string]func(r *record, isTrouble bool) (int, error){
 	"resumed": runResumed,
+	"leaving": runLeaving,
+	"paths":   runPaths,
+	"limits":  runLimits,
 }
 
 func main() {
