--- a/review/_rig2/leaving.go
+++ b/review/_rig2/leaving.go
@@ -87,6 +87,12 @@
 	address string
 }
 
+func (c *connections) add(k newConnection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = append(c.list, k)
+}
+
 // in returns how many connections an address got in a window, and how many clients opened
 // one anywhere.
 func (c *connections) in(from, to time.Time, address string) (n, clients int) {
@@ -121,9 +127,7 @@
 			call := tlstand.Call{ID: id, Method: http.MethodGet, Host: tlstand.Host, Path: "/stock/x", Deadline: 1500 * time.Millisecond}
 			status := get(a, call)
 			if status != 0 {
-				c.mu.Lock()
-				c.list = append(c.list, newConnection{time.Now(), client, a})
-				c.mu.Unlock()
+				c.add(newConnection{time.Now(), client, a})
 			}
 			if status == http.StatusOK {
 				served.Add(1)
