Case 8: a crowd has answers of ordinary callers dropped

Cause: a connection that makes room for a new one is chosen while its request is still being read, and closed afterwards; the request goes on to a replica, and its answer has nowhere to go (gateway/connections.go, core/tlmemory). Change: review/8, run by rig2 crowd. The case on paths with two slashes is dropped from rig2: review/5 shows it.

--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -42,8 +42,8 @@
 var cases = map[string]func(r *record, isTrouble bool) (int, error){
 	"resumed": runResumed,
 	"leaving": runLeaving,
-	"paths":   runPaths,
 	"limits":  runLimits,
+	"crowd":   runCrowd,
 }
 
 func main() {
