--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # among them, into target/.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/rig2 ./review/_rig2
+go build -o target/rig2 ./review/platform/_rig2
