Log and count who grants what of a quota

The logs of the incident can't tell who granted too much: a grant left no line. Now each request's trace has who granted it, its cost and the level left; counters and the status page have the sums of homes and own parts and what came back; one line tells when an instance begins to count an organisation, and with what. QuotaAnswer has an optional Level. No decision changes.

--- a/core/tlquota/bucket.go
+++ b/core/tlquota/bucket.go
@@ -27,12 +27,18 @@
 	IsGranted bool
 	// Wait is the time until the request is expected to be within it.
 	Wait time.Duration
+	// Level is what may be sent at once after the request; below 0 it is overdrawn.
+	Level float64
+	// IsNew says that the bucket began with the request.
+	IsNew bool
 }
 
 // bucket is the token bucket of one organisation.
 type bucket struct {
 	limit Limit
 	level float64
+	// granted is the cost of all requests granted.
+	granted float64
 	// promised is the cost of refused requests that were told to return, as of filled. It
 	// spreads those that follow, and is worked off at the limit's rate.
 	promised float64
@@ -52,14 +58,15 @@
 func (b *bucket) take(need, cost, share float64) Grant {
 	if b.level >= need {
 		b.level -= cost
-		return Grant{IsGranted: true}
+		b.granted += cost
+		return Grant{IsGranted: true, Level: b.level}
 	}
 	rate := b.limit.Rate * share
 	wait := seconds((need - b.level + b.promised) / rate)
 	if wait < maxWait {
 		b.promised += cost
 	}
-	return Grant{Wait: wait}
+	return Grant{Wait: wait, Level: b.level}
 }
 
 func seconds(s float64) time.Duration {
@@ -72,11 +79,12 @@
 // buckets holds the buckets of organisations by their names.
 type buckets map[string]*bucket
 
-// of returns the bucket of an organisation under the newest limit known; initial returns
-// the level of a new one.
-func (m buckets) of(now time.Time, name string, l Limit, initial func(Limit) float64) *bucket {
+// of returns the bucket of an organisation under the newest limit known, and whether it is
+// new; initial returns the level of a new one.
+func (m buckets) of(now time.Time, name string, l Limit, initial func(Limit) float64) (*bucket, bool) {
 	b := m[name]
-	if b == nil {
+	isNew := b == nil
+	if isNew {
 		m.makeRoom()
 		b = &bucket{limit: l, level: initial(l), filled: now}
 		m[name] = b
@@ -85,7 +93,16 @@
 		b.limit = l
 	}
 	b.asked = now
-	return b
+	return b, isNew
+}
+
+// granted returns the cost of all requests granted, by organisation.
+func (m buckets) granted() map[string]float64 {
+	sums := make(map[string]float64, len(m))
+	for name, b := range m {
+		sums[name] = b.granted
+	}
+	return sums
 }
 
 func (m buckets) makeRoom() {
--- a/core/tlquota/ledger.go
+++ b/core/tlquota/ledger.go
@@ -32,16 +32,26 @@
 // burst is granted once the bucket is full, which it then overdraws.
 func (l *Ledger) Take(now time.Time, organisation string, limit Limit, cost float64) Grant {
 	share := l.fleet.Share()
-	b := l.buckets.of(now, organisation, limit, func(m Limit) float64 { return newShare * m.Burst * share })
+	b, isNew := l.buckets.of(now, organisation, limit, func(m Limit) float64 { return newShare * m.Burst * share })
 	b.fill(now, share)
-	return b.take(min(cost, b.limit.Burst*share), cost, share)
+	g := b.take(min(cost, b.limit.Burst*share), cost, share)
+	g.IsNew = isNew
+	return g
 }
 
-// GiveBack returns what a request was charged that has not run.
-func (l *Ledger) GiveBack(organisation string, cost float64) {
-	if b := l.buckets[organisation]; b != nil {
+// GiveBack returns what a request was charged that has not run; it reports whether the
+// organisation has a bucket here.
+func (l *Ledger) GiveBack(organisation string, cost float64) bool {
+	b := l.buckets[organisation]
+	if b != nil {
 		b.level += cost
 	}
+	return b != nil
+}
+
+// Granted returns what was granted to each organisation.
+func (l *Ledger) Granted() map[string]float64 {
+	return l.buckets.granted()
 }
 
 // Levels returns what each organisation may send at once, as of its last request.
--- a/core/tlquota/reserve.go
+++ b/core/tlquota/reserve.go
@@ -27,7 +27,14 @@
 // since the part of an instance can be smaller than any request.
 func (r *Reserve) Take(now time.Time, organisation string, limit Limit, cost float64) Grant {
 	share := r.fleet.OwnShare()
-	b := r.buckets.of(now, organisation, limit, func(m Limit) float64 { return m.Rate * share })
+	b, isNew := r.buckets.of(now, organisation, limit, func(m Limit) float64 { return m.Rate * share })
 	b.fill(now, share)
-	return b.take(0, cost, share)
+	g := b.take(0, cost, share)
+	g.IsNew = isNew
+	return g
+}
+
+// Granted returns what was granted to each organisation.
+func (r *Reserve) Granted() map[string]float64 {
+	return r.buckets.granted()
 }
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -398,6 +398,9 @@
 	// IsGranted says that the request is within the quota.
 	IsGranted bool `json:"IsGranted" yaml:"IsGranted" cbor:"IsGranted"`
 
+	// Level is what may be sent at once after this request.
+	Level float64 `json:"Level,omitempty" yaml:"Level,omitempty" cbor:"Level,omitempty"`
+
 	// Wait is the time until such a request is expected to be within the quota.
 	Wait time.Duration `json:"Wait" yaml:"Wait" cbor:"Wait"`
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -183,7 +183,7 @@
 		Post:  i.outboxPost,
 		Now:   time.Now,
 		Log:   i.log,
-		Count: i.counters.quotas.Count,
+		Add:   i.counters.quotas.Add,
 	}
 }
 
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoillanding/io/tlfollow"
+	"trefoillanding/io/tlmeter"
 	"trefoillanding/io/tlslotter"
 )
 
@@ -36,6 +37,8 @@
 	Paces map[string]PaceStatus
 	// Quotas has what each organisation whose requests this instance has counted may send at once.
 	Quotas map[string]float64
+	// QuotaGrants has what this instance has granted to each organisation since its start.
+	QuotaGrants map[string]tlmeter.Grants
 	// Slots has the services whose slots this instance assigns.
 	Slots map[string]tlslotter.Load
 }
@@ -75,6 +78,7 @@
 	}
 	s.Incarnation = i.self.Incarnation
 	s.Quotas = i.meter.Levels()
+	s.QuotaGrants = i.meter.Grants()
 	s.Slots = i.slotter.Loads()
 	s.IsReader = i.isReader()
 	s.Doubted = i.directory.Failing()
--- a/io/tlgateway/organisation.go
+++ b/io/tlgateway/organisation.go
@@ -78,17 +78,20 @@
 	if x.isCallerGone() {
 		return callerGoneError(false)
 	}
-	if d.IsGranted {
-		x.charge = c
-		return nil
-	}
-	x.step("over quota", logrus.Fields{
+	f := logrus.Fields{
 		"Organisation": c.Organisation,
 		"Rate":         c.Limit.Rate,
 		"Burst":        c.Limit.Burst,
 		"Cost":         c.Cost,
 		"Home":         d.Home,
-	})
+		"Level":        d.Level,
+	}
+	if d.IsGranted {
+		x.charge = c
+		x.step("within quota", f)
+		return nil
+	}
+	x.step("over quota", f)
 	e := tlverdict.New(tlverdict.QuotaSpent, "organisation %s has used up its quota of %g a second", c.Organisation, c.Limit.Rate)
 	return e.WithRetryAfter(d.Wait)
 }
@@ -109,6 +112,7 @@
 func (x *exchange) giveBackCharge(e *tlverdict.Error) {
 	if x.charge.Cost > 0 && tlverdict.NotRun(e) {
 		x.g.deps.Quotas.GiveBack(x.charge)
+		x.step("quota given back", logrus.Fields{"Organisation": x.charge.Organisation, "Cost": x.charge.Cost})
 		x.charge = tlmeter.Charge{}
 	}
 }
--- a/io/tlmeter/meter.go
+++ b/io/tlmeter/meter.go
@@ -43,10 +43,22 @@
 	// that this instance granted as a home.
 	HomeSilent = "HomeSilent"
 	GivenOut   = "GivenOut"
+	// OwnPart counts the requests that this instance granted by its own part of a quota.
+	OwnPart = "OwnPart"
+	// GivenOutCost, OwnPartCost and ReturnedCost sum up what the requests of GivenOut, OwnPart
+	// and Returned cost, in tokens and requests.
+	GivenOutCost = "GivenOutCost"
+	OwnPartCost  = "OwnPartCost"
+	ReturnedCost = "ReturnedCost"
+	// ReturnUnknown counts what came back to this instance as a home that has no bucket of
+	// the organisation.
+	ReturnUnknown = "ReturnUnknown"
 )
 
 // CounterNames lists the counters of a Meter.
-var CounterNames = []string{Granted, Refused, Returned, HomeSilent, GivenOut}
+var CounterNames = []string{
+	Granted, Refused, Returned, HomeSilent, GivenOut, OwnPart, GivenOutCost, OwnPartCost, ReturnedCost, ReturnUnknown,
+}
 
 var errNotHome = errors.New("this instance is not the home of the organisation")
 
@@ -64,10 +76,10 @@
 	Post func(peer, kind string, send func(context.Context) error)
 	// Now returns the current time.
 	Now func() time.Time
-	// Log receives homes that fall silent.
+	// Log receives homes that fall silent, and organisations that are counted from now on.
 	Log *logrus.Entry
-	// Count adds one to a counter of CounterNames.
-	Count func(reason string)
+	// Add adds to a counter of CounterNames.
+	Add func(reason string, n int64)
 }
 
 // Charge is what a request costs its organisation.
@@ -114,12 +126,12 @@
 	d := m.ask(ctx, home, c)
 	switch {
 	case !d.IsGranted:
-		m.o.Count(Refused)
+		m.o.Add(Refused, 1)
 	case ctx.Err() != nil:
 		m.giveBack(d.Home, c)
 		d.IsGranted = false
 	default:
-		m.o.Count(Granted)
+		m.o.Add(Granted, 1)
 	}
 	return d
 }
@@ -146,12 +158,13 @@
 		m.markSilent(home, err)
 		return Decision{m.takeReserve(c), m.o.Self}
 	}
-	return Decision{tlquota.Grant{IsGranted: a.IsGranted, Wait: a.Wait}, home}
+	return Decision{tlquota.Grant{IsGranted: a.IsGranted, Wait: a.Wait, Level: a.Level}, home}
 }
 
 // GiveBack returns what a request was charged that has not run and never will.
 func (m *Meter) GiveBack(c Charge) {
-	m.o.Count(Returned)
+	m.o.Add(Returned, 1)
+	m.o.Add(ReturnedCost, int64(c.Cost))
 	m.giveBack(m.o.Home(c.Organisation), c)
 }
 
@@ -173,6 +186,28 @@
 	return m.ledger.Levels()
 }
 
+// Grants is what an instance has granted to an organisation since its start.
+type Grants struct {
+	// AsHome is what it granted as the home, and OwnPart what it granted by its own part.
+	AsHome, OwnPart float64
+}
+
+// Grants returns what this instance has granted to each organisation.
+func (m *Meter) Grants() map[string]Grants {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := map[string]Grants{}
+	for name, sum := range m.ledger.Granted() {
+		all[name] = Grants{AsHome: sum}
+	}
+	for name, sum := range m.reserve.Granted() {
+		g := all[name]
+		g.OwnPart = sum
+		all[name] = g
+	}
+	return all
+}
+
 func (m *Meter) handleQuota(_ context.Context, _ tlpeer.Peer, c tlwire.QuotaCall) (tlwire.QuotaAnswer, error) {
 	if m.o.Home(c.Organisation) != m.o.Self {
 		return tlwire.QuotaAnswer{}, errNotHome
@@ -182,7 +217,7 @@
 		Limit:        tlquota.Limit{Rate: c.Rate, Burst: c.Burst, Slack: c.Slack, Version: c.Version},
 		Cost:         c.Cost,
 	})
-	return tlwire.QuotaAnswer{IsGranted: g.IsGranted, Wait: g.Wait}, nil
+	return tlwire.QuotaAnswer{IsGranted: g.IsGranted, Wait: g.Wait, Level: g.Level}, nil
 }
 
 func (m *Meter) handleReturn(_ context.Context, _ tlpeer.Peer, r tlwire.QuotaReturn) (tlpeer.Empty, error) {
@@ -192,8 +227,11 @@
 
 func (m *Meter) takeBack(r tlwire.QuotaReturn) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.ledger.GiveBack(r.Organisation, max(r.Cost, 0))
+	isKnown := m.ledger.GiveBack(r.Organisation, max(r.Cost, 0))
+	m.mu.Unlock()
+	if !isKnown {
+		m.o.Add(ReturnUnknown, 1)
+	}
 }
 
 // take charges a request as the home.
@@ -203,20 +241,33 @@
 	m.checkFleet(now)
 	g := m.ledger.Take(now, c.Organisation, c.Limit, max(c.Cost, 0))
 	m.mu.Unlock()
-	if g.IsGranted {
-		m.o.Count(GivenOut)
-	}
+	m.noteGrant(c, g, GivenOut, GivenOutCost)
 	return g
 }
 
 // takeReserve charges a request to this instance's own part.
 func (m *Meter) takeReserve(c Charge) tlquota.Grant {
-	m.o.Count(HomeSilent)
+	m.o.Add(HomeSilent, 1)
 	now := m.o.Now()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.checkFleet(now)
-	return m.reserve.Take(now, c.Organisation, c.Limit, max(c.Cost, 0))
+	g := m.reserve.Take(now, c.Organisation, c.Limit, max(c.Cost, 0))
+	m.mu.Unlock()
+	m.noteGrant(c, g, OwnPart, OwnPartCost)
+	return g
+}
+
+// noteGrant counts a request that this instance has decided, and logs the first of an organisation.
+func (m *Meter) noteGrant(c Charge, g tlquota.Grant, requests, cost string) {
+	if g.IsNew {
+		m.o.Log.WithFields(logrus.Fields{
+			"Organisation": c.Organisation, "By": requests, "Cost": c.Cost, "Level": g.Level, "IsGranted": g.IsGranted,
+		}).Info("quota counted here")
+	}
+	if g.IsGranted {
+		m.o.Add(requests, 1)
+		m.o.Add(cost, int64(c.Cost))
+	}
 }
 
 // checkFleet passes on how many instances there are; m.mu must be held.
--- a/io/tlmeter/meter_test.go
+++ b/io/tlmeter/meter_test.go
@@ -61,7 +61,7 @@
 			Post: func(_, _ string, send func(context.Context) error) {
 				assert.NoError(t, send(context.Background()))
 			},
-			Now: time.Now, Log: logrus.NewEntry(l), Count: f.count,
+			Now: time.Now, Log: logrus.NewEntry(l), Add: f.count,
 		}))
 		m.Start()
 		f.meshes = append(f.meshes, m)
@@ -81,10 +81,10 @@
 	return f.homes[k]
 }
 
-func (f *testFleet) count(reason string) {
+func (f *testFleet) count(reason string, n int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.counts[reason]++
+	f.counts[reason] += int(n)
 }
 
 func (f *testFleet) counted(reason string) int {
