--- /dev/null
+++ b/core/tlquota/fleet_test.go
@@ -0,0 +1,245 @@
+package tlquota
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const (
+	// simInstances is the number of instances, of which the first simCandidates may be the home.
+	simInstances  = 66
+	simCandidates = 6
+	// simPause is how long an instance doesn't ask a home that gave no answer.
+	simPause = 500 * time.Millisecond
+)
+
+// outage is a time in which a candidate gives no answer; it has been killed, or stands still.
+type outage struct {
+	from, to time.Time
+	isKill   bool
+}
+
+// simFleet is a fleet of instances under virtual time. Each has its own view of who is the home.
+type simFleet struct {
+	random  *rand.Rand
+	limit   Limit
+	ledgers []*Ledger
+	own     []*Reserve
+	// outages has those of each candidate, in order of time; a killed one comes back as the youngest.
+	outages [simCandidates][]outage
+	// estranged has until when a candidate takes the next for the home, though all others hold it for the home.
+	estranged [simCandidates]time.Time
+	// slowUntil has until when a home's answers come too late.
+	slowUntil time.Time
+	// noticing is how long after a candidate's end or return each instance knows of it.
+	noticing  [simInstances][simCandidates]time.Duration
+	silent    [simInstances][simCandidates]time.Time
+	deadUntil [simInstances]time.Time
+	grants    grants
+}
+
+func newSimFleet(r *rand.Rand, l Limit) *simFleet {
+	f := &simFleet{random: r, limit: l}
+	for k := range simInstances {
+		f.ledgers = append(f.ledgers, nil)
+		f.own = append(f.own, nil)
+		f.start(k)
+		for c := range simCandidates {
+			f.noticing[k][c] = time.Duration(r.Int64N(int64(600 * time.Millisecond)))
+		}
+	}
+	return f
+}
+
+func (f *simFleet) start(k int) {
+	f.ledgers[k] = NewLedger()
+	f.ledgers[k].SetFleet(start, simInstances, simInstances)
+	f.own[k] = NewReserve()
+	f.own[k].SetFleet(start, simInstances)
+}
+
+// isAnswering reports whether a candidate runs.
+func (f *simFleet) isAnswering(now time.Time, c int) bool {
+	for _, o := range f.outages[c] {
+		if !now.Before(o.from) && now.Before(o.to) {
+			return false
+		}
+	}
+	return true
+}
+
+// born returns how often a candidate has been killed, as an instance knows at a time.
+func (f *simFleet) born(now time.Time, c int) int {
+	n := 0
+	for _, o := range f.outages[c] {
+		if o.isKill && !now.Before(o.from) {
+			n++
+		}
+	}
+	return n
+}
+
+// isHeldForLive reports whether an instance holds a candidate for live: an end is noticed
+// after the silence that gossip allows, a return sooner.
+func (f *simFleet) isHeldForLive(now time.Time, k, c int) bool {
+	for _, o := range f.outages[c] {
+		if !now.Before(o.from.Add(900*time.Millisecond+f.noticing[k][c])) && now.Before(o.to.Add(200*time.Millisecond+f.noticing[k][c])) {
+			return false
+		}
+	}
+	return true
+}
+
+// home returns the candidate that an instance holds for the home: the oldest that lives.
+func (f *simFleet) home(now time.Time, k int) int {
+	best := -1
+	for c := range simCandidates {
+		late := now
+		if c != k {
+			late = now.Add(-f.noticing[k][c])
+			if !f.isHeldForLive(now, k, c) {
+				continue
+			}
+		} else if now.Before(f.estranged[c]) {
+			continue
+		}
+		if best < 0 || f.born(late, c) < f.born(late, best) {
+			best = c
+		}
+	}
+	return max(best, 0)
+}
+
+// request has instance k decide a request.
+func (f *simFleet) request(now time.Time, k int, cost float64) {
+	if now.Before(f.deadUntil[k]) || k < simCandidates && !f.isAnswering(now, k) {
+		return
+	}
+	h := f.home(now, k)
+	var g Grant
+	switch {
+	case h == k:
+		g = f.ledgers[k].Take(now, "o", f.limit, cost)
+	case now.Before(f.silent[k][h]):
+		g = f.takeOwn(now, k, cost)
+	case !f.isAnswering(now, h) || f.home(now, h) != h:
+		f.silent[k][h] = now.Add(simPause)
+		g = f.takeOwn(now, k, cost)
+	default:
+		g = f.ledgers[h].Take(now, "o", f.limit, cost)
+		if now.Before(f.slowUntil) {
+			f.silent[k][h] = now.Add(simPause)
+			g = f.takeOwn(now, k, cost)
+		}
+	}
+	if g.IsGranted {
+		f.grants.add(now, cost)
+	}
+}
+
+func (f *simFleet) takeOwn(now time.Time, k int, cost float64) Grant {
+	return f.own[k].Take(now, "o", f.limit, cost)
+}
+
+// kill ends an instance, which comes back with nothing known.
+func (f *simFleet) kill(now time.Time, k int, d time.Duration) {
+	if k < simCandidates {
+		f.outages[k] = append(f.outages[k], outage{now, now.Add(d), true})
+	}
+	f.deadUntil[k] = now.Add(d)
+	f.start(k)
+}
+
+func (f *simFleet) freeze(now time.Time, c int, d time.Duration) {
+	f.outages[c] = append(f.outages[c], outage{now, now.Add(d), false})
+}
+
+// drawCost draws the cost of a request as the sites of many organisations draw it: most
+// cost little, generations some thousands, and a fifth of them tens of thousands.
+func drawCost(r *rand.Rand) float64 {
+	kind := r.Float64()
+	spread := math.Exp(0.6 * r.NormFloat64())
+	switch {
+	case kind < 0.4:
+		return 200
+	case kind < 0.6:
+		return 300 + min(350*spread, 900)
+	case kind < 0.85:
+		return 300 + min(6300*spread, 17_000)
+	default:
+		return 300 + min(13_300*spread, 39_900)
+	}
+}
+
+// meanCost is about the mean of drawCost.
+const meanCost = 4700
+
+// Guards against a hot organisation that gets more than its quota while instances are
+// killed, stand still, disagree on its home, restart in turn or find the home slow.
+func TestHotOrganisationIsHeldToItsQuotaWhileHomesChange(t *testing.T) {
+	const from, span = usualFor, 24 * time.Second
+	at := func(s float64) time.Duration { return from + time.Duration(s*float64(time.Second)) }
+	type event struct {
+		at time.Duration
+		do func(f *simFleet, now time.Time)
+	}
+	killHome := func(f *simFleet, now time.Time) { f.kill(now, f.home(now, simInstances-1), 2*time.Second) }
+	freezeHome := func(f *simFleet, now time.Time) { f.freeze(now, f.home(now, simInstances-1), 2*time.Second) }
+	estrangeHome := func(f *simFleet, now time.Time) {
+		f.estranged[f.home(now, simInstances-1)] = now.Add(2 * time.Second)
+	}
+	slowHome := func(f *simFleet, now time.Time) { f.slowUntil = now.Add(1500 * time.Millisecond) }
+	killThird := func(f *simFleet, now time.Time) {
+		for _, k := range f.random.Perm(simInstances)[:simInstances/3] {
+			f.kill(now, k, time.Second)
+		}
+	}
+	var restarts []event
+	for k := range simInstances {
+		restarts = append(restarts, event{at(float64(k/5) * 1.2), func(f *simFleet, now time.Time) { f.kill(now, k, 700*time.Millisecond) }})
+	}
+	cases := []struct {
+		name   string
+		events []event
+	}{
+		{"1 calm", nil},
+		{"2 the home is killed, and the next", []event{{at(1), killHome}, {at(4), killHome}, {at(7), killHome}}},
+		{"3 the home stands still, and the next", []event{{at(1), freezeHome}, {at(5), freezeHome}, {at(8), freezeHome}}},
+		{"4 the home is not the home in its own view", []event{{at(1), estrangeHome}, {at(5), estrangeHome}}},
+		{"5 the home is slow", []event{{at(1), slowHome}, {at(5), slowHome}}},
+		{"6 a third of the instances are killed, twice", []event{{at(1), killThird}, {at(5), killThird}}},
+		{"7 all restart, five at a time", restarts},
+		{"8 the home stands still, a third are killed, the next is slow", []event{{at(1), freezeHome}, {at(2), killThird}, {at(4.5), slowHome}, {at(6), estrangeHome}}},
+	}
+	for _, c := range cases {
+		for _, rate := range []float64{47_000, 110_000, 175_655, 403_500} {
+			t.Run(fmt.Sprintf("%s, quota of %g", c.name, rate), func(t *testing.T) {
+				for seed := range uint64(5) {
+					r := rand.New(rand.NewPCG(seed, 52))
+					operator := Limit{Rate: rate, Burst: rate}
+					f := newSimFleet(r, Limit{Rate: 1.05 * rate, Burst: 1.05 * rate, Slack: 0.6 * slack, Version: 1})
+					events := c.events
+					for now := start; now.Before(start.Add(from + span)); {
+						load := usualLoad
+						if since := now.Sub(start); since > from-time.Second && since < from+12*time.Second {
+							load = hotLoad
+						}
+						now = now.Add(time.Duration(r.ExpFloat64() * meanCost / (rate * load) * float64(time.Second)))
+						for len(events) > 0 && now.Sub(start) >= events[0].at {
+							events[0].do(f, now)
+							events = events[1:]
+						}
+						f.request(now, r.IntN(simInstances), drawCost(r))
+					}
+					assert.LessOrEqual(t, f.grants.most(), allowed(operator), "seed %d", seed)
+					assert.GreaterOrEqual(t, f.grants.sum(), 0.75*rate*(usualLoad*(from+span-13*time.Second).Seconds()+13), "seed %d: what is granted in all", seed)
+				}
+			})
+		}
+	}
+}
