An instance's own part of a quota is a part, not a request each

Callers of a hot organisation got more than its quota while its home was silent or not the home in its own view.

--- a/core/tlquota/bucket.go
+++ b/core/tlquota/bucket.go
@@ -85,7 +85,7 @@
 	b := m[name]
 	isNew := b == nil
 	if isNew {
-		m.makeRoom()
+		dropLongestUnasked(m, func(b *bucket) time.Time { return b.asked })
 		b = &bucket{limit: l, level: initial(l), filled: now}
 		m[name] = b
 	}
@@ -105,13 +105,14 @@
 	return sums
 }
 
-func (m buckets) makeRoom() {
+// dropLongestUnasked makes room for one more organisation where there are maxBuckets.
+func dropLongestUnasked[T any](m map[string]T, asked func(T) time.Time) {
 	if len(m) < maxBuckets {
 		return
 	}
 	oldest := ""
 	for name, b := range m {
-		if oldest == "" || b.asked.Before(m[oldest].asked) {
+		if oldest == "" || asked(b).Before(asked(m[oldest])) {
 			oldest = name
 		}
 	}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -174,12 +174,24 @@
 	return i.gossip.Oldest(quotaHomePurpose+organisation, homeCandidates)
 }
 
+// quotaFleet returns what this instance knows of the number of instances.
+func (i *Instance) quotaFleet() tlmeter.Fleet {
+	inTouch, listed := i.fleetInTouch()
+	f := tlmeter.Fleet{InTouch: inTouch, Listed: listed}
+	for _, m := range i.gossip.All() {
+		if m.Name < i.settings.Name {
+			f.Rank++
+		}
+	}
+	return f
+}
+
 func (i *Instance) meterOptions() tlmeter.Options {
 	return tlmeter.Options{
 		Self:  i.settings.Name,
 		Mesh:  i.mesh,
 		Home:  i.quotaHomeOf,
-		Fleet: i.fleetInTouch,
+		Fleet: i.quotaFleet,
 		Post:  i.outboxPost,
 		Now:   time.Now,
 		Log:   i.log,
--- a/io/tlmeter/meter.go
+++ b/io/tlmeter/meter.go
@@ -70,8 +70,8 @@
 	Mesh *tlpeer.Mesh
 	// Home returns the home of an organisation.
 	Home func(organisation string) string
-	// Fleet returns how many instances are in touch with this one, itself included, and how many are listed.
-	Fleet func() (inTouch, listed int)
+	// Fleet returns what this instance knows of the number of instances.
+	Fleet func() Fleet
 	// Post sends a one-way message to another instance without waiting.
 	Post func(peer, kind string, send func(context.Context) error)
 	// Now returns the current time.
@@ -82,6 +82,14 @@
 	Add func(reason string, n int64)
 }
 
+// Fleet is what an instance knows of the number of instances.
+type Fleet struct {
+	// InTouch is how many are in touch with this one, itself included, and Listed how many there are.
+	InTouch, Listed int
+	// Rank is this instance's place among those listed, in the order of their names, from 0.
+	Rank int
+}
+
 // Charge is what a request costs its organisation.
 type Charge struct {
 	// Organisation is the name of the organisation.
@@ -107,13 +115,18 @@
 	ledger       *tlquota.Ledger
 	reserve      *tlquota.Reserve
 	fleetChecked time.Time
-	// silentUntil has until when homes are not asked.
-	silentUntil map[string]time.Time
+	// silent has the homes that gave no answer when they were last asked.
+	silent map[string]silence
+}
+
+// silence is since when a home has given no answer, and until when it is not asked.
+type silence struct {
+	since, until time.Time
 }
 
 // New returns a Meter and registers its handlers with the mesh, which must not have been started.
 func New(o Options) *Meter {
-	m := &Meter{o: o, ledger: tlquota.NewLedger(), reserve: tlquota.NewReserve(), silentUntil: map[string]time.Time{}}
+	m := &Meter{o: o, ledger: tlquota.NewLedger(), reserve: tlquota.NewReserve(), silent: map[string]silence{}}
 	tlpeer.Handle(o.Mesh, kindQuota, m.handleQuota)
 	tlpeer.Handle(o.Mesh, kindQuotaReturn, m.handleReturn)
 	return m
@@ -140,8 +153,8 @@
 	if home == m.o.Self {
 		return Decision{m.take(c), home}
 	}
-	if home == "" || m.isSilent(home) {
-		return Decision{m.takeReserve(c), m.o.Self}
+	if since, ok := m.isSilent(home); ok {
+		return Decision{m.takeReserve(c, since), m.o.Self}
 	}
 	// The answer of the home counts also if the caller leaves: what it charged is given back.
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), homeTimeout)
@@ -155,9 +168,9 @@
 		Cost:         c.Cost,
 	})
 	if err != nil {
-		m.markSilent(home, err)
-		return Decision{m.takeReserve(c), m.o.Self}
+		return Decision{m.takeReserve(c, m.markSilent(home, err)), m.o.Self}
 	}
+	m.markAnswering(home)
 	return Decision{tlquota.Grant{IsGranted: a.IsGranted, Wait: a.Wait, Level: a.Level}, home}
 }
 
@@ -245,13 +258,14 @@
 	return g
 }
 
-// takeReserve charges a request to this instance's own part.
-func (m *Meter) takeReserve(c Charge) tlquota.Grant {
+// takeReserve charges a request to this instance's own part, since its home has been silent
+// from a time on.
+func (m *Meter) takeReserve(c Charge, since time.Time) tlquota.Grant {
 	m.o.Add(HomeSilent, 1)
 	now := m.o.Now()
 	m.mu.Lock()
 	m.checkFleet(now)
-	g := m.reserve.Take(now, c.Organisation, c.Limit, max(c.Cost, 0))
+	g := m.reserve.Take(now, since, c.Organisation, c.Limit, max(c.Cost, 0))
 	m.mu.Unlock()
 	m.noteGrant(c, g, OwnPart, OwnPartCost)
 	return g
@@ -276,23 +290,40 @@
 		return
 	}
 	m.fleetChecked = now
-	inTouch, listed := m.o.Fleet()
-	m.ledger.SetFleet(now, inTouch, listed)
-	m.reserve.SetFleet(now, listed)
+	f := m.o.Fleet()
+	m.ledger.SetFleet(now, f.InTouch, f.Listed)
+	m.reserve.SetFleet(now, f.Listed, f.Rank)
 }
 
-func (m *Meter) isSilent(home string) bool {
+// isSilent reports whether a home isn't asked now, and since when it has given no answer.
+func (m *Meter) isSilent(home string) (time.Time, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.o.Now().Before(m.silentUntil[home])
+	s := m.silent[home]
+	return s.since, m.o.Now().Before(s.until)
 }
 
-func (m *Meter) markSilent(home string, cause error) {
+// markSilent records that a home gave no answer; it returns since when.
+func (m *Meter) markSilent(home string, cause error) time.Time {
+	now := m.o.Now()
 	m.mu.Lock()
-	if len(m.silentUntil) >= maxSilent {
-		clear(m.silentUntil)
+	s, ok := m.silent[home]
+	if !ok {
+		if len(m.silent) >= maxSilent {
+			clear(m.silent)
+		}
+		s.since = now
 	}
-	m.silentUntil[home] = m.o.Now().Add(homePause)
+	s.until = now.Add(homePause)
+	m.silent[home] = s
 	m.mu.Unlock()
 	m.o.Log.WithFields(logrus.Fields{"Home": home, "Cause": cause.Error()}).Info("home of quotas gave no answer")
+	return s.since
+}
+
+// markAnswering records that a home gave an answer.
+func (m *Meter) markAnswering(home string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.silent, home)
 }
