A home counts what others granted while it wasn't asked

Callers of a hot organisation got more than its quota around each change of its home.

Cause: nobody carries the count. A home knows only what it granted itself; the next one begins with half a burst whatever was granted a moment ago, and one that stood still goes on with what its bucket saved up.

Now each instance remembers what its requests were granted within the window in which quotas are checked (QuotaWindow, from the platform's bounds), by whom, and which homes know of it. A home keeps any window within rate x window + burst + slack, by whomever it was granted; charges its bucket with what own parts granted since it began; and begins anew if another was the home meanwhile.

--- a/core/tlmember/home.go
+++ b/core/tlmember/home.go
@@ -110,18 +110,32 @@
 // all instances come from one sequence. A purpose thus moves only when its
 // instance ends, and not back to an instance that has restarted.
 func (v *View) Oldest(purpose string, n int) string {
-	if s := v.Successors(purpose, n, 1); len(s) > 0 {
+	return v.OldestMember(purpose, n).Name
+}
+
+// OldestMember returns the same instance with what is known of it; nothing but the name if
+// it is self since none is live.
+func (v *View) OldestMember(purpose string, n int) Member {
+	if s := v.successors(purpose, n, 1); len(s) > 0 {
 		return s[0]
 	}
-	return v.self
+	return Member{Name: v.self}
 }
 
 // Successors returns up to count instances in the order in which a purpose moves to
 // them: each is the Oldest of those that are left once the ones before it have ended.
 func (v *View) Successors(purpose string, n, count int) []string {
-	left := v.Largest(purpose, n+count-1)
 	var names []string
-	for len(names) < count && len(left) > 0 {
+	for _, m := range v.successors(purpose, n, count) {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+func (v *View) successors(purpose string, n, count int) []Member {
+	left := v.Largest(purpose, n+count-1)
+	var list []Member
+	for len(list) < count && len(left) > 0 {
 		oldest := 0
 		for i, m := range left[:min(n, len(left))] {
 			// An unknown incarnation is 0, which becomes the largest.
@@ -129,10 +143,10 @@
 				oldest = i
 			}
 		}
-		names = append(names, left[oldest].Name)
+		list = append(list, left[oldest])
 		left = slices.Delete(left, oldest, oldest+1)
 	}
-	return names
+	return list
 }
 
 // dataCentreRange returns the half-open range of v.live that lies in a data centre.
--- a/core/tlquota/bucket.go
+++ b/core/tlquota/bucket.go
@@ -42,8 +42,12 @@
 	// promised is the cost of refused requests that were told to return, as of filled. It
 	// spreads those that follow, and is worked off at the limit's rate.
 	promised float64
-	filled   time.Time
-	asked    time.Time
+	// recent has what was granted in the last window, by whomever, as far as it is known.
+	recent recent
+	// began is when the bucket began, or began anew since another instance had been the home.
+	began  time.Time
+	filled time.Time
+	asked  time.Time
 }
 
 // fill adds the allowance since the last call, of which share is this bucket's part.
@@ -54,15 +58,23 @@
 	b.promised = max(b.promised-added, 0)
 }
 
-// take charges a cost if the level reaches need.
-func (b *bucket) take(need, cost, share float64) Grant {
-	if b.level >= need {
+// inWindow returns what may be granted in any window.
+func (b *bucket) inWindow() float64 {
+	return b.limit.Rate*b.recent.window().Seconds() + b.limit.Burst + b.limit.Slack
+}
+
+// take charges a cost if the level reaches need and the window has room for it.
+func (b *bucket) take(now time.Time, need, cost, share float64) Grant {
+	most := b.inWindow()
+	sum, wait := b.recent.sum(now, most-min(cost, most))
+	if b.level >= need && wait == 0 {
 		b.level -= cost
 		b.granted += cost
-		return Grant{IsGranted: true, Level: b.level}
+		b.recent.add(now, now, cost)
+		return Grant{IsGranted: true, Level: min(b.level, most-sum-cost)}
 	}
 	rate := b.limit.Rate * share
-	wait := seconds((need - b.level + b.promised) / rate)
+	wait = min(max(wait, seconds((need-b.level+b.promised)/rate)), maxWait)
 	if wait < maxWait {
 		b.promised += cost
 	}
@@ -80,13 +92,13 @@
 type buckets map[string]*bucket
 
 // of returns the bucket of an organisation under the newest limit known, and whether it is
-// new; initial returns the level of a new one.
-func (m buckets) of(now time.Time, name string, l Limit, initial func(Limit) float64) (*bucket, bool) {
+// new; create returns a new one.
+func (m buckets) of(now time.Time, name string, l Limit, create func() *bucket) (*bucket, bool) {
 	b := m[name]
 	isNew := b == nil
 	if isNew {
 		dropLongestUnasked(m, func(b *bucket) time.Time { return b.asked })
-		b = &bucket{limit: l, level: initial(l), filled: now}
+		b = create()
 		m[name] = b
 	}
 	if l.Version >= b.limit.Version {
--- a/core/tlquota/fleet_test.go
+++ b/core/tlquota/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	limit   Limit
 	ledgers []*Ledger
 	own     []*Reserve
+	// spent is what each instance was granted, as it tells a home.
+	spent []*Spending
 	// outages has those of each candidate, in order of time; a killed one comes back as the youngest.
 	outages [simCandidates][]outage
 	// estranged has until when a candidate takes the next for the home, though all others hold it for the home.
@@ -53,6 +56,7 @@
 	for k := range simInstances {
 		f.ledgers = append(f.ledgers, nil)
 		f.own = append(f.own, nil)
+		f.spent = append(f.spent, nil)
 		f.start(k)
 		for c := range simCandidates {
 			f.noticing[k][c] = time.Duration(r.Int64N(int64(600 * time.Millisecond)))
@@ -62,10 +66,11 @@
 }
 
 func (f *simFleet) start(k int) {
-	f.ledgers[k] = NewLedger()
+	f.ledgers[k] = NewLedger(window)
 	f.ledgers[k].SetFleet(start, simInstances, simInstances)
 	f.own[k] = NewReserve()
 	f.own[k].SetFleet(start, simInstances, k)
+	f.spent[k] = NewSpending(window)
 }
 
 // isAnswering reports whether a candidate runs.
@@ -127,26 +132,35 @@
 	}
 	h := f.home(now, k)
 	var g Grant
+	by := Home{fmt.Sprint(h), uint64(f.born(now, h))}
 	switch {
 	case h == k:
-		g = f.ledgers[k].Take(now, "o", f.limit, cost)
+		g = f.ask(now, k, by, cost)
 	case now.Before(f.silent[k][h].until):
-		g = f.takeOwn(now, k, h, cost)
+		g, by = f.takeOwn(now, k, h, cost), Home{}
 	case !f.isAnswering(now, h) || f.home(now, h) != h:
-		g = f.markSilent(now, k, h, cost)
+		g, by = f.markSilent(now, k, h, cost), Home{}
+	case now.Before(f.slowUntil):
+		t := f.spent[k].Tell(now, "o", by)
+		f.ledgers[h].Take(now, "o", f.limit, cost, t.Spent...)
+		f.spent[k].Forget(t)
+		g, by = f.markSilent(now, k, h, cost), Home{}
 	default:
-		g = f.ledgers[h].Take(now, "o", f.limit, cost)
-		if now.Before(f.slowUntil) {
-			g = f.markSilent(now, k, h, cost)
-		} else {
-			f.silent[k][h] = silence{}
-		}
+		f.silent[k][h] = silence{}
+		g = f.ask(now, k, by, cost)
 	}
 	if g.IsGranted {
 		f.grants.add(now, cost)
+		f.spent[k].Add(now, "o", by, cost)
 	}
 }
 
+// ask has the home decide, which is told what it doesn't know.
+func (f *simFleet) ask(now time.Time, k int, h Home, cost float64) Grant {
+	n, _ := strconv.Atoi(h.Name)
+	return f.ledgers[n].Take(now, "o", f.limit, cost, f.spent[k].Tell(now, "o", h).Spent...)
+}
+
 func (f *simFleet) markSilent(now time.Time, k, h int, cost float64) Grant {
 	s := &f.silent[k][h]
 	if s.since.IsZero() {
--- a/core/tlquota/ledger.go
+++ b/core/tlquota/ledger.go
@@ -16,11 +16,13 @@
 type Ledger struct {
 	buckets buckets
 	fleet   tllimit.Fleet
+	window  time.Duration
 }
 
-// NewLedger returns a Ledger without organisations.
-func NewLedger() *Ledger {
-	return &Ledger{buckets: buckets{}, fleet: tllimit.NewFleet()}
+// NewLedger returns a Ledger without organisations. What homes one after the other grant
+// is counted over any window of the given length.
+func NewLedger(window time.Duration) *Ledger {
+	return &Ledger{buckets: buckets{}, fleet: tllimit.NewFleet(), window: window}
 }
 
 // SetFleet sets how many instances are in touch with this one, itself included, and how many there are.
@@ -29,22 +31,45 @@
 }
 
 // Take charges an organisation for a request. A request that costs more than the whole
-// burst is granted once the bucket is full, which it then overdraws.
-func (l *Ledger) Take(now time.Time, organisation string, limit Limit, cost float64) Grant {
+// burst is granted once the bucket is full, which it then overdraws. The instance that
+// took the request tells what others have granted to its requests.
+func (l *Ledger) Take(now time.Time, organisation string, limit Limit, cost float64, told ...Spent) Grant {
 	share := l.fleet.Share()
-	b, isNew := l.buckets.of(now, organisation, limit, func(m Limit) float64 { return newShare * m.Burst * share })
+	b, isNew := l.buckets.of(now, organisation, limit, func() *bucket {
+		return &bucket{limit: limit, level: newShare * limit.Burst * share, began: now, filled: now, recent: newRecent(l.window)}
+	})
 	b.fill(now, share)
-	g := b.take(min(cost, b.limit.Burst*share), cost, share)
+	b.count(now, share, told)
+	g := b.take(now, min(cost, b.limit.Burst*share), cost, share)
 	g.IsNew = isNew
 	return g
 }
 
+// count takes in what others have granted. What they granted since the bucket began it
+// didn't charge. If another instance was the home meanwhile, it grants what it likes of a
+// bucket that filled here too: this one begins anew.
+func (b *bucket) count(now time.Time, share float64, told []Spent) {
+	for _, s := range told {
+		at := now.Add(-max(s.Age, 0))
+		b.recent.add(now, at, s.Cost)
+		if !at.After(b.began) {
+			continue
+		}
+		b.level -= s.Cost
+		if s.IsByHome {
+			b.level = min(b.level, newShare*b.limit.Burst*share)
+			b.began = now
+		}
+	}
+}
+
 // GiveBack returns what a request was charged that has not run; it reports whether the
 // organisation has a bucket here.
 func (l *Ledger) GiveBack(organisation string, cost float64) bool {
 	b := l.buckets[organisation]
 	if b != nil {
 		b.level += cost
+		b.recent.remove(cost)
 	}
 	return b != nil
 }
--- a/core/tlquota/ledger_test.go
+++ b/core/tlquota/ledger_test.go
@@ -104,15 +104,15 @@
 		take func() func(now time.Time, n int) Grant
 	}{
 		{"1 one home", func() func(time.Time, int) Grant {
-			l := NewLedger()
+			l := NewLedger(window)
 			return func(now time.Time, _ int) Grant { return l.Take(now, "o", widened, requestCost) }
 		}},
 		{"2 the home is killed every 4 s, and another follows after a second", func() func(time.Time, int) Grant {
-			l, born := NewLedger(), start
+			l, born := NewLedger(window), start
 			reserves := newReserves(fleet)
 			return func(now time.Time, n int) Grant {
 				if now.Sub(born) > 4*time.Second {
-					l, born = NewLedger(), now.Add(time.Second)
+					l, born = NewLedger(window), now.Add(time.Second)
 				}
 				if now.Before(born) {
 					return reserves[n%fleet].Take(now, born.Add(-time.Second), "o", widened, requestCost)
@@ -121,7 +121,7 @@
 			}
 		}},
 		{"3 two homes out of touch, of 26 and 40 instances", func() func(time.Time, int) Grant {
-			small, large := NewLedger(), NewLedger()
+			small, large := NewLedger(window), NewLedger(window)
 			small.SetFleet(start, 26, fleet)
 			large.SetFleet(start, 40, fleet)
 			return func(now time.Time, n int) Grant {
@@ -132,7 +132,7 @@
 			}
 		}},
 		{"4 a third of the instances are cut from the home, which gossip notices after a second", func() func(time.Time, int) Grant {
-			l := NewLedger()
+			l := NewLedger(window)
 			l.SetFleet(start, fleet, fleet)
 			reserves := newReserves(fleet)
 			cut := start.Add(usualFor)
@@ -169,7 +169,7 @@
 // Guards against refusals of an organisation that stays within its quota, also right after
 // a home has taken over.
 func TestUsualLoadIsNotRefused(t *testing.T) {
-	l := NewLedger()
+	l := NewLedger(window)
 	pause := time.Duration(requestCost / (limit.Rate / 1.8) * float64(time.Second))
 	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(pause) {
 		assert.True(t, l.Take(now, "o", limit, requestCost).IsGranted)
@@ -177,7 +177,7 @@
 }
 
 func TestLowerLimitBindsAtOnceAndOlderOnesDoNotReturn(t *testing.T) {
-	l := NewLedger()
+	l := NewLedger(window)
 	lower := Limit{Rate: 5_000, Burst: 5_000, Version: 2}
 	l.Take(start, "o", limit, 1)
 	now := start.Add(10 * time.Second)
@@ -198,7 +198,7 @@
 }
 
 func TestChargeOfARequestThatDidNotRunIsGivenBack(t *testing.T) {
-	l := NewLedger()
+	l := NewLedger(window)
 	full := limit.Burst * newShare
 	assert.True(t, l.Take(start, "o", limit, full).IsGranted)
 	assert.False(t, l.Take(start, "o", limit, full).IsGranted)
@@ -208,7 +208,7 @@
 }
 
 func TestRequestBeyondTheBurstIsGrantedOnceTheBucketIsFull(t *testing.T) {
-	l := NewLedger()
+	l := NewLedger(window)
 	g := l.Take(start, "o", limit, 3*limit.Burst)
 	assert.False(t, g.IsGranted)
 	assert.True(t, l.Take(start.Add(time.Second), "o", limit, 3*limit.Burst).IsGranted)
@@ -218,7 +218,7 @@
 // Guards against callers that were refused together and return together: the one told to
 // return last finds the quota that the others left.
 func TestRefusedCallersAreToldToReturnOneAfterTheOther(t *testing.T) {
-	l := NewLedger()
+	l := NewLedger(window)
 	l.Take(start, "o", limit, limit.Burst*newShare)
 	var waits []time.Duration
 	for range 10 {
@@ -233,7 +233,7 @@
 }
 
 func TestBucketsAreBounded(t *testing.T) {
-	l := NewLedger()
+	l := NewLedger(window)
 	for n := range maxBuckets + 10 {
 		l.Take(start.Add(time.Duration(n)), fmt.Sprint(n), limit, 1)
 	}
@@ -244,7 +244,7 @@
 // Whatever is asked and given back, no window has more than the quota allows.
 func TestAnyLoadStaysWithinTheQuota(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		l := NewLedger()
+		l := NewLedger(window)
 		var g grants
 		now := start
 		for range rapid.IntRange(1, 300).Draw(r, "requests") {
--- a/core/tlquota/reserve.go
+++ b/core/tlquota/reserve.go
@@ -10,7 +10,7 @@
 
 // savedTime is the allowance that an instance's part holds when its home falls silent: the
 // home may have granted the rest a moment ago.
-const savedTime = 250 * time.Millisecond
+const savedTime = 500 * time.Millisecond
 
 // maxReserveWait bounds the time to return of a request that a Reserve refuses: by then
 // another instance is the home.
--- /dev/null
+++ b/core/tlquota/spending_test.go
@@ -0,0 +1,125 @@
+package tlquota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var (
+	first  = Home{Name: "a", Incarnation: 1}
+	second = Home{Name: "b", Incarnation: 2}
+	own    = Home{}
+)
+
+func at(d time.Duration) time.Time {
+	return start.Add(d)
+}
+
+// costs returns what a home is told.
+func costs(t Told) (sum float64) {
+	for _, s := range t.Spent {
+		sum += s.Cost
+	}
+	return sum
+}
+
+// Guards against a home that counts twice what it has granted or was told, or never hears of it.
+func TestHomeIsToldOnceWhatItDoesNotKnow(t *testing.T) {
+	s := NewSpending(window)
+	s.Add(at(0), "o", first, 10)
+	s.Add(at(0), "o", own, 5)
+	assert.Equal(t, []Spent{{time.Second, 5, false}}, s.Tell(at(time.Second), "o", first).Spent)
+	assert.Empty(t, s.Tell(at(time.Second), "o", first).Spent, "told before")
+	assert.Equal(t, []Spent{{time.Second, 10, true}, {time.Second, 5, false}}, s.Tell(at(time.Second), "o", second).Spent)
+	s.Add(at(time.Second), "o", second, 7)
+	assert.Equal(t, 7.0, costs(s.Tell(at(time.Second), "o", first)), "a home that is one again")
+	assert.Equal(t, 17.0+5, costs(s.Tell(at(time.Second), "o", Home{Name: "a", Incarnation: 3})), "its next process knows nothing")
+	assert.Empty(t, s.Tell(at(time.Second), "other", first).Spent)
+	assert.Equal(t, 7.0, costs(s.Tell(at(window+time.Second/2), "o", Home{Name: "c"})), "the rest is older than the window")
+}
+
+// Guards against a question without an answer that takes what it told with it.
+func TestWhatWasToldWithoutAnAnswerIsToldAgain(t *testing.T) {
+	s := NewSpending(window)
+	s.Add(at(0), "o", own, 5)
+	assert.Equal(t, 5.0, costs(s.Tell(at(0), "o", first)))
+	s.Add(at(0), "o", own, 3)
+	lost := s.Tell(at(0), "o", first)
+	assert.Equal(t, 3.0, costs(lost))
+	s.Forget(lost)
+	assert.Equal(t, 3.0, costs(s.Tell(at(0), "o", first)))
+}
+
+func TestWhatDidNotRunIsNotTold(t *testing.T) {
+	s := NewSpending(window)
+	s.Add(at(0), "o", own, 5)
+	s.Add(at(0), "o", own, 3)
+	s.Remove("o", own, 5)
+	s.Remove("other", own, 5)
+	assert.Equal(t, 3.0, costs(s.Tell(at(0), "o", first)))
+}
+
+func TestSpendingIsBounded(t *testing.T) {
+	s := NewSpending(window)
+	for n := range 10 * maxSpent {
+		s.Add(at(time.Duration(n)*time.Millisecond), "o", Home{Incarnation: uint64(n)}, 1)
+	}
+	assert.Equal(t, float64(maxSpent), costs(s.Tell(at(time.Second), "o", first)))
+}
+
+// Guards against a home that grants a window's quota anew, since it doesn't count what
+// the homes before it granted, and against one that can't ever grant again.
+func TestNewHomeCountsWhatWasGrantedBefore(t *testing.T) {
+	before := Spent{Age: time.Second, Cost: limit.Rate*window.Seconds() + limit.Burst, IsByHome: true}
+	l := NewLedger(window)
+	g := l.Take(at(0), "o", limit, 100, before)
+	assert.False(t, g.IsGranted)
+	assert.Equal(t, maxWait, g.Wait)
+	assert.False(t, l.Take(at(6*time.Second), "o", limit, 100).IsGranted)
+	assert.True(t, l.Take(at(7500*time.Millisecond), "o", limit, 100).IsGranted, "it is older than a window")
+}
+
+// Guards against a home that stood still and goes on with what its bucket saved up
+// meanwhile, though another granted it, or its own parts did.
+func TestHomeThatGoesOnCountsWhatOthersGranted(t *testing.T) {
+	cases := []struct {
+		name     string
+		told     []Spent
+		expected float64
+	}{
+		{"1 nothing was granted", nil, limit.Burst},
+		{"2 by own parts", []Spent{{Age: time.Second, Cost: 30_000}}, limit.Burst - 30_000},
+		{"3 by another home", []Spent{{Age: time.Second, Cost: 1, IsByHome: true}}, newShare * limit.Burst},
+		{"4 before this one began", []Spent{{Age: 4 * time.Second, Cost: 30_000, IsByHome: true}}, limit.Burst},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := NewLedger(window)
+			l.Take(at(0), "o", limit, 0)
+			g := l.Take(at(3*time.Second), "o", limit, 0, c.told...)
+			assert.InDelta(t, c.expected, g.Level, 1)
+		})
+	}
+}
+
+func TestRecentIsASlidingWindow(t *testing.T) {
+	r := newRecent(window)
+	slot := window / recentSlots
+	r.add(at(0), at(0), 10)
+	r.add(at(window/2), at(window/4), 20)
+	r.add(at(window/2), at(window/2-2*window), 40)
+	sum, wait := r.sum(at(window-slot), 30)
+	assert.Equal(t, 30.0, sum)
+	assert.Zero(t, wait)
+	_, wait = r.sum(at(window-slot), 20)
+	assert.LessOrEqual(t, wait, 2*slot)
+	sum, _ = r.sum(at(window+slot), 0)
+	assert.Equal(t, 20.0, sum)
+	r.remove(15)
+	sum, _ = r.sum(at(window+slot), 0)
+	assert.Equal(t, 5.0, sum)
+	sum, _ = r.sum(at(5*window), 0)
+	assert.Zero(t, sum)
+}
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -423,6 +423,10 @@
 	// Slack is what may be sent at once beyond Burst after a time below the quota.
 	Slack float64 `json:"Slack,omitempty" yaml:"Slack,omitempty" cbor:"Slack,omitempty"`
 
+	// Spent has what the sender's requests were granted lately and the home doesn't
+	// know of yet.
+	Spent []QuotaSpent `json:"Spent,omitempty" yaml:"Spent,omitempty" cbor:"Spent,omitempty"`
+
 	// Version is the version of the configuration that the quota is from; the newest
 	// counts.
 	Version uint64 `json:"Version" yaml:"Version" cbor:"Version"`
@@ -438,6 +442,19 @@
 	Organisation string `json:"Organisation" yaml:"Organisation" cbor:"Organisation"`
 }
 
+// QuotaSpent is what requests were granted at a time by another than the home that
+// is told.
+type QuotaSpent struct {
+	// Age is how long ago that was.
+	Age time.Duration `json:"Age" yaml:"Age" cbor:"Age"`
+
+	// Cost is what the requests cost.
+	Cost float64 `json:"Cost" yaml:"Cost" cbor:"Cost"`
+
+	// IsByHome says that another home granted it, and not the sender's own part.
+	IsByHome bool `json:"IsByHome,omitempty" yaml:"IsByHome,omitempty" cbor:"IsByHome,omitempty"`
+}
+
 // RecordsAnswer holds the newest record of each key; it is empty if the asking
 // instance has read as far as the answering one.
 type RecordsAnswer struct {
--- a/core/tlwire/settings.go
+++ b/core/tlwire/settings.go
@@ -70,8 +70,8 @@
 	// it is empty.
 	Metrics netip.AddrPort `json:"Metrics,omitempty" yaml:"Metrics,omitempty" cbor:"Metrics,omitempty"`
 
-	// PlatformBounds holds the platform's bounds as JSON; QuotaTolerance and
-	// QuotaSlack are taken from it where they are not set.
+	// PlatformBounds holds the platform's bounds as JSON; QuotaTolerance, QuotaSlack
+	// and QuotaWindow are taken from it where they are not set.
 	PlatformBounds string `json:"PlatformBounds,omitempty" yaml:"PlatformBounds,omitempty" cbor:"PlatformBounds,omitempty"`
 
 	// QuotaSlack is what an organisation may send beyond its quota and QuotaTolerance
@@ -82,6 +82,10 @@
 	// it, over all instances.
 	QuotaTolerance float64 `json:"QuotaTolerance,omitempty" yaml:"QuotaTolerance,omitempty" cbor:"QuotaTolerance,omitempty"`
 
+	// QuotaWindow is the time over which an organisation's quota is checked: what
+	// homes grant one after the other is counted over it; 10 s if it is not set.
+	QuotaWindow time.Duration `json:"QuotaWindow,omitempty" yaml:"QuotaWindow,omitempty" cbor:"QuotaWindow,omitempty"`
+
 	// Readiness is the listen address of the readiness probe, which tells whether the
 	// instance accepts requests.
 	Readiness netip.AddrPort `json:"Readiness,omitempty" yaml:"Readiness,omitempty" cbor:"Readiness,omitempty"`
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -14,6 +14,7 @@
 	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlmember"
 	"trefoillanding/core/tlplace"
+	"trefoillanding/core/tlquota"
 	"trefoillanding/core/tlroute"
 	"trefoillanding/io/tlbooking"
 	"trefoillanding/io/tlgateway"
@@ -169,9 +170,13 @@
 // gossip picks the instance that counts its requests.
 const quotaHomePurpose = "quota/"
 
-// quotaHomeOf returns the instance that counts an organisation's requests.
-func (i *Instance) quotaHomeOf(organisation string) string {
-	return i.gossip.Oldest(quotaHomePurpose+organisation, homeCandidates)
+// defaultQuotaWindow is the time over which quotas are checked where no other is set.
+const defaultQuotaWindow = 10 * time.Second
+
+// quotaHomeOf returns the process that counts an organisation's requests.
+func (i *Instance) quotaHomeOf(organisation string) tlquota.Home {
+	m := i.gossip.OldestMember(quotaHomePurpose+organisation, homeCandidates)
+	return tlquota.Home{Name: m.Name, Incarnation: m.Incarnation}
 }
 
 // quotaFleet returns what this instance knows of the number of instances.
@@ -192,10 +197,12 @@
 		Mesh:  i.mesh,
 		Home:  i.quotaHomeOf,
 		Fleet: i.quotaFleet,
-		Post:  i.outboxPost,
-		Now:   time.Now,
-		Log:   i.log,
-		Add:   i.counters.quotas.Add,
+
+		Window: cmp.Or(i.settings.Gateway.QuotaWindow, defaultQuotaWindow),
+		Post:   i.outboxPost,
+		Now:    time.Now,
+		Log:    i.log,
+		Add:    i.counters.quotas.Add,
 	}
 }
 
@@ -309,11 +316,12 @@
 	if g == nil || g.PlatformBounds == "" {
 		return
 	}
-	tolerance, slack, err := platform.DecodeBounds(g.PlatformBounds)
+	b, err := platform.DecodeBounds(g.PlatformBounds)
 	if err != nil {
 		i.log.WithField("Cause", err.Error()).Warn("platform's bounds ignored")
 		return
 	}
-	g.QuotaTolerance = cmp.Or(g.QuotaTolerance, tolerance)
-	g.QuotaSlack = cmp.Or(g.QuotaSlack, slack)
+	g.QuotaTolerance = cmp.Or(g.QuotaTolerance, b.Tolerance)
+	g.QuotaSlack = cmp.Or(g.QuotaSlack, b.Slack)
+	g.QuotaWindow = cmp.Or(g.QuotaWindow, b.Window)
 }
--- a/io/tlmeter/meter.go
+++ b/io/tlmeter/meter.go
@@ -69,9 +69,11 @@
 	// Mesh reaches the other instances; New registers handlers with it.
 	Mesh *tlpeer.Mesh
 	// Home returns the home of an organisation.
-	Home func(organisation string) string
+	Home func(organisation string) tlquota.Home
 	// Fleet returns what this instance knows of the number of instances.
 	Fleet func() Fleet
+	// Window is the time over which what homes grant one after the other is counted.
+	Window time.Duration
 	// Post sends a one-way message to another instance without waiting.
 	Post func(peer, kind string, send func(context.Context) error)
 	// Now returns the current time.
@@ -105,6 +107,8 @@
 	tlquota.Grant
 	// Home is the instance that decided.
 	Home string
+	// by is the home that granted the request; the zero Home is this instance's own part.
+	by tlquota.Home
 }
 
 // Meter charges requests to the quotas of their organisations.
@@ -114,6 +118,7 @@
 	mu           sync.Mutex
 	ledger       *tlquota.Ledger
 	reserve      *tlquota.Reserve
+	spent        *tlquota.Spending
 	fleetChecked time.Time
 	// silent has the homes that gave no answer when they were last asked.
 	silent map[string]silence
@@ -126,7 +131,13 @@
 
 // New returns a Meter and registers its handlers with the mesh, which must not have been started.
 func New(o Options) *Meter {
-	m := &Meter{o: o, ledger: tlquota.NewLedger(), reserve: tlquota.NewReserve(), silent: map[string]silence{}}
+	m := &Meter{
+		o:       o,
+		ledger:  tlquota.NewLedger(o.Window),
+		reserve: tlquota.NewReserve(),
+		spent:   tlquota.NewSpending(o.Window),
+		silent:  map[string]silence{},
+	}
 	tlpeer.Handle(o.Mesh, kindQuota, m.handleQuota)
 	tlpeer.Handle(o.Mesh, kindQuotaReturn, m.handleReturn)
 	return m
@@ -136,6 +147,9 @@
 // ctx ends meanwhile; the decision then doesn't grant it.
 func (m *Meter) Admit(ctx context.Context, c Charge) Decision {
 	home := m.o.Home(c.Organisation)
+	if home.Name == m.o.Self {
+		home = m.self()
+	}
 	d := m.ask(ctx, home, c)
 	switch {
 	case !d.IsGranted:
@@ -145,40 +159,87 @@
 		d.IsGranted = false
 	default:
 		m.o.Add(Granted, 1)
+		m.noteSpent(c, d.by)
 	}
 	return d
 }
 
-func (m *Meter) ask(ctx context.Context, home string, c Charge) Decision {
-	if home == m.o.Self {
-		return Decision{m.take(c), home}
+// self returns this process as a home. What it has granted is forgotten with it, so that
+// its incarnation makes no difference.
+func (m *Meter) self() tlquota.Home {
+	return tlquota.Home{Name: m.o.Self}
+}
+
+func (m *Meter) noteSpent(c Charge, by tlquota.Home) {
+	now := m.o.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.spent.Add(now, c.Organisation, by, c.Cost)
+}
+
+// tell returns what a home doesn't know yet of an organisation, and takes it for told.
+func (m *Meter) tell(organisation string, h tlquota.Home) tlquota.Told {
+	now := m.o.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.spent.Tell(now, organisation, h)
+}
+
+func (m *Meter) forget(t tlquota.Told) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.spent.Forget(t)
+}
+
+func (m *Meter) ask(ctx context.Context, home tlquota.Home, c Charge) Decision {
+	if since, ok := m.isSilent(home.Name); ok {
+		return Decision{Grant: m.takeReserve(c, since), Home: m.o.Self}
 	}
-	if since, ok := m.isSilent(home); ok {
-		return Decision{m.takeReserve(c, since), m.o.Self}
+	told := m.tell(c.Organisation, home)
+	if home.Name == m.o.Self {
+		return Decision{m.take(c, told.Spent), home.Name, home}
 	}
 	// The answer of the home counts also if the caller leaves: what it charged is given back.
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), homeTimeout)
 	defer stop()
-	a, err := tlpeer.Call[tlwire.QuotaCall, tlwire.QuotaAnswer](ctx, m.o.Mesh, home, kindQuota, tlwire.QuotaCall{
+	a, err := tlpeer.Call[tlwire.QuotaCall, tlwire.QuotaAnswer](ctx, m.o.Mesh, home.Name, kindQuota, tlwire.QuotaCall{
 		Organisation: c.Organisation,
 		Rate:         c.Limit.Rate,
 		Burst:        c.Limit.Burst,
 		Slack:        c.Limit.Slack,
 		Version:      c.Limit.Version,
 		Cost:         c.Cost,
+		Spent:        encodeSpent(told.Spent),
 	})
 	if err != nil {
-		return Decision{m.takeReserve(c, m.markSilent(home, err)), m.o.Self}
+		m.forget(told)
+		return Decision{Grant: m.takeReserve(c, m.markSilent(home.Name, err)), Home: m.o.Self}
 	}
-	m.markAnswering(home)
-	return Decision{tlquota.Grant{IsGranted: a.IsGranted, Wait: a.Wait, Level: a.Level}, home}
+	m.markAnswering(home.Name)
+	return Decision{tlquota.Grant{IsGranted: a.IsGranted, Wait: a.Wait, Level: a.Level}, home.Name, home}
+}
+
+func encodeSpent(list []tlquota.Spent) []tlwire.QuotaSpent {
+	var spent []tlwire.QuotaSpent
+	for _, s := range list {
+		spent = append(spent, tlwire.QuotaSpent{Age: s.Age, Cost: s.Cost, IsByHome: s.IsByHome})
+	}
+	return spent
+}
+
+func decodeSpent(list []tlwire.QuotaSpent) []tlquota.Spent {
+	var spent []tlquota.Spent
+	for _, s := range list {
+		spent = append(spent, tlquota.Spent{Age: max(s.Age, 0), Cost: max(s.Cost, 0), IsByHome: s.IsByHome})
+	}
+	return spent
 }
 
 // GiveBack returns what a request was charged that has not run and never will.
 func (m *Meter) GiveBack(c Charge) {
 	m.o.Add(Returned, 1)
 	m.o.Add(ReturnedCost, int64(c.Cost))
-	m.giveBack(m.o.Home(c.Organisation), c)
+	m.giveBack(m.o.Home(c.Organisation).Name, c)
 }
 
 func (m *Meter) giveBack(home string, c Charge) {
@@ -222,14 +283,14 @@
 }
 
 func (m *Meter) handleQuota(_ context.Context, _ tlpeer.Peer, c tlwire.QuotaCall) (tlwire.QuotaAnswer, error) {
-	if m.o.Home(c.Organisation) != m.o.Self {
+	if m.o.Home(c.Organisation).Name != m.o.Self {
 		return tlwire.QuotaAnswer{}, errNotHome
 	}
 	g := m.take(Charge{
 		Organisation: c.Organisation,
 		Limit:        tlquota.Limit{Rate: c.Rate, Burst: c.Burst, Slack: c.Slack, Version: c.Version},
 		Cost:         c.Cost,
-	})
+	}, decodeSpent(c.Spent))
 	return tlwire.QuotaAnswer{IsGranted: g.IsGranted, Wait: g.Wait, Level: g.Level}, nil
 }
 
@@ -247,12 +308,12 @@
 	}
 }
 
-// take charges a request as the home.
-func (m *Meter) take(c Charge) tlquota.Grant {
+// take charges a request as the home, which is told what others have granted.
+func (m *Meter) take(c Charge, told []tlquota.Spent) tlquota.Grant {
 	now := m.o.Now()
 	m.mu.Lock()
 	m.checkFleet(now)
-	g := m.ledger.Take(now, c.Organisation, c.Limit, max(c.Cost, 0))
+	g := m.ledger.Take(now, c.Organisation, c.Limit, max(c.Cost, 0), told...)
 	m.mu.Unlock()
 	m.noteGrant(c, g, GivenOut, GivenOutCost)
 	return g
--- a/io/tlmeter/meter_test.go
+++ b/io/tlmeter/meter_test.go
@@ -60,8 +60,9 @@
 		f.homes = append(f.homes, instanceName(0))
 		f.meters = append(f.meters, New(Options{
 			Self: instanceName(k), Mesh: m,
-			Home:  func(string) string { return f.home(k) },
-			Fleet: func() Fleet { return Fleet{InTouch: n, Listed: n, Rank: k} },
+			Home:   func(string) tlquota.Home { return tlquota.Home{Name: f.home(k), Incarnation: 1} },
+			Window: 8 * time.Second,
+			Fleet:  func() Fleet { return Fleet{InTouch: n, Listed: n, Rank: k} },
 			Post: func(_, _ string, send func(context.Context) error) {
 				assert.NoError(t, send(context.Background()))
 			},
--- a/io/tlpeer/gossip.go
+++ b/io/tlpeer/gossip.go
@@ -151,6 +151,13 @@
 	return g.view.Oldest(purpose, n)
 }
 
+// OldestMember returns the same instance with what is known of it; see tlmember.View.OldestMember.
+func (g *Gossip) OldestMember(purpose string, n int) tlmember.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view.OldestMember(purpose, n)
+}
+
 // Successors returns up to count instances in the order in which a purpose moves to
 // them; see tlmember.View.Successors.
 func (g *Gossip) Successors(purpose string, n, count int) []string {
