A new home of an organisation begins with an eighth of the burst

A bucket now begins with an eighth. Of the slack that the operator tolerates four tenths are used in place of six: the rest has to bear what is granted before the instances have told a new home what they know.

--- a/core/tlquota/fleet_test.go
+++ b/core/tlquota/fleet_test.go
@@ -250,7 +250,7 @@
 				for seed := range uint64(5) {
 					r := rand.New(rand.NewPCG(seed, 52))
 					operator := Limit{Rate: rate, Burst: rate}
-					f := newSimFleet(r, Limit{Rate: 1.05 * rate, Burst: 1.05 * rate, Slack: 0.6 * slack, Version: 1})
+					f := newSimFleet(r, Limit{Rate: 1.05 * rate, Burst: 1.05 * rate, Slack: 0.4 * slack, Version: 1})
 					events := c.events
 					for now := start; now.Before(start.Add(from + span)); {
 						load := usualLoad
--- a/core/tlquota/ledger.go
+++ b/core/tlquota/ledger.go
@@ -9,7 +9,7 @@
 // newShare is the part of its burst with which a bucket begins. A full one would let a
 // hot organisation have its burst again at each change of home; an empty one would refuse
 // requests within the quota.
-const newShare = 0.5
+const newShare = 0.125
 
 // Ledger has the buckets of the organisations whose home an instance is; it is not safe
 // for concurrent use.
--- a/core/tlquota/ledger_test.go
+++ b/core/tlquota/ledger_test.go
@@ -12,8 +12,8 @@
 var (
 	start = time.Unix(1000, 0)
 	limit = Limit{Rate: 47_000, Burst: 47_000, Version: 1}
-	// widened is limit with half of what the users tolerate, and six tenths of the slack.
-	widened = Limit{Rate: 1.05 * limit.Rate, Burst: 1.05 * limit.Burst, Slack: 0.6 * slack, Version: 1}
+	// widened is limit with half of what the users tolerate, and four tenths of the slack.
+	widened = Limit{Rate: 1.05 * limit.Rate, Burst: 1.05 * limit.Burst, Slack: 0.4 * slack, Version: 1}
 )
 
 const (
--- a/io/tlgateway/organisation.go
+++ b/io/tlgateway/organisation.go
@@ -53,7 +53,7 @@
 	// may use: refusing them is of no use to anybody. The rest is left for what instances
 	// grant while a home is silent or has just taken over.
 	usedTolerance = 0.5
-	usedSlack     = 0.6
+	usedSlack     = 0.4
 )
 
 // quotaLimit returns the limit of the request's organisation.
