A new home of an organisation grants its first request

With an eighth of the burst a small quota's first request was refused at each change of home, until its rate had filled the bucket. A bucket now begins with its first request's cost where that is more, up to half of the burst as before.

--- a/core/tlquota/ledger.go
+++ b/core/tlquota/ledger.go
@@ -6,10 +6,14 @@
 	"trefoillanding/core/tllimit"
 )
 
-// newShare is the part of its burst with which a bucket begins. A full one would let a
-// hot organisation have its burst again at each change of home; an empty one would refuse
-// requests within the quota.
-const newShare = 0.125
+// A full bucket at the beginning would let a hot organisation have its burst again at each
+// change of home; an empty one would refuse requests within the quota.
+const (
+	// newShare is the part of its burst with which a bucket begins.
+	newShare = 0.125
+	// newMost is the part with which it begins if its first request costs so much.
+	newMost = 0.5
+)
 
 // Ledger has the buckets of the organisations whose home an instance is; it is not safe
 // for concurrent use.
@@ -36,7 +40,8 @@
 func (l *Ledger) Take(now time.Time, organisation string, limit Limit, cost float64, told ...Spent) Grant {
 	share := l.fleet.Share()
 	b, isNew := l.buckets.of(now, organisation, limit, func() *bucket {
-		return &bucket{limit: limit, level: newShare * limit.Burst * share, began: now, filled: now, recent: newRecent(l.window)}
+		level := max(newShare*limit.Burst, min(cost, newMost*limit.Burst)) * share
+		return &bucket{limit: limit, level: level, began: now, filled: now, recent: newRecent(l.window)}
 	})
 	b.fill(now, share)
 	b.count(now, share, told)
--- a/core/tlquota/ledger_test.go
+++ b/core/tlquota/ledger_test.go
@@ -176,6 +176,15 @@
 	}
 }
 
+// Guards against a small quota whose first request is refused at each change of home.
+func TestNewHomeGrantsItsFirstRequest(t *testing.T) {
+	small := Limit{Rate: 0.5, Burst: 2, Version: 1}
+	l := NewLedger(window)
+	assert.True(t, l.Take(start, "o", small, 1).IsGranted)
+	assert.False(t, l.Take(start, "o", small, 1).IsGranted)
+	assert.False(t, NewLedger(window).Take(start, "o", small, 1, Spent{Cost: 6, IsByHome: true}).IsGranted, "the window is used up")
+}
+
 func TestLowerLimitBindsAtOnceAndOlderOnesDoNotReturn(t *testing.T) {
 	l := NewLedger(window)
 	lower := Limit{Rate: 5_000, Burst: 5_000, Version: 2}
