A charge is given back to whoever made it

Callers could get more than their quota after a change of home: the charge of a request that had not run went as credit to whoever was the home by then, though another, or the instance's own part, had made it.

The charge now keeps who granted it (Decision.By), and the return goes there; a home ignores one for another of its processes (Incarnation, optional). What didn't run isn't told to later homes either.

TestChargeIsGivenBackToWhoeverMadeIt fails where the return goes to the present home (it got 2 of credit for what it hadn't charged); TestNextHomeHearsWhatWasGranted covers a home that moves every 0.1 s over the mesh.

--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -438,6 +438,10 @@
 	// Cost is what the request was granted.
 	Cost float64 `json:"Cost" yaml:"Cost" cbor:"Cost"`
 
+	// Incarnation is that of the home that granted it; another process at its address
+	// has not. 0 stands for an unknown one.
+	Incarnation uint64 `json:"Incarnation,omitempty" yaml:"Incarnation,omitempty" cbor:"Incarnation,omitempty"`
+
 	// Organisation is the name of the organisation.
 	Organisation string `json:"Organisation" yaml:"Organisation" cbor:"Organisation"`
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -198,6 +198,8 @@
 		Home:  i.quotaHomeOf,
 		Fleet: i.quotaFleet,
 
+		Incarnation: i.self.Incarnation,
+
 		Window: cmp.Or(i.settings.Gateway.QuotaWindow, defaultQuotaWindow),
 		Post:   i.outboxPost,
 		Now:    time.Now,
--- a/io/tlgateway/organisation.go
+++ b/io/tlgateway/organisation.go
@@ -88,6 +88,7 @@
 	}
 	if d.IsGranted {
 		x.charge = c
+		x.charge.By = d.By
 		x.step("within quota", f)
 		return nil
 	}
--- a/io/tlmeter/meter.go
+++ b/io/tlmeter/meter.go
@@ -64,8 +64,9 @@
 
 // Options holds what a Meter depends on.
 type Options struct {
-	// Self is the name of this instance.
-	Self string
+	// Self is the name of this instance, and Incarnation which of its processes this is.
+	Self        string
+	Incarnation uint64
 	// Mesh reaches the other instances; New registers handlers with it.
 	Mesh *tlpeer.Mesh
 	// Home returns the home of an organisation.
@@ -100,6 +101,8 @@
 	Limit tlquota.Limit
 	// Cost is what the request costs.
 	Cost float64
+	// By is who granted the request, as its Decision says.
+	By tlquota.Home
 }
 
 // Decision is the answer to a Charge.
@@ -107,8 +110,8 @@
 	tlquota.Grant
 	// Home is the instance that decided.
 	Home string
-	// by is the home that granted the request; the zero Home is this instance's own part.
-	by tlquota.Home
+	// By is the home that granted the request; the zero Home is this instance's own part.
+	By tlquota.Home
 }
 
 // Meter charges requests to the quotas of their organisations.
@@ -155,11 +158,12 @@
 	case !d.IsGranted:
 		m.o.Add(Refused, 1)
 	case ctx.Err() != nil:
-		m.giveBack(d.Home, c)
+		c.By = d.By
+		m.giveBack(c)
 		d.IsGranted = false
 	default:
 		m.o.Add(Granted, 1)
-		m.noteSpent(c, d.by)
+		m.noteSpent(c, d.By)
 	}
 	return d
 }
@@ -235,22 +239,31 @@
 	return spent
 }
 
-// GiveBack returns what a request was charged that has not run and never will.
+// GiveBack returns what a request was charged that has not run and never will, to whoever
+// charged it.
 func (m *Meter) GiveBack(c Charge) {
 	m.o.Add(Returned, 1)
 	m.o.Add(ReturnedCost, int64(c.Cost))
-	m.giveBack(m.o.Home(c.Organisation).Name, c)
+	m.mu.Lock()
+	m.spent.Remove(c.Organisation, c.By, c.Cost)
+	m.mu.Unlock()
+	m.giveBack(c)
 }
 
-func (m *Meter) giveBack(home string, c Charge) {
-	r := tlwire.QuotaReturn{Organisation: c.Organisation, Cost: c.Cost}
-	if home == m.o.Self {
+func (m *Meter) giveBack(c Charge) {
+	r := tlwire.QuotaReturn{Organisation: c.Organisation, Cost: c.Cost, Incarnation: c.By.Incarnation}
+	switch c.By {
+	case tlquota.Home{}:
+		m.mu.Lock()
+		m.reserve.GiveBack(c.Organisation, c.Cost)
+		m.mu.Unlock()
+	case m.self():
 		m.takeBack(r)
-		return
+	default:
+		m.o.Post(c.By.Name, kindQuotaReturn, func(ctx context.Context) error {
+			return tlpeer.Send(ctx, m.o.Mesh, c.By.Name, kindQuotaReturn, r)
+		})
 	}
-	m.o.Post(home, kindQuotaReturn, func(ctx context.Context) error {
-		return tlpeer.Send(ctx, m.o.Mesh, home, kindQuotaReturn, r)
-	})
 }
 
 // Levels returns what each organisation that this instance has answered for may send at once.
@@ -295,6 +308,10 @@
 }
 
 func (m *Meter) handleReturn(_ context.Context, _ tlpeer.Peer, r tlwire.QuotaReturn) (tlpeer.Empty, error) {
+	if r.Incarnation != 0 && r.Incarnation != m.o.Incarnation {
+		m.o.Add(ReturnUnknown, 1)
+		return tlpeer.Empty{}, nil
+	}
 	m.takeBack(r)
 	return tlpeer.Empty{}, nil
 }
--- a/io/tlmeter/meter_test.go
+++ b/io/tlmeter/meter_test.go
@@ -59,7 +59,7 @@
 		})
 		f.homes = append(f.homes, instanceName(0))
 		f.meters = append(f.meters, New(Options{
-			Self: instanceName(k), Mesh: m,
+			Self: instanceName(k), Incarnation: 1, Mesh: m,
 			Home:   func(string) tlquota.Home { return tlquota.Home{Name: f.home(k), Incarnation: 1} },
 			Window: 8 * time.Second,
 			Fleet:  func() Fleet { return Fleet{InTouch: n, Listed: n, Rank: k} },
@@ -130,10 +130,61 @@
 	f := newTestFleet(t, 4)
 	assert.Equal(t, 10, f.admitted(40))
 	assert.Equal(t, 30, f.counted(Refused))
-	f.meters[1].GiveBack(charge())
+	c := charge()
+	c.By = tlquota.Home{Name: instanceName(0), Incarnation: 1}
+	f.meters[1].GiveBack(c)
 	assert.Equal(t, 1, f.admitted(4), "what was given back may be used again")
 }
 
+// Guards against credit at a home, or at an instance's own part, that charged nothing.
+func TestChargeIsGivenBackToWhoeverMadeIt(t *testing.T) {
+	f := newTestFleet(t, 3)
+	c := charge()
+	admit := func(m *Meter) Charge {
+		d := m.Admit(context.Background(), c)
+		require.True(t, d.IsGranted)
+		charged := c
+		charged.By = d.By
+		return charged
+	}
+	remote, local := admit(f.meters[1]), admit(f.meters[0])
+	before := f.meters[0].Levels()["o"]
+	for k := range f.homes {
+		f.homes[k] = instanceName(2)
+	}
+	admit(f.meters[1])
+	after := f.meters[2].Levels()["o"]
+	f.meters[1].GiveBack(remote)
+	f.meters[0].GiveBack(local)
+	assert.Eventually(t, func() bool { return f.meters[0].Levels()["o"] == before+2*c.Cost }, time.Second, time.Millisecond)
+	assert.Equal(t, after, f.meters[2].Levels()["o"], "the new home has charged neither")
+	remote.By.Incarnation = 7
+	f.meters[1].GiveBack(remote)
+	assert.Eventually(t, func() bool { return f.counted(ReturnUnknown) == 1 }, time.Second, time.Millisecond)
+	assert.Equal(t, before+2*c.Cost, f.meters[0].Levels()["o"], "another process has charged it")
+}
+
+// Guards against a home that grants what others have granted, since nobody tells it.
+func TestNextHomeHearsWhatWasGranted(t *testing.T) {
+	f := newTestFleet(t, 3)
+	c := charge()
+	c.Limit = tlquota.Limit{Rate: 2, Burst: 4, Slack: 0, Version: 1}
+	n := 0
+	for step := range 80 {
+		for k := range f.homes {
+			f.homes[k] = instanceName(step % 3)
+		}
+		for _, m := range f.meters {
+			if m.Admit(context.Background(), c).IsGranted {
+				n++
+			}
+		}
+		f.advance(100 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, n, 2*8+4)
+	assert.GreaterOrEqual(t, n, 10)
+}
+
 // Guards against a home that is gone or is another one by now: nobody hangs, and no
 // instance has the whole quota for itself.
 func TestInstanceGrantsItsPartWhileItsHomeIsSilent(t *testing.T) {
