A quota that is cut grants from the beginning

The window that a home keeps to counted what was granted under the higher quota in full, so that nothing would be granted after a cut until it was older than the window: 8,500 tokens in 8 s, 37,600 being the quota. It now counts as the same part of the new one. TestCutQuotaIsGrantedFromTheBeginning failed before.

--- a/core/tlquota/bucket.go
+++ b/core/tlquota/bucket.go
@@ -58,6 +58,16 @@
 	b.promised = max(b.promised-added, 0)
 }
 
+// setLimit puts a limit in force. What was granted under a higher one counts as the same
+// part of the new one: else nothing would be granted until a window has passed.
+func (b *bucket) setLimit(l Limit) {
+	before := b.inWindow()
+	b.limit = l
+	if after := b.inWindow(); after < before {
+		b.recent.scale(after / before)
+	}
+}
+
 // inWindow returns what may be granted in any window.
 func (b *bucket) inWindow() float64 {
 	return b.limit.Rate*b.recent.window().Seconds() + b.limit.Burst + b.limit.Slack
@@ -102,7 +112,7 @@
 		m[name] = b
 	}
 	if l.Version >= b.limit.Version {
-		b.limit = l
+		b.setLimit(l)
 	}
 	b.asked = now
 	return b, isNew
--- a/core/tlquota/ledger_test.go
+++ b/core/tlquota/ledger_test.go
@@ -206,6 +206,25 @@
 	assert.LessOrEqual(t, granted, lower.Rate*20+lower.Burst)
 }
 
+// Guards against a quota that is cut and then grants nothing until what was granted under
+// the higher one is older than the window.
+func TestCutQuotaIsGrantedFromTheBeginning(t *testing.T) {
+	l := NewLedger(window)
+	lower := Limit{Rate: limit.Rate / 10, Burst: limit.Burst / 10, Version: 2}
+	granted := 0.0
+	for now := start; now.Before(start.Add(2 * window)); now = now.Add(10 * time.Millisecond) {
+		m := limit
+		if now.Sub(start) >= window {
+			m = lower
+		}
+		if l.Take(now, "o", m, 500).IsGranted && m == lower {
+			granted += 500
+		}
+	}
+	assert.InDelta(t, lower.Rate*window.Seconds(), granted, lower.Burst+500)
+	assert.GreaterOrEqual(t, granted, 0.9*lower.Rate*window.Seconds())
+}
+
 func TestChargeOfARequestThatDidNotRunIsGivenBack(t *testing.T) {
 	l := NewLedger(window)
 	full := limit.Burst * newShare
--- a/core/tlquota/recent.go
+++ b/core/tlquota/recent.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// scale multiplies all that was granted.
+func (r *recent) scale(factor float64) {
+	for n := range r.costs {
+		r.costs[n] *= factor
+	}
+}
+
 // sum returns what was granted in the last window, and how long it takes until excess of
 // it has been granted longer ago than that.
 func (r *recent) sum(now time.Time, allowed float64) (sum float64, wait time.Duration) {
