A plain answer without a length is not whole if its endpoint ended

Callers could get a 200, framed as whole, with an empty or short body: an endpoint that ends after the head of an answer without a length or chunks, or within its body, closes the connection, which is what ends such an answer.

The check of streams (does the endpoint still take connections, asking other instances too) now holds for all answers without a length; one that another instance passes on must be framed, as those of streams. An answer too large to be buffered is broken off at its end.

--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -1,6 +1,7 @@
 package tlgateway
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -8,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlmemory"
 	"trefoillanding/core/tlverdict"
 	"trefoillanding/io/tlsend"
@@ -57,8 +59,8 @@
 	ForwardUnproved = "ForwardUnproved"
 	// Unconfirmed counts answers that were dropped, since another incarnation of the engine may have given them.
 	Unconfirmed = "Unconfirmed"
-	// EndedWithEngine counts streams without a length or chunks that ended between events since
-	// their engine ended.
+	// EndedWithEngine counts answers without a length or chunks, streams between two events
+	// among them, that ended since their endpoint did.
 	EndedWithEngine = "EndedWithEngine"
 	// NotEvents counts answers that had something else than the next events of their stream.
 	NotEvents = "NotEvents"
@@ -87,6 +89,8 @@
 	body  []byte
 	// rest is the unread remainder of an answer longer than that, else nil.
 	rest io.ReadCloser
+	// checkRest returns why the answer may not be whole once rest has ended.
+	checkRest func() error
 }
 
 var errShortAnswer = errors.New("the answer is shorter than its declared length")
@@ -126,6 +130,46 @@
 	return bufferedAnswer{reply: r, body: b}, nil
 }
 
+// bufferWhole does the same and has a function check the answer at its end, which is that of
+// rest if there is one.
+func (x *exchange) bufferWhole(ctx context.Context, r *tlsend.Reply, check func(context.Context, *tlsend.Reply) error) (bufferedAnswer, error) {
+	a, err := x.bufferAnswer(r)
+	if err != nil {
+		return a, err
+	}
+	if a.rest != nil {
+		a.checkRest = func() error { return check(ctx, r) }
+		return a, nil
+	}
+	return a, check(ctx, r)
+}
+
+// checkEndpoint returns a check of the answers of an endpoint: a length or chunks show that
+// one is whole, and the end of its connection only if the endpoint has not ended too.
+func (x *exchange) checkEndpoint(e tlendpoint.Endpoint) func(context.Context, *tlsend.Reply) error {
+	return func(ctx context.Context, r *tlsend.Reply) error {
+		if !r.EndsWithConnection {
+			return nil
+		}
+		ctx, stop := context.WithTimeout(ctx, endCheckTimeout)
+		defer stop()
+		if !x.g.deps.MayHaveEnded(ctx, e) {
+			return nil
+		}
+		x.g.deps.Count(EndedWithEngine)
+		return errEngineEnded
+	}
+}
+
+// checkForwarded returns why an answer that another instance passes on may not be whole:
+// instances frame all of them.
+func checkForwarded(_ context.Context, r *tlsend.Reply) error {
+	if r.EndsWithConnection {
+		return errUnframed
+	}
+	return nil
+}
+
 func (a bufferedAnswer) close() {
 	if a.rest != nil {
 		_ = a.rest.Close()
@@ -156,6 +200,12 @@
 	if _, err := io.Copy(x.w, a.rest); err != nil {
 		x.abort("the connection to the endpoint broke within its answer")
 	}
+	if a.checkRest == nil {
+		return
+	}
+	if err := a.checkRest(); err != nil {
+		x.abort(err.Error())
+	}
 }
 
 func (x *exchange) copyHeader(r *tlsend.Reply) {
--- a/io/tlgateway/forward.go
+++ b/io/tlgateway/forward.go
@@ -240,7 +240,7 @@
 // passFailureOn sends an endpoint's failure, which another instance passed on, to the caller.
 func (g *generation) passFailureOn(r *tlsend.Reply) (bool, *tlverdict.Error) {
 	g.possibleRuns++
-	a, err := g.x.bufferAnswer(r)
+	a, err := g.x.bufferWhole(g.ctx, r, checkForwarded)
 	g.lastFailure = errEngineFailure
 	if err != nil || g.hasSentHeader {
 		return false, g.finalError(nil)
--- a/io/tlgateway/generation.go
+++ b/io/tlgateway/generation.go
@@ -370,7 +370,7 @@
 func (g *generation) forwardFailure(p placement, r *tlsend.Reply) (bool, *tlverdict.Error) {
 	g.relocation.stop()
 	g.possibleRuns++
-	a, err := g.x.bufferAnswer(r)
+	a, err := g.x.bufferWhole(g.ctx, r, g.x.checkEndpoint(p.decode))
 	if err != nil {
 		return false, g.attemptFailed(p, err)
 	}
--- a/io/tlgateway/plain.go
+++ b/io/tlgateway/plain.go
@@ -272,7 +272,7 @@
 	r, peer, err := x.forwardRequest(ctx, "", runs)
 	s.endpoint.ID = peer
 	if err == nil {
-		s.answer, err = x.bufferAnswer(r)
+		s.answer, err = x.bufferWhole(ctx, r, checkForwarded)
 		if err != nil {
 			err = &tlsend.Error{Endpoint: peer, MayHaveRun: true, Outcome: readFailureOutcome(ctx), Err: err}
 		}
@@ -287,7 +287,7 @@
 	s := sendResult{endpoint: e}
 	r, err := x.g.deps.Sender.Send(ctx, e, x.request, tlcall.Send{TimeLeft: x.timeLeftForEndpoint()})
 	if err == nil {
-		s.answer, err = x.bufferAnswer(r)
+		s.answer, err = x.bufferWhole(ctx, r, x.checkEndpoint(e))
 		if err != nil {
 			err = &tlsend.Error{Endpoint: e.ID, MayHaveRun: true, Outcome: readFailureOutcome(ctx), Err: err}
 		}
--- a/io/tlgateway/stream.go
+++ b/io/tlgateway/stream.go
@@ -26,7 +26,7 @@
 	// stallThreshold is the pause between events above which the network path is
 	// suspected: TCP retransmits a lost packet after 200 ms at the earliest.
 	stallThreshold = 200 * time.Millisecond
-	// endCheckTimeout bounds the check whether an engine ended together with its stream.
+	// endCheckTimeout bounds the check whether an endpoint ended together with its answer.
 	endCheckTimeout = 600 * time.Millisecond
 )
 
@@ -46,8 +46,8 @@
 var (
 	errTruncatedEvent = errors.New("the stream ended within an event")
 	errNoEvent        = errors.New("the stream ended without an event")
-	errEngineEnded    = errors.New("the stream ended with its engine")
-	errUnframed       = errors.New("the forwarded stream ended with its connection")
+	errEngineEnded    = errors.New("the answer ended with its endpoint")
+	errUnframed       = errors.New("the forwarded answer ended with its connection")
 	errNotEvents      = errors.New("the answer has something else than the stream's next events")
 	errEventTooLarge  = errors.New("the stream has an event without end")
 	errNoMemory       = errors.New("there is no memory for an event of the stream")
@@ -192,23 +192,13 @@
 // chunks show that it is. The end of a connection shows nothing before the first event of a
 // run, while the prompt is read, and after it only if the engine hasn't ended too.
 func (g *generation) checkEnd(p placement, r *tlsend.Reply) error {
-	if !r.EndsWithConnection {
-		return nil
-	}
-	if p.isForwarded {
-		// Instances frame all answers that they pass on.
-		return errUnframed
-	}
-	if !g.hasBegun {
+	switch {
+	case p.isForwarded:
+		return checkForwarded(g.ctx, r)
+	case r.EndsWithConnection && !g.hasBegun:
 		return errNoEvent
 	}
-	ctx, stop := context.WithTimeout(g.ctx, endCheckTimeout)
-	defer stop()
-	if g.x.g.deps.MayHaveEnded(ctx, p.decode) {
-		g.x.g.deps.Count(EndedWithEngine)
-		return errEngineEnded
-	}
-	return nil
+	return g.x.checkEndpoint(p.decode)(g.ctx, r)
 }
 
 func (g *generation) write(c *http.ResponseController, events []byte, last string) error {
