Log when a home begins to count an organisation anew

The line 'quota counted here' now also tells of a home that goes on after another was the home, with the level that it begins with.

--- a/core/tlquota/bucket.go
+++ b/core/tlquota/bucket.go
@@ -29,7 +29,7 @@
 	Wait time.Duration
 	// Level is what may be sent at once after the request; below 0 it is overdrawn.
 	Level float64
-	// IsNew says that the bucket began with the request.
+	// IsNew says that the bucket began, or began anew, with the request.
 	IsNew bool
 }
 
--- a/core/tlquota/ledger.go
+++ b/core/tlquota/ledger.go
@@ -44,16 +44,16 @@
 		return &bucket{limit: limit, level: level, began: now, filled: now, recent: newRecent(l.window)}
 	})
 	b.fill(now, share)
-	b.count(now, share, told)
+	beginsAnew := b.count(now, share, told)
 	g := b.take(now, min(cost, b.limit.Burst*share), cost, share)
-	g.IsNew = isNew
+	g.IsNew = isNew || beginsAnew
 	return g
 }
 
 // count takes in what others have granted. What they granted since the bucket began it
-// didn't charge. If another instance was the home meanwhile, it grants what it likes of a
-// bucket that filled here too: this one begins anew.
-func (b *bucket) count(now time.Time, share float64, told []Spent) {
+// didn't charge. If another instance was the home meanwhile, the bucket filled at both: this
+// one begins anew, which count reports.
+func (b *bucket) count(now time.Time, share float64, told []Spent) (beginsAnew bool) {
 	for _, s := range told {
 		at := now.Add(-max(s.Age, 0))
 		b.recent.add(now, at, s.Cost)
@@ -64,8 +64,10 @@
 		if s.IsByHome {
 			b.level = min(b.level, newShare*b.limit.Burst*share)
 			b.began = now
+			beginsAnew = true
 		}
 	}
+	return beginsAnew
 }
 
 // GiveBack returns what a request was charged that has not run; it reports whether the
--- a/core/tlquota/spending_test.go
+++ b/core/tlquota/spending_test.go
@@ -1,6 +1,8 @@
 package tlquota
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -123,3 +125,30 @@
 	sum, _ = r.sum(at(5*window), 0)
 	assert.Zero(t, sum)
 }
+
+// Measures what a request that was granted lately holds, where each is of another organisation.
+func BenchmarkSpendingMemory(b *testing.B) {
+	const requests = maxBuckets
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for b.Loop() {
+		before := heap()
+		s, l := NewSpending(window), NewLedger(window)
+		for n := range requests {
+			s.Add(start, fmt.Sprint("organisation-", n), first, requestCost)
+		}
+		spent := heap()
+		for n := range requests {
+			l.Take(start, fmt.Sprint("organisation-", n), limit, requestCost)
+		}
+		counted := heap()
+		b.ReportMetric((spent-before)/requests, "granted-B")
+		b.ReportMetric((counted-spent)/requests, "organisation-B")
+		runtime.KeepAlive(s)
+		runtime.KeepAlive(l)
+	}
+}
