The entry of a former process doesn't replace that of the present one

Each instance took the newest record for the newest state, the process itself too.

An entry with a lower incarnation than the one known is now ignored, and the process that it names writes its own again: instances that start later read only the newest record.

--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -22,6 +22,7 @@
 	storeOutages    = "Lost"
 	storeWentBack   = "WentBack"
 	badEntry        = "BadEntry"
+	lateEntry       = "LateEntry"
 	badConfig       = "BadConfig"
 	connectionsMade = "ConnectionsMade"
 	reportsFailed   = "ReportsFailed"
@@ -59,7 +60,7 @@
 	}
 	return counters{
 		gateway:      s.Group("Gateway", names...),
-		store:        s.Group("Store", storeCalls, storeOutages, storeWentBack, badEntry, badConfig),
+		store:        s.Group("Store", storeCalls, storeOutages, storeWentBack, badEntry, lateEntry, badConfig),
 		endpoints:    s.Group("Endpoints", connectionsMade, reportsFailed, endpointLeaving, endpointResting, chosenLeaving, answerUnproved, libraryLines),
 		reservations: s.Group("Places", tlbooking.CounterNames...),
 		peers:        s.Group("Peers", tlpeer.CounterNames...),
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -134,7 +134,13 @@
 		if err != nil {
 			i.counters.store.Count(badEntry)
 			i.log.WithFields(logrus.Fields{"Key": r.Key, "Offset": r.Offset, "Cause": err.Error()}).Warn("instance entry ignored")
-			i.replaceOddEntry(r)
+			i.replaceEntry(r)
+			continue
+		}
+		if e.Incarnation < i.knownIncarnation(r.Key) {
+			i.counters.store.Count(lateEntry)
+			i.log.WithFields(logrus.Fields{"Key": r.Key, "Offset": r.Offset, "Incarnation": e.Incarnation}).Info("entry of a former process ignored")
+			i.replaceEntry(r)
 			continue
 		}
 		i.instances.byName[r.Key] = e
@@ -148,6 +154,14 @@
 	i.gossip.SetInstances(l)
 }
 
+// knownIncarnation returns the newest incarnation of an instance that is listed; 0 if none is.
+func (i *Instance) knownIncarnation(name string) uint64 {
+	if name == i.settings.Name {
+		return i.self.Incarnation
+	}
+	return i.instances.byName[name].Incarnation
+}
+
 // reregister registers this instance again if another one, taking it for gone, dropped its entry.
 func (i *Instance) reregister(r tlkeyed.Record) {
 	if r.Key != i.settings.Name || i.draining.Load() || incarnationOf(r) < i.self.Incarnation {
@@ -161,9 +175,10 @@
 	})
 }
 
-// replaceOddEntry writes this instance's entry again if another writer's stands in its
-// place: instances that start later would not know this one.
-func (i *Instance) replaceOddEntry(r tlkeyed.Record) {
+// replaceEntry writes this instance's entry again if another one stands in its place, of
+// another writer or of a former process, whose write the store has carried out late:
+// instances that start later would not know this one.
+func (i *Instance) replaceEntry(r tlkeyed.Record) {
 	if r.Key != i.settings.Name || incarnationOf(r) < i.self.Incarnation {
 		return
 	}
--- a/gateway/odd_entry_test.go
+++ b/gateway/odd_entry_test.go
@@ -110,6 +110,29 @@
 	}
 }
 
+// Guards against a process that nobody lists any more, since the store carried out a write
+// of the process before it after it had registered.
+func TestLateEntryOfAFormerProcessIsReplaced(t *testing.T) {
+	w := newTestCluster(t)
+	w.startPlainEndpoint("e1")
+	a, b := w.startInstance("a"), w.startInstance("b")
+	for _, i := range []*Instance{a, b} {
+		w.eventually(func() bool { return len(i.gossip.Live()) == 2 })
+	}
+	require.Greater(t, b.self.Incarnation, uint64(1))
+	late, err := b.entry(tlwire.InstanceStateLeaving, b.self.Incarnation-1)
+	require.NoError(t, err)
+	w.store.Put(platform.TopicInstances, "b", late)
+	written := w.store.Records(platform.TopicInstances)
+	w.eventually(func() bool { return w.store.Records(platform.TopicInstances) > written })
+	// One that starts now reads the newest record of each key.
+	c := w.startInstance("c")
+	for _, i := range []*Instance{a, b, c} {
+		w.eventually(func() bool { return len(i.gossip.Live()) == 3 })
+		w.eventually(func() bool { return i.gossip.Oldest(tlstand.ModelService, homeCandidates) == "a" })
+	}
+}
+
 // Guards against instances that can't follow the readers of the store, since one of its
 // records has a key that no message can carry.
 func TestRecordWithAnOddKeyIsNotPassedOn(t *testing.T) {
