A request whose connection is closed for room is not sent

A connection is chosen under the pool's lock and closed after it; a request whose body was whole between the two marked a connection as busy that was no longer one of the pool, and was sent.

Marking it now tells whether the connection is still one of the pool, and the request ends unsent if it isn't.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -105,6 +105,15 @@
 	p.rules.SetState(time.Now(), id, s)
 }
 
+// keep has a connection no longer closed for others; it reports whether the connection is
+// still one of the pool.
+func (p *pool) keep(id uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rules.SetState(time.Now(), id, tlmemory.Busy)
+	return p.open[id] != nil
+}
+
 func (p *pool) remove(id uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -235,6 +244,10 @@
 	c.pool.setState(c.id, s)
 }
 
+func (c *countedConn) keep() bool {
+	return c.pool.keep(c.id)
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -268,9 +281,9 @@
 	}
 }
 
-// noteReceived notes that a request has arrived whole: its connection is no longer closed for others.
-func noteReceived(r *http.Request) {
-	if k, ok := connOf(r).(interface{ setState(tlmemory.State) }); ok {
-		k.setState(tlmemory.Busy)
-	}
+// noteReceived notes that a request has arrived whole: its connection is no longer closed
+// for others. It reports whether it hasn't been chosen for that already.
+func noteReceived(r *http.Request) bool {
+	k, ok := connOf(r).(interface{ keep() bool })
+	return !ok || k.keep()
 }
--- a/io/tlgateway/deps.go
+++ b/io/tlgateway/deps.go
@@ -93,8 +93,9 @@
 	Budget *RetryBudget
 	// Memory bounds what requests hold; nothing is bounded if it is nil.
 	Memory *Memory
-	// OnReceived, if set, is called with each request that has been received whole.
-	OnReceived func(*http.Request)
+	// OnReceived, if set, is called with each request that has been received whole; it reports
+	// whether the request's connection stays open for the answer.
+	OnReceived func(*http.Request) bool
 	// IsDraining reports whether the instance is draining.
 	IsDraining func() bool
 	// Now returns the current time.
--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -219,7 +219,8 @@
 		"RetryAfterMs": e.RetryAfter.Milliseconds(),
 	})
 	// A body that is late ends the context of its request too.
-	if x.isCallerGone() && e.Reason != tlverdict.BodyTooSlow {
+	isGone := x.isCallerGone() && e.Reason != tlverdict.BodyTooSlow
+	if isGone || e.Reason == tlverdict.CallerGone {
 		// If a handler returns without writing anything, the server answers 200.
 		panic(http.ErrAbortHandler)
 	}
--- a/io/tlgateway/gateway.go
+++ b/io/tlgateway/gateway.go
@@ -122,8 +122,8 @@
 	if err := x.refuseLate(); err != nil {
 		return err
 	}
-	if received := x.g.deps.OnReceived; received != nil {
-		received(x.r)
+	if received := x.g.deps.OnReceived; received != nil && !received(x.r) {
+		return callerGoneError(false)
 	}
 	x.identify()
 	if err := x.refuseForwarded(); err != nil {
