Capacity of quotas: bytes with the level, memory of grants

Measured beside other work on 8 cores: 160 B for a question and its answer (145 without the level), 204 B of heap for each granted request that is remembered, 483 B for each organisation at its home.

--- a/core/tlcapacity/slope.go
+++ b/core/tlcapacity/slope.go
@@ -36,6 +36,7 @@
 	streamsCommand  = "go test -run '^$' -bench OpenStreams -benchtime 5x ./io/tlengine"
 	claimCommand    = "go test -run '^$' -bench ClaimMemory -benchtime 1x ./io/tlledger"
 	foldCommand     = "go test -run '^$' -bench Fold -benchtime 5x ./core/tlclaim"
+	grantCommand    = "go test -run '^$' -bench SpendingMemory -benchtime 3x ./core/tlquota"
 	quotaCommand    = "go test -run '^$' -bench Admit -benchtime 5000x ./io/tlmeter"
 	appenderCommand = "go test -run '^$' -bench 'Claim$' -benchtime 1x ./io/tlledger"
 )
@@ -60,8 +61,10 @@
 	blockBytes      = Slope{"block of a prompt in a submission", 9.225, "B", messageCommand}
 	stepBytes       = Slope{"step", 176, "B", messageCommand}
 	reportBytes     = Slope{"report", 176, "B", messageCommand}
-	quotaBytes      = Slope{"question about a quota, both ways", 145, "B", messageCommand}
+	quotaBytes      = Slope{"question about a quota, both ways", 160, "B", messageCommand}
 	slotBytes       = Slope{"slot of a contended service, question, answer and end", 309.0, "B", messageCommand}
+	grantHeap       = Slope{"granted request remembered", 204, "B", grantCommand}
+	organisedHeap   = Slope{"organisation counted at its home", 483, "B", grantCommand}
 	quotaTime       = Slope{"question about a quota, both ends", 0.0938, "ms", quotaCommand}
 	messageTime     = Slope{"one-way message, both ends", 0.04, "ms", peerCommand}
 	changeBytes     = Slope{"record of a change of one pool, target size", 830, "B", configCommand}
@@ -84,7 +87,7 @@
 func Slopes() []Slope {
 	return []Slope{
 		gossipBytes, pollBytes, eventBytes, pollTime, forwardBytes, idleHeap, peerHeap, logReadBytes, listBytes, listTime, sameListBytes,
-		sameListTime, listHeap, streamBytes, submitBytes, blockBytes, stepBytes, reportBytes, quotaBytes, slotBytes, quotaTime, messageTime, changeBytes,
+		sameListTime, listHeap, streamBytes, submitBytes, blockBytes, stepBytes, reportBytes, quotaBytes, slotBytes, grantHeap, organisedHeap, quotaTime, messageTime, changeBytes,
 		stateBytes, changeTime, configHeap, idleTime, homeTime, maxPoolsPerHome, rankTime, requestTime, tokenTime, streamHeap, claimHeap, claimTime, homeAppends,
 	}
 }
--- a/core/tlcapacity/target.go
+++ b/core/tlcapacity/target.go
@@ -10,6 +10,8 @@
 	tokensPerS         = 13_000_000.0
 	regions            = 4.0
 	dataCentres        = 10.0
+	organisations      = 4_000.0
+	quotaWindow        = 10.0
 	changesPerDay      = 16_000.0
 	departuresPerDay   = 55.0 + 650.0
 	cacheBytesPerS     = 37_000e9
