--- a/io/tlgateway/gateway_test.go
+++ b/io/tlgateway/gateway_test.go
@@ -1,9 +1,12 @@
 package tlgateway
 
 import (
+	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +20,7 @@
 	"trefoillanding/core/tlverdict"
 	"trefoillanding/io/tldirectory"
 	"trefoillanding/io/tlprober"
+	"trefoillanding/io/tlsend"
 	"trefoillanding/io/tltrace"
 )
 
@@ -93,3 +97,13 @@
 	assert.Len(t, reported, 1)
 	assert.Equal(t, 1, counts[string(tlverdict.Internal)])
 }
+
+// Guards against a success made of an answer that another instance was passing on when it ended.
+func TestAnswerPassedOnThatEndsWithItsConnectionIsNotWhole(t *testing.T) {
+	for _, isFramed := range []bool{true, false} {
+		x := &exchange{}
+		r := &tlsend.Reply{Body: io.NopCloser(strings.NewReader("an ans")), Length: -1, EndsWithConnection: !isFramed}
+		_, err := x.bufferWhole(context.Background(), r, checkForwarded)
+		assert.Equal(t, isFramed, err == nil)
+	}
+}
