What was granted under a higher quota is told as a part of the lower one

After a cut of its quota an organisation whose home changed within the window would have got nothing until what was granted under the higher quota was older than that: instances told it in full. Each entry now knows the rate in force. TestWhatWasGrantedUnderAHigherQuotaIsToldAsAPartOfTheLowerOne didn't build before.

--- a/core/tlquota/fleet_test.go
+++ b/core/tlquota/fleet_test.go
@@ -141,7 +141,7 @@
 	case !f.isAnswering(now, h) || f.home(now, h) != h:
 		g, by = f.markSilent(now, k, h, cost), Home{}
 	case now.Before(f.slowUntil):
-		t := f.spent[k].Tell(now, "o", by)
+		t := f.spent[k].Tell(now, "o", by, f.limit.Rate)
 		f.ledgers[h].Take(now, "o", f.limit, cost, t.Spent...)
 		f.spent[k].Forget(t)
 		g, by = f.markSilent(now, k, h, cost), Home{}
@@ -151,14 +151,14 @@
 	}
 	if g.IsGranted {
 		f.grants.add(now, cost)
-		f.spent[k].Add(now, "o", by, cost)
+		f.spent[k].Add(now, "o", by, f.limit.Rate, cost)
 	}
 }
 
 // ask has the home decide, which is told what it doesn't know.
 func (f *simFleet) ask(now time.Time, k int, h Home, cost float64) Grant {
 	n, _ := strconv.Atoi(h.Name)
-	return f.ledgers[n].Take(now, "o", f.limit, cost, f.spent[k].Tell(now, "o", h).Spent...)
+	return f.ledgers[n].Take(now, "o", f.limit, cost, f.spent[k].Tell(now, "o", h, f.limit.Rate).Spent...)
 }
 
 func (f *simFleet) markSilent(now time.Time, k, h int, cost float64) Grant {
--- a/core/tlquota/spending.go
+++ b/core/tlquota/spending.go
@@ -44,6 +44,8 @@
 	at   time.Time
 	cost float64
 	by   Home
+	// rate is the quota's rate that was in force.
+	rate float64
 	// told lists the homes that were told of it.
 	told []Home
 }
@@ -53,8 +55,8 @@
 	return &Spending{window: window, lists: map[string]*spentList{}}
 }
 
-// Add records that a home, or this instance's own part, granted a request.
-func (s *Spending) Add(now time.Time, organisation string, by Home, cost float64) {
+// Add records that a home, or this instance's own part, granted a request under a quota's rate.
+func (s *Spending) Add(now time.Time, organisation string, by Home, rate, cost float64) {
 	l := s.lists[organisation]
 	if l == nil {
 		dropLongestUnasked(s.lists, func(l *spentList) time.Time { return l.asked })
@@ -68,7 +70,7 @@
 		if e.at.Before(slot) {
 			break
 		}
-		if e.by == by && len(e.told) == 0 {
+		if e.by == by && e.rate == rate && len(e.told) == 0 {
 			e.cost += cost
 			return
 		}
@@ -76,7 +78,7 @@
 	if len(l.entries) >= maxSpent {
 		l.entries = slices.Delete(l.entries, 0, 1)
 	}
-	l.entries = append(l.entries, &spentEntry{at: now, cost: cost, by: by})
+	l.entries = append(l.entries, &spentEntry{at: now, cost: cost, by: by, rate: rate})
 }
 
 // Remove takes back what was granted to a request that has not run.
@@ -104,8 +106,9 @@
 	entries []*spentEntry
 }
 
-// Tell returns what a home doesn't know of yet, and takes it for told.
-func (s *Spending) Tell(now time.Time, organisation string, h Home) Told {
+// Tell returns what a home doesn't know of yet, and takes it for told. What was granted
+// under a higher rate than the present one is told as the same part of this one.
+func (s *Spending) Tell(now time.Time, organisation string, h Home, rate float64) Told {
 	t := Told{home: h}
 	l := s.lists[organisation]
 	if l == nil {
@@ -118,7 +121,11 @@
 		}
 		e.told = append(e.told, h)
 		t.entries = append(t.entries, e)
-		t.Spent = append(t.Spent, Spent{Age: now.Sub(e.at), Cost: e.cost, IsByHome: e.by != Home{}})
+		cost := e.cost
+		if rate < e.rate {
+			cost *= rate / e.rate
+		}
+		t.Spent = append(t.Spent, Spent{Age: now.Sub(e.at), Cost: cost, IsByHome: e.by != Home{}})
 	}
 	return t
 }
--- a/core/tlquota/spending_test.go
+++ b/core/tlquota/spending_test.go
@@ -30,45 +30,55 @@
 // Guards against a home that counts twice what it has granted or was told, or never hears of it.
 func TestHomeIsToldOnceWhatItDoesNotKnow(t *testing.T) {
 	s := NewSpending(window)
-	s.Add(at(0), "o", first, 10)
-	s.Add(at(0), "o", own, 5)
-	assert.Equal(t, []Spent{{time.Second, 5, false}}, s.Tell(at(time.Second), "o", first).Spent)
-	assert.Empty(t, s.Tell(at(time.Second), "o", first).Spent, "told before")
-	assert.Equal(t, []Spent{{time.Second, 10, true}, {time.Second, 5, false}}, s.Tell(at(time.Second), "o", second).Spent)
-	s.Add(at(time.Second), "o", second, 7)
-	assert.Equal(t, 7.0, costs(s.Tell(at(time.Second), "o", first)), "a home that is one again")
-	assert.Equal(t, 17.0+5, costs(s.Tell(at(time.Second), "o", Home{Name: "a", Incarnation: 3})), "its next process knows nothing")
-	assert.Empty(t, s.Tell(at(time.Second), "other", first).Spent)
-	assert.Equal(t, 7.0, costs(s.Tell(at(window+time.Second/2), "o", Home{Name: "c"})), "the rest is older than the window")
+	s.Add(at(0), "o", first, 1, 10)
+	s.Add(at(0), "o", own, 1, 5)
+	assert.Equal(t, []Spent{{time.Second, 5, false}}, s.Tell(at(time.Second), "o", first, 1).Spent)
+	assert.Empty(t, s.Tell(at(time.Second), "o", first, 1).Spent, "told before")
+	assert.Equal(t, []Spent{{time.Second, 10, true}, {time.Second, 5, false}}, s.Tell(at(time.Second), "o", second, 1).Spent)
+	s.Add(at(time.Second), "o", second, 1, 7)
+	assert.Equal(t, 7.0, costs(s.Tell(at(time.Second), "o", first, 1)), "a home that is one again")
+	assert.Equal(t, 17.0+5, costs(s.Tell(at(time.Second), "o", Home{Name: "a", Incarnation: 3}, 1)), "its next process knows nothing")
+	assert.Empty(t, s.Tell(at(time.Second), "other", first, 1).Spent)
+	assert.Equal(t, 7.0, costs(s.Tell(at(window+time.Second/2), "o", Home{Name: "c"}, 1)), "the rest is older than the window")
 }
 
 // Guards against a question without an answer that takes what it told with it.
 func TestWhatWasToldWithoutAnAnswerIsToldAgain(t *testing.T) {
 	s := NewSpending(window)
-	s.Add(at(0), "o", own, 5)
-	assert.Equal(t, 5.0, costs(s.Tell(at(0), "o", first)))
-	s.Add(at(0), "o", own, 3)
-	lost := s.Tell(at(0), "o", first)
+	s.Add(at(0), "o", own, 1, 5)
+	assert.Equal(t, 5.0, costs(s.Tell(at(0), "o", first, 1)))
+	s.Add(at(0), "o", own, 1, 3)
+	lost := s.Tell(at(0), "o", first, 1)
 	assert.Equal(t, 3.0, costs(lost))
 	s.Forget(lost)
-	assert.Equal(t, 3.0, costs(s.Tell(at(0), "o", first)))
+	assert.Equal(t, 3.0, costs(s.Tell(at(0), "o", first, 1)))
 }
 
 func TestWhatDidNotRunIsNotTold(t *testing.T) {
 	s := NewSpending(window)
-	s.Add(at(0), "o", own, 5)
-	s.Add(at(0), "o", own, 3)
+	s.Add(at(0), "o", own, 1, 5)
+	s.Add(at(0), "o", own, 1, 3)
 	s.Remove("o", own, 5)
 	s.Remove("other", own, 5)
-	assert.Equal(t, 3.0, costs(s.Tell(at(0), "o", first)))
+	assert.Equal(t, 3.0, costs(s.Tell(at(0), "o", first, 1)))
+}
+
+// Guards against a quota that is cut and, at the next home, grants nothing until what was
+// granted under the higher one is older than the window.
+func TestWhatWasGrantedUnderAHigherQuotaIsToldAsAPartOfTheLowerOne(t *testing.T) {
+	s := NewSpending(window)
+	s.Add(at(0), "o", first, 100, 50)
+	s.Add(at(0), "o", first, 10, 5)
+	assert.Equal(t, 5.0+5, costs(s.Tell(at(0), "o", second, 10)))
+	assert.Equal(t, 50.0+5, costs(s.Tell(at(0), "o", Home{Name: "c"}, 1000)), "but not as more of a higher one")
 }
 
 func TestSpendingIsBounded(t *testing.T) {
 	s := NewSpending(window)
 	for n := range 10 * maxSpent {
-		s.Add(at(time.Duration(n)*time.Millisecond), "o", Home{Incarnation: uint64(n)}, 1)
+		s.Add(at(time.Duration(n)*time.Millisecond), "o", Home{Incarnation: uint64(n)}, 1, 1)
 	}
-	assert.Equal(t, float64(maxSpent), costs(s.Tell(at(time.Second), "o", first)))
+	assert.Equal(t, float64(maxSpent), costs(s.Tell(at(time.Second), "o", first, 1)))
 }
 
 // Guards against a home that grants a window's quota anew, since it doesn't count what
@@ -139,7 +149,7 @@
 		before := heap()
 		s, l := NewSpending(window), NewLedger(window)
 		for n := range requests {
-			s.Add(start, fmt.Sprint("organisation-", n), first, requestCost)
+			s.Add(start, fmt.Sprint("organisation-", n), first, 1, requestCost)
 		}
 		spent := heap()
 		for n := range requests {
--- a/io/tlmeter/meter.go
+++ b/io/tlmeter/meter.go
@@ -178,15 +178,15 @@
 	now := m.o.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.spent.Add(now, c.Organisation, by, c.Cost)
+	m.spent.Add(now, c.Organisation, by, c.Limit.Rate, c.Cost)
 }
 
-// tell returns what a home doesn't know yet of an organisation, and takes it for told.
-func (m *Meter) tell(organisation string, h tlquota.Home) tlquota.Told {
+// tell returns what a home doesn't know yet of a charge's organisation, and takes it for told.
+func (m *Meter) tell(c Charge, h tlquota.Home) tlquota.Told {
 	now := m.o.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.spent.Tell(now, organisation, h)
+	return m.spent.Tell(now, c.Organisation, h, c.Limit.Rate)
 }
 
 func (m *Meter) forget(t tlquota.Told) {
@@ -199,7 +199,7 @@
 	if since, ok := m.isSilent(home.Name); ok {
 		return Decision{Grant: m.takeReserve(c, since), Home: m.o.Self}
 	}
-	told := m.tell(c.Organisation, home)
+	told := m.tell(c, home)
 	if home.Name == m.o.Self {
 		return Decision{m.take(c, told.Spent), home.Name, home}
 	}
