--- a/gateway/cut_head_test.go
+++ b/gateway/cut_head_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"trefoillanding/platform/tlstand"
 )
@@ -59,24 +58,16 @@
 // startEndingEndpoint starts an endpoint that ends with the answer to its first request.
 func (w *testCluster) startEndingEndpoint(id, service string, pieces ...string) {
 	w.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(w.t, err)
-	w.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			q, err := http.ReadRequest(bufio.NewReader(c))
-			if err == nil && tlstand.AttemptID(q.Header) != "" {
-				_ = l.Close()
-				write(20*time.Millisecond, pieces...)(echoConn{c, tlstand.AttemptID(q.Header)})
-			}
-			_ = c.Close()
+	listening := make(chan net.Listener, 1)
+	listening <- w.serveConnections(id, service, "", func(c net.Conn) {
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil || tlstand.AttemptID(q.Header) == "" {
+			return
 		}
-	}()
-	w.putRawEntry(id, service, "", l.Addr(), 1)
+		l := <-listening
+		_ = l.Close()
+		write(20*time.Millisecond, pieces...)(echoConn{c, tlstand.AttemptID(q.Header)})
+	})
 }
 
 // Guards against an answer that looks complete, though nothing but the end of its
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -24,7 +24,7 @@
 const maxHeapGrowth = 32 << 20
 
 // serveConnections lists an endpoint that passes each of its connections to serve, then closes it.
-func (w *testCluster) serveConnections(id, service, phase string, serve func(net.Conn)) {
+func (w *testCluster) serveConnections(id, service, phase string, serve func(net.Conn)) net.Listener {
 	w.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(w.t, err)
@@ -42,6 +42,7 @@
 		}
 	}()
 	w.putRawEntry(id, service, phase, l.Addr(), 1)
+	return l
 }
 
 // startRawEndpoint starts an endpoint that reads the head of each request and then
