--- a/core/tlquota/recent.go
+++ b/core/tlquota/recent.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// sum returns what was granted in the last window, and how long it takes until excess of
-// it has been granted longer ago than that.
+// sum returns what was granted in the last window, and the time until that is no more than
+// allowed; 0 if it is no more now.
 func (r *recent) sum(now time.Time, allowed float64) (sum float64, wait time.Duration) {
 	r.advance(now)
 	into := now.UnixNano() % int64(r.slot)
--- a/io/tlmeter/meter.go
+++ b/io/tlmeter/meter.go
@@ -23,13 +23,8 @@
 const (
 	// homeTimeout bounds a question to the home: the request waits for it.
 	homeTimeout = 150 * time.Millisecond
-	// homePause is how long a home is not asked after it gave no answer: about as long as
-	// gossip takes to name another.
-	homePause = 500 * time.Millisecond
 	// fleetCheckInterval is the time between looks at how many instances there are.
 	fleetCheckInterval = 100 * time.Millisecond
-	// maxSilent bounds the homes that are remembered as silent.
-	maxSilent = 1000
 )
 
 // The counters of a Meter.
@@ -127,11 +122,6 @@
 	silent map[string]silence
 }
 
-// silence is since when a home has given no answer, and until when it is not asked.
-type silence struct {
-	since, until time.Time
-}
-
 // New returns a Meter and registers its handlers with the mesh, which must not have been started.
 func New(o Options) *Meter {
 	m := &Meter{
@@ -168,33 +158,6 @@
 	return d
 }
 
-// self returns this process as a home. What it has granted is forgotten with it, so that
-// its incarnation makes no difference.
-func (m *Meter) self() tlquota.Home {
-	return tlquota.Home{Name: m.o.Self}
-}
-
-func (m *Meter) noteSpent(c Charge, by tlquota.Home) {
-	now := m.o.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.spent.Add(now, c.Organisation, by, c.Limit.Rate, c.Cost)
-}
-
-// tell returns what a home doesn't know yet of a charge's organisation, and takes it for told.
-func (m *Meter) tell(c Charge, h tlquota.Home) tlquota.Told {
-	now := m.o.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.spent.Tell(now, c.Organisation, h, c.Limit.Rate)
-}
-
-func (m *Meter) forget(t tlquota.Told) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.spent.Forget(t)
-}
-
 func (m *Meter) ask(ctx context.Context, home tlquota.Home, c Charge) Decision {
 	if since, ok := m.isSilent(home.Name); ok {
 		return Decision{Grant: m.takeReserve(c, since), Home: m.o.Self}
@@ -223,22 +186,6 @@
 	return Decision{tlquota.Grant{IsGranted: a.IsGranted, Wait: a.Wait, Level: a.Level}, home.Name, home}
 }
 
-func encodeSpent(list []tlquota.Spent) []tlwire.QuotaSpent {
-	var spent []tlwire.QuotaSpent
-	for _, s := range list {
-		spent = append(spent, tlwire.QuotaSpent{Age: s.Age, Cost: s.Cost, IsByHome: s.IsByHome})
-	}
-	return spent
-}
-
-func decodeSpent(list []tlwire.QuotaSpent) []tlquota.Spent {
-	var spent []tlquota.Spent
-	for _, s := range list {
-		spent = append(spent, tlquota.Spent{Age: max(s.Age, 0), Cost: max(s.Cost, 0), IsByHome: s.IsByHome})
-	}
-	return spent
-}
-
 // GiveBack returns what a request was charged that has not run and never will, to whoever
 // charged it.
 func (m *Meter) GiveBack(c Charge) {
@@ -372,36 +319,3 @@
 	m.ledger.SetFleet(now, f.InTouch, f.Listed)
 	m.reserve.SetFleet(now, f.Listed, f.Rank)
 }
-
-// isSilent reports whether a home isn't asked now, and since when it has given no answer.
-func (m *Meter) isSilent(home string) (time.Time, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.silent[home]
-	return s.since, m.o.Now().Before(s.until)
-}
-
-// markSilent records that a home gave no answer; it returns since when.
-func (m *Meter) markSilent(home string, cause error) time.Time {
-	now := m.o.Now()
-	m.mu.Lock()
-	s, ok := m.silent[home]
-	if !ok {
-		if len(m.silent) >= maxSilent {
-			clear(m.silent)
-		}
-		s.since = now
-	}
-	s.until = now.Add(homePause)
-	m.silent[home] = s
-	m.mu.Unlock()
-	m.o.Log.WithFields(logrus.Fields{"Home": home, "Cause": cause.Error()}).Info("home of quotas gave no answer")
-	return s.since
-}
-
-// markAnswering records that a home gave an answer.
-func (m *Meter) markAnswering(home string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.silent, home)
-}
