--- a/core/tlquota/fleet_test.go
+++ b/core/tlquota/fleet_test.go
@@ -106,6 +106,7 @@
 }
 
 // home returns the candidate that an instance holds for the home: the oldest that lives.
+// Each is seen as of another moment, so that for a while there may be more than two homes.
 func (f *simFleet) home(now time.Time, k int) int {
 	best := -1
 	for c := range simCandidates {
