A stream that waits when an instance stops is refused again

A request whose connection was chosen to be closed for another one is refused in the ordinary way, as not run, which the close may or may not overtake.

--- a/io/tlgateway/exchange.go
+++ b/io/tlgateway/exchange.go
@@ -218,10 +218,8 @@
 		"Message":      e.Message,
 		"RetryAfterMs": e.RetryAfter.Milliseconds(),
 	})
-	// A body that is late ends the context of its request too; a connection that is closed for
-	// another one doesn't yet.
-	isGone := x.isCallerGone() && e.Reason != tlverdict.BodyTooSlow
-	if isGone || e.Reason == tlverdict.CallerGone {
+	// A body that is late ends the context of its request too.
+	if x.isCallerGone() && e.Reason != tlverdict.BodyTooSlow {
 		// If a handler returns without writing anything, the server answers 200.
 		panic(http.ErrAbortHandler)
 	}
