One way to a bucket, one way to the figures of organisations

Cause: buckets.of took a function that makes a bucket, since Ledger and Reserve shared it; Reserve has parts of its own since, so that one caller was left. The map of a figure for each organisation was written three times.

Change: the Ledger makes its buckets itself, byOrganisation serves all three, and meterOptions lists its fields in one block. No decision changes.

--- a/core/tlquota/bucket.go
+++ b/core/tlquota/bucket.go
@@ -98,33 +98,13 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// buckets holds the buckets of organisations by their names.
-type buckets map[string]*bucket
-
-// of returns the bucket of an organisation under the newest limit known, and whether it is
-// new; create returns a new one.
-func (m buckets) of(now time.Time, name string, l Limit, create func() *bucket) (*bucket, bool) {
-	b := m[name]
-	isNew := b == nil
-	if isNew {
-		dropLongestUnasked(m, func(b *bucket) time.Time { return b.asked })
-		b = create()
-		m[name] = b
-	}
-	if l.Version >= b.limit.Version {
-		b.setLimit(l)
-	}
-	b.asked = now
-	return b, isNew
-}
-
-// granted returns the cost of all requests granted, by organisation.
-func (m buckets) granted() map[string]float64 {
-	sums := make(map[string]float64, len(m))
-	for name, b := range m {
-		sums[name] = b.granted
+// byOrganisation returns a figure of each organisation.
+func byOrganisation[T any](m map[string]T, figure func(T) float64) map[string]float64 {
+	figures := make(map[string]float64, len(m))
+	for name, v := range m {
+		figures[name] = figure(v)
 	}
-	return sums
+	return figures
 }
 
 // dropLongestUnasked makes room for one more organisation where there are maxBuckets.
--- a/core/tlquota/ledger.go
+++ b/core/tlquota/ledger.go
@@ -18,7 +18,7 @@
 // Ledger has the buckets of the organisations whose home an instance is; it is not safe
 // for concurrent use.
 type Ledger struct {
-	buckets buckets
+	buckets map[string]*bucket
 	fleet   tllimit.Fleet
 	window  time.Duration
 }
@@ -26,7 +26,7 @@
 // NewLedger returns a Ledger without organisations. What homes one after the other grant
 // is counted over any window of the given length.
 func NewLedger(window time.Duration) *Ledger {
-	return &Ledger{buckets: buckets{}, fleet: tllimit.NewFleet(), window: window}
+	return &Ledger{buckets: map[string]*bucket{}, fleet: tllimit.NewFleet(), window: window}
 }
 
 // SetFleet sets how many instances are in touch with this one, itself included, and how many there are.
@@ -39,10 +39,18 @@
 // took the request tells what others have granted to its requests.
 func (l *Ledger) Take(now time.Time, organisation string, limit Limit, cost float64, told ...Spent) Grant {
 	share := l.fleet.Share()
-	b, isNew := l.buckets.of(now, organisation, limit, func() *bucket {
+	b := l.buckets[organisation]
+	isNew := b == nil
+	if isNew {
+		dropLongestUnasked(l.buckets, func(b *bucket) time.Time { return b.asked })
 		level := max(newShare*limit.Burst, min(cost, newMost*limit.Burst)) * share
-		return &bucket{limit: limit, level: level, began: now, filled: now, recent: newRecent(l.window)}
-	})
+		b = &bucket{limit: limit, level: level, began: now, filled: now, recent: newRecent(l.window)}
+		l.buckets[organisation] = b
+	}
+	b.asked = now
+	if limit.Version >= b.limit.Version {
+		b.setLimit(limit)
+	}
 	b.fill(now, share)
 	beginsAnew := b.count(now, share, told)
 	g := b.take(now, min(cost, b.limit.Burst*share), cost, share)
@@ -83,14 +91,10 @@
 
 // Granted returns what was granted to each organisation.
 func (l *Ledger) Granted() map[string]float64 {
-	return l.buckets.granted()
+	return byOrganisation(l.buckets, func(b *bucket) float64 { return b.granted })
 }
 
 // Levels returns what each organisation may send at once, as of its last request.
 func (l *Ledger) Levels() map[string]float64 {
-	levels := make(map[string]float64, len(l.buckets))
-	for name, b := range l.buckets {
-		levels[name] = b.level
-	}
-	return levels
+	return byOrganisation(l.buckets, func(b *bucket) float64 { return b.level })
 }
--- a/core/tlquota/reserve.go
+++ b/core/tlquota/reserve.go
@@ -92,11 +92,7 @@
 
 // Granted returns what was granted to each organisation.
 func (r *Reserve) Granted() map[string]float64 {
-	sums := make(map[string]float64, len(r.parts))
-	for name, p := range r.parts {
-		sums[name] = p.granted
-	}
-	return sums
+	return byOrganisation(r.parts, func(p *part) float64 { return p.granted })
 }
 
 // fill adds the allowance since the last call.
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -193,18 +193,16 @@
 
 func (i *Instance) meterOptions() tlmeter.Options {
 	return tlmeter.Options{
-		Self:  i.settings.Name,
-		Mesh:  i.mesh,
-		Home:  i.quotaHomeOf,
-		Fleet: i.quotaFleet,
-
+		Self:        i.settings.Name,
 		Incarnation: i.self.Incarnation,
-
-		Window: cmp.Or(i.settings.Gateway.QuotaWindow, defaultQuotaWindow),
-		Post:   i.outboxPost,
-		Now:    time.Now,
-		Log:    i.log,
-		Add:    i.counters.quotas.Add,
+		Mesh:        i.mesh,
+		Home:        i.quotaHomeOf,
+		Fleet:       i.quotaFleet,
+		Window:      cmp.Or(i.settings.Gateway.QuotaWindow, defaultQuotaWindow),
+		Post:        i.outboxPost,
+		Now:         time.Now,
+		Log:         i.log,
+		Add:         i.counters.quotas.Add,
 	}
 }
 
