Test that a hot organisation is held to its quota in splits, and as instances forget

Callers saw nothing; an organisation may get more than its quota (QUOTA) while the fleet is split, or when a home follows of which many instances have lost what they were granted.

Change: the simulated fleet can be split, homes see who is in touch, and six cases and a quota of 1,000,000 are added; what was played before stays. The subtests run side by side.

--- a/core/tlquota/fleet_test.go
+++ b/core/tlquota/fleet_test.go
@@ -47,7 +47,10 @@
 	// noticing is how long after a candidate's end or return each instance knows of it.
 	noticing  [simInstances][simCandidates]time.Duration
 	silent    [simInstances][simCandidates]silence
+	deadFrom  [simInstances]time.Time
 	deadUntil [simInstances]time.Time
+	splits    []split
+	checked   [simCandidates]time.Time
 	grants    grants
 }
 
@@ -102,7 +105,7 @@
 			return false
 		}
 	}
-	return true
+	return !f.isHeldForCut(now, k, c)
 }
 
 // home returns the candidate that an instance holds for the home: the oldest that lives.
@@ -139,7 +142,7 @@
 		g = f.ask(now, k, by, cost)
 	case now.Before(f.silent[k][h].until):
 		g, by = f.takeOwn(now, k, h, cost), Home{}
-	case !f.isAnswering(now, h) || f.home(now, h) != h:
+	case !f.isAnswering(now, h) || f.isCut(now, k, h) || f.home(now, h) != h:
 		g, by = f.markSilent(now, k, h, cost), Home{}
 	case now.Before(f.slowUntil):
 		t := f.spent[k].Tell(now, "o", by, f.limit.Rate)
@@ -159,6 +162,7 @@
 // ask has the home decide, which is told what it doesn't know.
 func (f *simFleet) ask(now time.Time, k int, h Home, cost float64) Grant {
 	n, _ := strconv.Atoi(h.Name)
+	f.checkFleet(now, n)
 	return f.ledgers[n].Take(now, "o", f.limit, cost, f.spent[k].Tell(now, "o", h, f.limit.Rate).Spent...)
 }
 
@@ -180,10 +184,17 @@
 	if k < simCandidates {
 		f.outages[k] = append(f.outages[k], outage{now, now.Add(d), true})
 	}
-	f.deadUntil[k] = now.Add(d)
+	f.deadFrom[k], f.deadUntil[k] = now, now.Add(d)
 	f.start(k)
 }
 
+// killSome ends some instances for a second.
+func (f *simFleet) killSome(now time.Time, n int) {
+	for _, k := range f.random.Perm(simInstances)[:n] {
+		f.kill(now, k, time.Second)
+	}
+}
+
 func (f *simFleet) freeze(now time.Time, c int, d time.Duration) {
 	f.outages[c] = append(f.outages[c], outage{now, now.Add(d), false})
 }
@@ -209,7 +220,8 @@
 const meanCost = 4700
 
 // Guards against a hot organisation that gets more than its quota while instances are
-// killed, stand still, disagree on its home, restart in turn or find the home slow.
+// killed, stand still, disagree on its home, restart in turn, find the home slow or are
+// split in parts.
 func TestHotOrganisationIsHeldToItsQuotaWhileHomesChange(t *testing.T) {
 	const from, span = usualFor, 24 * time.Second
 	at := func(s float64) time.Duration { return from + time.Duration(s*float64(time.Second)) }
@@ -223,10 +235,11 @@
 		f.estranged[f.home(now, simInstances-1)] = now.Add(2 * time.Second)
 	}
 	slowHome := func(f *simFleet, now time.Time) { f.slowUntil = now.Add(1500 * time.Millisecond) }
-	killThird := func(f *simFleet, now time.Time) {
-		for _, k := range f.random.Perm(simInstances)[:simInstances/3] {
-			f.kill(now, k, time.Second)
-		}
+	killThird := func(f *simFleet, now time.Time) { f.killSome(now, simInstances/3) }
+	killMost := func(f *simFleet, now time.Time) { f.killSome(now, simInstances*3/4) }
+	killAll := func(f *simFleet, now time.Time) { f.killSome(now, simInstances) }
+	split := func(few int) func(f *simFleet, now time.Time) {
+		return func(f *simFleet, now time.Time) { f.split(now, few, 2*time.Second) }
 	}
 	var restarts []event
 	for k := range simInstances {
@@ -244,10 +257,17 @@
 		{"6 a third of the instances are killed, twice", []event{{at(1), killThird}, {at(5), killThird}}},
 		{"7 all restart, five at a time", restarts},
 		{"8 the home stands still, a third are killed, the next is slow", []event{{at(1), freezeHome}, {at(2), killThird}, {at(4.5), slowHome}, {at(6), estrangeHome}}},
+		{"9 the fleet is split in halves, twice", []event{{at(1), split(5)}, {at(5), split(5)}}},
+		{"10 a quarter are cut from the rest, three times", []event{{at(1), split(3)}, {at(4), split(3)}, {at(7), split(3)}}},
+		{"11 some and the home are cut from the rest, twice", []event{{at(1), split(1)}, {at(5), split(1)}}},
+		{"12 most instances are killed, twice", []event{{at(1), killMost}, {at(5), killMost}}},
+		{"13 all instances are killed, twice", []event{{at(1), killAll}, {at(5), killAll}}},
+		{"14 a third are killed in a split, then the home, and it is split again", []event{{at(1), split(5)}, {at(2), killThird}, {at(3.5), killHome}, {at(6), split(3)}}},
 	}
 	for _, c := range cases {
-		for _, rate := range []float64{47_000, 110_000, 175_655, 403_500} {
+		for _, rate := range []float64{47_000, 110_000, 175_655, 403_500, 1_000_000} {
 			t.Run(fmt.Sprintf("%s, quota of %g", c.name, rate), func(t *testing.T) {
+				t.Parallel()
 				for seed := range uint64(5) {
 					r := rand.New(rand.NewPCG(seed, 52))
 					operator := Limit{Rate: rate, Burst: rate}
