A home estimates what instances were granted that can't tell

What callers saw: nothing.

Cause: a home holds what it knows against the whole window. In a split each side's home knows of its own side only; a home that follows hears from those that live, and those that have started again know of nothing before.

Change: gossip's view knows when another process of an instance showed. What a home grants or is told counts beside it for the instances that are out of touch, or have started again since, as much each. The estimate takes no more than their part of the window, and rests on half of the instances at least; it ends when all are in touch and have been for a window.

--- a/core/tlmember/member.go
+++ b/core/tlmember/member.go
@@ -30,6 +30,7 @@
 	silentFrom  time.Time
 	suspectedAt time.Time
 	changedAt   time.Time
+	restartedAt time.Time
 	firstHand   bool
 }
 
@@ -38,11 +39,23 @@
 		Name:        s.instance.Name,
 		DataCentre:  s.instance.DataCentre,
 		Address:     s.instance.Address,
-		Incarnation: max(s.incarnation, s.instance.Incarnation),
+		Incarnation: s.knownIncarnation(),
 		Capacity:    s.instance.Capacity,
 	}
 }
 
+// knownIncarnation returns the newest incarnation that is known; 0 if none is.
+func (s *memberState) knownIncarnation() uint64 {
+	return max(s.incarnation, s.instance.Incarnation)
+}
+
+// noteIncarnation records a restart if a newer process than the known one shows.
+func (s *memberState) noteIncarnation(at time.Time, incarnation uint64) {
+	if known := s.knownIncarnation(); known != 0 && incarnation > known {
+		s.restartedAt = at
+	}
+}
+
 func (s *memberState) isStaying() bool {
 	return s.listed && !s.draining && s.instance.State == tlwire.InstanceStateLive
 }
--- a/core/tlmember/status.go
+++ b/core/tlmember/status.go
@@ -6,6 +6,9 @@
 type MemberStatus struct {
 	Member
 	State State
+	// RestartedAt is when this instance learned that the process is another one than
+	// before; zero if it knows of no other.
+	RestartedAt time.Time
 }
 
 // State is the state of an instance in a view, as shown to operators.
@@ -25,7 +28,7 @@
 	v.refresh()
 	all := make([]MemberStatus, 0, len(v.ring))
 	for _, s := range v.ring {
-		all = append(all, MemberStatus{Member: s.member(), State: v.stateOf(now, s)})
+		all = append(all, MemberStatus{Member: s.member(), State: v.stateOf(now, s), RestartedAt: s.restartedAt})
 	}
 	return all
 }
--- a/core/tlmember/view.go
+++ b/core/tlmember/view.go
@@ -41,6 +41,7 @@
 		if i.Incarnation > s.instance.Incarnation && s.instance.Incarnation != 0 && i.Name != v.self {
 			v.markRestarted(now, s)
 		}
+		s.noteIncarnation(now, i.Incarnation)
 		s.instance, s.listed = i, true
 	}
 	for name, s := range v.members {
@@ -76,6 +77,7 @@
 	if isRestart || s.draining != draining {
 		s.changedAt, v.isStale = at, true
 	}
+	s.noteIncarnation(at, incarnation)
 	s.incarnation, s.heardAt, s.draining = incarnation, at, draining
 	if !s.suspectedAt.IsZero() && at.After(s.suspectedAt) {
 		s.suspectedAt, s.changedAt, v.isStale = time.Time{}, at, true
--- a/core/tlquota/bucket.go
+++ b/core/tlquota/bucket.go
@@ -44,6 +44,9 @@
 	promised float64
 	// recent has what was granted in the last window, by whomever, as far as it is known.
 	recent recent
+	// untold estimates what was granted in that window to the requests of instances that are
+	// out of touch, or have started again since.
+	untold recent
 	// began is when the bucket began, or began anew since another instance had been the home.
 	began  time.Time
 	filled time.Time
@@ -65,6 +68,7 @@
 	b.limit = l
 	if after := b.inWindow(); after < before {
 		b.recent.scale(after / before)
+		b.untold.scale(after / before)
 	}
 }
 
@@ -73,14 +77,26 @@
 	return b.limit.Rate*b.recent.window().Seconds() + b.limit.Burst + b.limit.Slack
 }
 
-// take charges a cost if the level reaches need and the window has room for it.
-func (b *bucket) take(now time.Time, need, cost, share float64) Grant {
+// note counts a cost granted at a time, of which a part of all instances know: the others
+// are taken to have been granted as much each.
+func (b *bucket) note(now, at time.Time, cost, knowing float64) {
+	b.recent.add(now, at, cost)
+	b.untold.add(now, at, cost*(1/knowing-1))
+}
+
+// take charges a cost if the level reaches it, or its part of the burst, and the window has
+// room for it; share is this bucket's part of the limit. What was granted to instances that
+// don't know of it takes no more than their part of the window.
+func (b *bucket) take(now time.Time, cost, share float64, knowing func(at time.Time) float64) Grant {
+	need := min(cost, b.limit.Burst*share)
 	most := b.inWindow()
+	untold, _ := b.untold.sum(now, most)
+	most -= min(untold, (1-knowing(now.Add(-b.recent.window())))*most)
 	sum, wait := b.recent.sum(now, most-min(cost, most))
 	if b.level >= need && wait == 0 {
 		b.level -= cost
 		b.granted += cost
-		b.recent.add(now, now, cost)
+		b.note(now, now, cost, knowing(now))
 		return Grant{IsGranted: true, Level: min(b.level, most-sum-cost)}
 	}
 	rate := b.limit.Rate * share
--- a/core/tlquota/ledger.go
+++ b/core/tlquota/ledger.go
@@ -15,12 +15,18 @@
 	newMost = 0.5
 )
 
+// leastKnowing bounds the part of all instances from which what the others were granted is
+// estimated: a few say little of many.
+const leastKnowing = 0.5
+
 // Ledger has the buckets of the organisations whose home an instance is; it is not safe
 // for concurrent use.
 type Ledger struct {
 	buckets map[string]*bucket
 	fleet   tllimit.Fleet
 	window  time.Duration
+	// restarts has when instances in touch have started again within the last window.
+	restarts []time.Time
 }
 
 // NewLedger returns a Ledger without organisations. What homes one after the other grant
@@ -29,9 +35,23 @@
 	return &Ledger{buckets: map[string]*bucket{}, fleet: tllimit.NewFleet(), window: window}
 }
 
-// SetFleet sets how many instances are in touch with this one, itself included, and how many there are.
-func (l *Ledger) SetFleet(now time.Time, inTouch, listed int) {
+// SetFleet sets how many instances are in touch with this one, itself included, how many
+// there are, and when those in touch have started again within the last window.
+func (l *Ledger) SetFleet(now time.Time, inTouch, listed int, restarts ...time.Time) {
 	l.fleet.Set(now, inTouch, listed)
+	l.restarts = restarts
+}
+
+// knowing returns the part of all instances that are in touch and know what they were
+// granted at a time.
+func (l *Ledger) knowing(at time.Time) float64 {
+	forgetful := 0
+	for _, r := range l.restarts {
+		if r.After(at) {
+			forgetful++
+		}
+	}
+	return max(l.fleet.Share()-float64(forgetful)*l.fleet.OwnShare(), leastKnowing)
 }
 
 // Take charges an organisation for a request. A request that costs more than the whole
@@ -44,7 +64,7 @@
 	if isNew {
 		dropLongestUnasked(l.buckets, func(b *bucket) time.Time { return b.asked })
 		level := max(newShare*limit.Burst, min(cost, newMost*limit.Burst)) * share
-		b = &bucket{limit: limit, level: level, began: now, filled: now, recent: newRecent(l.window)}
+		b = &bucket{limit: limit, level: level, began: now, filled: now, recent: newRecent(l.window), untold: newRecent(l.window)}
 		l.buckets[organisation] = b
 	}
 	b.asked = now
@@ -52,8 +72,8 @@
 		b.setLimit(limit)
 	}
 	b.fill(now, share)
-	beginsAnew := b.count(now, share, told)
-	g := b.take(now, min(cost, b.limit.Burst*share), cost, share)
+	beginsAnew := l.count(b, now, told)
+	g := b.take(now, cost, share, l.knowing)
 	g.IsNew = isNew || beginsAnew
 	return g
 }
@@ -61,16 +81,16 @@
 // count takes in what others have granted. What they granted since the bucket began it
 // didn't charge. If another instance was the home meanwhile, the bucket filled at both: this
 // one begins anew, which count reports.
-func (b *bucket) count(now time.Time, share float64, told []Spent) (beginsAnew bool) {
+func (l *Ledger) count(b *bucket, now time.Time, told []Spent) (beginsAnew bool) {
 	for _, s := range told {
 		at := now.Add(-max(s.Age, 0))
-		b.recent.add(now, at, s.Cost)
+		b.note(now, at, s.Cost, l.knowing(at))
 		if !at.After(b.began) {
 			continue
 		}
 		b.level -= s.Cost
 		if s.IsByHome {
-			b.level = min(b.level, newShare*b.limit.Burst*share)
+			b.level = min(b.level, newShare*b.limit.Burst*l.fleet.Share())
 			b.began = now
 			beginsAnew = true
 		}
--- a/core/tlquota/spending_test.go
+++ b/core/tlquota/spending_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,6 +94,34 @@
 	assert.True(t, l.Take(at(7500*time.Millisecond), "o", limit, 100).IsGranted, "it is older than a window")
 }
 
+// Guards against a home that takes what it is told for all that was granted, though some
+// instances can't tell.
+func TestNewHomeEstimatesWhatItIsNotTold(t *testing.T) {
+	whole := limit.Rate*window.Seconds() + limit.Burst
+	cases := []struct {
+		name              string
+		inTouch, restarts int
+		told              float64
+		isGranted         bool
+	}{
+		{"1 all can tell", 60, 0, 0.9 * whole, true},
+		{"2 a third have started again, the others used their part", 60, 20, 0.68 * whole, false},
+		{"3 a third have started again, the others used half of their part", 60, 20, 0.34 * whole, true},
+		{"4 a third are out of touch", 40, 0, 0.68 * whole, false},
+		{"5 nearly all have started again, the others used twice their part", 60, 58, 0.07 * whole, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := NewLedger(window)
+			l.SetFleet(at(0), c.inTouch, 60, slices.Repeat([]time.Time{at(0)}, c.restarts)...)
+			g := l.Take(at(0), "o", limit, 0.01*whole, Spent{Age: time.Second, Cost: c.told, IsByHome: true})
+			assert.Equal(t, c.isGranted, g.IsGranted)
+			l.SetFleet(at(window), 60, 60)
+			assert.True(t, l.Take(at(window), "o", limit, 0.01*whole).IsGranted, "it is older than a window")
+		})
+	}
+}
+
 // Guards against a home that stood still and goes on with what its bucket saved up
 // meanwhile, though another granted it, or its own parts did.
 func TestHomeThatGoesOnCountsWhatOthersGranted(t *testing.T) {
--- a/core/tlquota/split_test.go
+++ b/core/tlquota/split_test.go
@@ -61,7 +61,19 @@
 		return
 	}
 	f.checked[home] = now
-	f.ledgers[home].SetFleet(now, f.inTouch(now, home), simInstances)
+	f.ledgers[home].SetFleet(now, f.inTouch(now, home), simInstances, f.restarts(now, home)...)
+}
+
+// restarts returns when instances have started again, as one knows of it.
+func (f *simFleet) restarts(now time.Time, k int) []time.Time {
+	var list []time.Time
+	for other := range simInstances {
+		at := f.deadUntil[other].Add(simNoticesReturn + f.delay(k, other))
+		if other != k && !f.deadUntil[other].IsZero() && !at.After(now) && now.Sub(at) < window {
+			list = append(list, at)
+		}
+	}
+	return list
 }
 
 // inTouch returns how many instances one holds for live, itself included.
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -187,6 +187,9 @@
 		if m.Name < i.settings.Name {
 			f.Rank++
 		}
+		if m.State == tlmember.StateLive && !m.RestartedAt.IsZero() {
+			f.Restarts = append(f.Restarts, m.RestartedAt)
+		}
 	}
 	return f
 }
--- a/io/tlmeter/meter.go
+++ b/io/tlmeter/meter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,6 +85,8 @@
 type Fleet struct {
 	// InTouch is how many are in touch with this one, itself included, and Listed how many there are.
 	InTouch, Listed int
+	// Restarts is when those in touch have started again, as far as this one knows.
+	Restarts []time.Time
 	// Rank is this instance's place among those listed, in the order of their names, from 0.
 	Rank int
 }
@@ -316,6 +319,7 @@
 	}
 	m.fleetChecked = now
 	f := m.o.Fleet()
-	m.ledger.SetFleet(now, f.InTouch, f.Listed)
+	restarts := slices.DeleteFunc(f.Restarts, func(at time.Time) bool { return now.Sub(at) > m.o.Window })
+	m.ledger.SetFleet(now, f.InTouch, f.Listed, restarts...)
 	m.reserve.SetFleet(now, f.Listed, f.Rank)
 }
