An instance's own part keeps to its part of the window

Cause: while a home is silent, own parts grant at the rate and half a second beyond it, whatever was granted a moment before. The home counts a window; they counted none.

Change: what the instance's requests were granted within the last window, by whomever, counts against its part of what the limit allows in one.

--- a/core/tlquota/bucket.go
+++ b/core/tlquota/bucket.go
@@ -21,6 +21,11 @@
 	Version uint64
 }
 
+// inWindow returns what may be granted in any window of a length.
+func (l Limit) inWindow(window time.Duration) float64 {
+	return l.Rate*window.Seconds() + l.Burst + l.Slack
+}
+
 // Grant is the answer to a request.
 type Grant struct {
 	// IsGranted says that the request is within the quota.
@@ -74,7 +79,7 @@
 
 // inWindow returns what may be granted in any window.
 func (b *bucket) inWindow() float64 {
-	return b.limit.Rate*b.recent.window().Seconds() + b.limit.Burst + b.limit.Slack
+	return b.limit.inWindow(b.recent.window())
 }
 
 // note counts a cost granted at a time, of which a part of all instances know: the others
--- a/core/tlquota/fleet_test.go
+++ b/core/tlquota/fleet_test.go
@@ -71,7 +71,7 @@
 func (f *simFleet) start(k int) {
 	f.ledgers[k] = NewLedger(window)
 	f.ledgers[k].SetFleet(start, simInstances, simInstances)
-	f.own[k] = NewReserve()
+	f.own[k] = NewReserve(window)
 	f.own[k].SetFleet(start, simInstances, k)
 	f.spent[k] = NewSpending(window)
 }
@@ -176,7 +176,7 @@
 }
 
 func (f *simFleet) takeOwn(now time.Time, k, h int, cost float64) Grant {
-	return f.own[k].Take(now, f.silent[k][h].since, "o", f.limit, cost)
+	return f.own[k].Take(now, f.silent[k][h].since, "o", f.limit, cost, f.spent[k].Sum(now, "o", f.limit.Rate))
 }
 
 // kill ends an instance, which comes back with nothing known.
--- a/core/tlquota/ledger_test.go
+++ b/core/tlquota/ledger_test.go
@@ -115,7 +115,7 @@
 					l, born = NewLedger(window), now.Add(time.Second)
 				}
 				if now.Before(born) {
-					return reserves[n%fleet].Take(now, born.Add(-time.Second), "o", widened, requestCost)
+					return reserves[n%fleet].Take(now, born.Add(-time.Second), "o", widened, requestCost, 0)
 				}
 				return l.Take(now, "o", widened, requestCost)
 			}
@@ -141,7 +141,7 @@
 					l.SetFleet(now, fleet*2/3, fleet)
 				}
 				if n%3 == 0 && now.After(cut) {
-					return reserves[n%fleet].Take(now, cut, "o", widened, requestCost)
+					return reserves[n%fleet].Take(now, cut, "o", widened, requestCost, 0)
 				}
 				return l.Take(now, "o", widened, requestCost)
 			}
@@ -160,7 +160,7 @@
 func newReserves(n int) []*Reserve {
 	list := make([]*Reserve, n)
 	for k := range list {
-		list[k] = NewReserve()
+		list[k] = NewReserve(window)
 		list[k].SetFleet(start, n, k)
 	}
 	return list
--- a/core/tlquota/reserve.go
+++ b/core/tlquota/reserve.go
@@ -24,8 +24,9 @@
 // evenly over them, and the rest is paid off before the next: all instances together grant
 // their parts' sum and at most about one request more.
 type Reserve struct {
-	parts map[string]*part
-	fleet tllimit.Fleet
+	parts  map[string]*part
+	fleet  tllimit.Fleet
+	window time.Duration
 	// place is this instance's rank among all, as a fraction of their number.
 	place float64
 }
@@ -38,9 +39,10 @@
 	asked   time.Time
 }
 
-// NewReserve returns a Reserve without organisations.
-func NewReserve() *Reserve {
-	return &Reserve{parts: map[string]*part{}, fleet: tllimit.NewFleet()}
+// NewReserve returns a Reserve without organisations. What is granted is counted over any
+// window of the given length.
+func NewReserve(window time.Duration) *Reserve {
+	return &Reserve{parts: map[string]*part{}, fleet: tllimit.NewFleet(), window: window}
 }
 
 // SetFleet sets how many instances there are, and this one's rank among them, from 0.
@@ -50,7 +52,9 @@
 }
 
 // Take charges an organisation, whose home has been silent since a time, for a request.
-func (r *Reserve) Take(now, since time.Time, organisation string, limit Limit, cost float64) Grant {
+// What this instance's requests were granted within the last window, by whomever, counts
+// against its part of what the limit allows in one.
+func (r *Reserve) Take(now, since time.Time, organisation string, limit Limit, cost, spent float64) Grant {
 	rate := limit.Rate * r.fleet.OwnShare()
 	saved := rate * savedTime.Seconds()
 	p := r.parts[organisation]
@@ -66,6 +70,9 @@
 	}
 	p.fill(now, rate, max(saved, cost))
 	need := (1 - r.credit(organisation)) * cost
+	if r.room(limit)-spent < need {
+		return Grant{Wait: maxReserveWait, Level: p.level, IsNew: isNew}
+	}
 	if p.level < need {
 		return Grant{Wait: min(seconds((need-p.level)/rate), maxReserveWait), Level: p.level, IsNew: isNew}
 	}
@@ -74,6 +81,11 @@
 	return Grant{IsGranted: true, Level: p.level, IsNew: isNew}
 }
 
+// room returns this instance's part of what a limit allows in a window.
+func (r *Reserve) room(l Limit) float64 {
+	return l.inWindow(r.window) * r.fleet.OwnShare()
+}
+
 // GiveBack returns what a request was charged that has not run.
 func (r *Reserve) GiveBack(organisation string, cost float64) {
 	if p := r.parts[organisation]; p != nil {
--- a/core/tlquota/spending.go
+++ b/core/tlquota/spending.go
@@ -50,6 +50,15 @@
 	told []Home
 }
 
+// costUnder returns the cost under a quota's rate: what was granted under a higher one
+// counts as the same part of a lower one.
+func (e *spentEntry) costUnder(rate float64) float64 {
+	if rate < e.rate {
+		return e.cost * rate / e.rate
+	}
+	return e.cost
+}
+
 // NewSpending returns a Spending that remembers a window.
 func NewSpending(window time.Duration) *Spending {
 	return &Spending{window: window, lists: map[string]*spentList{}}
@@ -121,15 +130,26 @@
 		}
 		e.told = append(e.told, h)
 		t.entries = append(t.entries, e)
-		cost := e.cost
-		if rate < e.rate {
-			cost *= rate / e.rate
-		}
-		t.Spent = append(t.Spent, Spent{Age: now.Sub(e.at), Cost: cost, IsByHome: e.by != Home{}})
+		t.Spent = append(t.Spent, Spent{Age: now.Sub(e.at), Cost: e.costUnder(rate), IsByHome: e.by != Home{}})
 	}
 	return t
 }
 
+// Sum returns what an organisation's requests were granted here within the last window,
+// under a quota's rate as Tell has it.
+func (s *Spending) Sum(now time.Time, organisation string, rate float64) float64 {
+	l := s.lists[organisation]
+	if l == nil {
+		return 0
+	}
+	l.dropBefore(now.Add(-s.window))
+	sum := 0.0
+	for _, e := range l.entries {
+		sum += e.costUnder(rate)
+	}
+	return sum
+}
+
 // Forget takes it back that a home was told: it gave no answer, and may not have heard it.
 func (s *Spending) Forget(t Told) {
 	for _, e := range t.entries {
--- a/io/tlmeter/meter.go
+++ b/io/tlmeter/meter.go
@@ -130,7 +130,7 @@
 	m := &Meter{
 		o:       o,
 		ledger:  tlquota.NewLedger(o.Window),
-		reserve: tlquota.NewReserve(),
+		reserve: tlquota.NewReserve(o.Window),
 		spent:   tlquota.NewSpending(o.Window),
 		silent:  map[string]silence{},
 	}
@@ -293,7 +293,8 @@
 	now := m.o.Now()
 	m.mu.Lock()
 	m.checkFleet(now)
-	g := m.reserve.Take(now, since, c.Organisation, c.Limit, max(c.Cost, 0))
+	spent := m.spent.Sum(now, c.Organisation, c.Limit.Rate)
+	g := m.reserve.Take(now, since, c.Organisation, c.Limit, max(c.Cost, 0), spent)
 	m.mu.Unlock()
 	m.noteGrant(c, g, OwnPart, OwnPartCost)
 	return g
