What the operator tolerates is left for trouble in any window

Cause: a hot organisation was granted half of the tolerance at all times, so that only the other half was left for what parts of the fleet grant beside each other until they notice.

Change: a charge names what may be granted in any window: the quota itself and four tenths of the slack. The bucket keeps half of the tolerance. An organisation within its quota never has more in a window; what lies beyond isn't owed to it. The field is optional; a home that two builds ask in turn scales its window by a newer version of the configuration only.

--- a/core/tlquota/bucket.go
+++ b/core/tlquota/bucket.go
@@ -17,12 +17,18 @@
 	// Slack is what may be sent at once beyond Burst by an organisation that has stayed
 	// below its quota for long; a new bucket has none of it.
 	Slack float64
+	// Most is what may be granted in any window; 0 stands for all that Rate, Burst and Slack
+	// allow in one.
+	Most float64
 	// Version is the version of the configuration; the newest counts.
 	Version uint64
 }
 
 // inWindow returns what may be granted in any window of a length.
 func (l Limit) inWindow(window time.Duration) float64 {
+	if l.Most > 0 {
+		return l.Most
+	}
 	return l.Rate*window.Seconds() + l.Burst + l.Slack
 }
 
@@ -69,9 +75,9 @@
 // setLimit puts a limit in force. What was granted under a higher one counts as the same
 // part of the new one: else nothing would be granted until a window has passed.
 func (b *bucket) setLimit(l Limit) {
-	before := b.inWindow()
+	before, isNewer := b.inWindow(), l.Version > b.limit.Version
 	b.limit = l
-	if after := b.inWindow(); after < before {
+	if after := b.inWindow(); isNewer && after < before {
 		b.recent.scale(after / before)
 		b.untold.scale(after / before)
 	}
--- a/core/tlquota/fleet_test.go
+++ b/core/tlquota/fleet_test.go
@@ -223,6 +223,16 @@
 // killed, stand still, disagree on its home, restart in turn, find the home slow or are
 // split in parts.
 func TestHotOrganisationIsHeldToItsQuotaWhileHomesChange(t *testing.T) {
+	playHomesThatChange(t, 47_000, 110_000, 175_655, 403_500)
+}
+
+// Guards against the same where the slack, a fixed number of tokens, is next to nothing.
+func TestHotOrganisationIsHeldToALargerQuotaWhileHomesChange(t *testing.T) {
+	playHomesThatChange(t, 1_000_000)
+}
+
+// playHomesThatChange plays each trouble for organisations with quotas of the given rates.
+func playHomesThatChange(t *testing.T, rates ...float64) {
 	const from, span = usualFor, 24 * time.Second
 	at := func(s float64) time.Duration { return from + time.Duration(s*float64(time.Second)) }
 	type event struct {
@@ -265,13 +275,13 @@
 		{"14 a third are killed in a split, then the home, and it is split again", []event{{at(1), split(5)}, {at(2), killThird}, {at(3.5), killHome}, {at(6), split(3)}}},
 	}
 	for _, c := range cases {
-		for _, rate := range []float64{47_000, 110_000, 175_655, 403_500, 1_000_000} {
+		for _, rate := range rates {
 			t.Run(fmt.Sprintf("%s, quota of %g", c.name, rate), func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(5) {
 					r := rand.New(rand.NewPCG(seed, 52))
 					operator := Limit{Rate: rate, Burst: rate}
-					f := newSimFleet(r, Limit{Rate: 1.05 * rate, Burst: 1.05 * rate, Slack: 0.4 * slack, Version: 1})
+					f := newSimFleet(r, Limit{Rate: 1.05 * rate, Burst: 1.05 * rate, Slack: 0.4 * slack, Most: rate*window.Seconds() + rate + 0.4*slack, Version: 1})
 					events := c.events
 					for now := start; now.Before(start.Add(from + span)); {
 						load := usualLoad
--- a/core/tlquota/ledger_test.go
+++ b/core/tlquota/ledger_test.go
@@ -225,6 +225,25 @@
 	assert.GreaterOrEqual(t, granted, 0.9*lower.Rate*window.Seconds())
 }
 
+// Guards against a window that is forgotten little by little, since instances of an
+// earlier build, which name no Most, and of this one ask in turn.
+func TestWindowIsKeptWhereInstancesNameMostOrNot(t *testing.T) {
+	l := NewLedger(window)
+	earlier, present := widened, widened
+	present.Most = limit.Rate*window.Seconds() + limit.Burst
+	var g grants
+	for now := start; now.Before(start.Add(3 * window)); now = now.Add(10 * time.Millisecond) {
+		m := present
+		if now.UnixMilli()%20 == 0 {
+			m = earlier
+		}
+		if l.Take(now, "o", m, 1000).IsGranted {
+			g.add(now, 1000)
+		}
+	}
+	assert.LessOrEqual(t, g.most(), earlier.inWindow(window))
+}
+
 func TestChargeOfARequestThatDidNotRunIsGivenBack(t *testing.T) {
 	l := NewLedger(window)
 	full := limit.Burst * newShare
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -414,6 +414,10 @@
 	// Cost is what the request costs.
 	Cost float64 `json:"Cost" yaml:"Cost" cbor:"Cost"`
 
+	// Most is what may be granted in any window; 0 stands for all that Rate, Burst
+	// and Slack allow in one.
+	Most float64 `json:"Most,omitempty" yaml:"Most,omitempty" cbor:"Most,omitempty"`
+
 	// Organisation is the name of the organisation.
 	Organisation string `json:"Organisation" yaml:"Organisation" cbor:"Organisation"`
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -194,6 +194,11 @@
 	return f
 }
 
+// quotaWindow returns the time over which quotas are checked.
+func (i *Instance) quotaWindow() time.Duration {
+	return cmp.Or(i.settings.Gateway.QuotaWindow, defaultQuotaWindow)
+}
+
 func (i *Instance) meterOptions() tlmeter.Options {
 	return tlmeter.Options{
 		Self:        i.settings.Name,
@@ -201,7 +206,7 @@
 		Mesh:        i.mesh,
 		Home:        i.quotaHomeOf,
 		Fleet:       i.quotaFleet,
-		Window:      cmp.Or(i.settings.Gateway.QuotaWindow, defaultQuotaWindow),
+		Window:      i.quotaWindow(),
 		Post:        i.outboxPost,
 		Now:         time.Now,
 		Log:         i.log,
@@ -274,7 +279,7 @@
 		Directory:      i.directory,
 		Sender:         i.sender,
 		Reservations:   tlgateway.Reservations{Reserve: i.coordinator.Place, Report: i.coordinator.Report, ReportAnswer: i.coordinator.ReportAnswer},
-		Quotas:         tlgateway.Quotas{Admit: i.meter.Admit, GiveBack: i.meter.GiveBack, Tolerance: s.QuotaTolerance, Slack: s.QuotaSlack},
+		Quotas:         tlgateway.Quotas{Admit: i.meter.Admit, GiveBack: i.meter.GiveBack, Tolerance: s.QuotaTolerance, Slack: s.QuotaSlack, Window: i.quotaWindow()},
 		Slots:          i.slotter,
 		Guard:          i.guard,
 		Origins:        i.registry,
--- a/io/tlgateway/deps.go
+++ b/io/tlgateway/deps.go
@@ -55,6 +55,8 @@
 	// Tolerance is the fraction of its quota, and Slack what beyond that for a short time,
 	// by which an organisation may exceed it.
 	Tolerance, Slack float64
+	// Window is the time over which the operator checks quotas.
+	Window time.Duration
 }
 
 // Deps holds the dependencies of a gateway.
--- a/io/tlgateway/organisation.go
+++ b/io/tlgateway/organisation.go
@@ -50,8 +50,8 @@
 
 const (
 	// usedTolerance and usedSlack are the parts of what the operator tolerates that requests
-	// may use: refusing them is of no use to anybody. The rest is left for what instances
-	// grant while a home is silent or has just taken over.
+	// may use: refusing them is of no use to anybody. The rest, and in any window all of the
+	// tolerance, is left for what instances grant while homes are silent, new or two at once.
 	usedTolerance = 0.5
 	usedSlack     = 0.4
 )
@@ -60,7 +60,14 @@
 func (x *exchange) quotaLimit() tlquota.Limit {
 	q, d := x.organisation.Quota, x.g.deps.Quotas
 	f := 1 + usedTolerance*d.Tolerance
-	return tlquota.Limit{Rate: f * q.Rate, Burst: f * q.Burst, Slack: usedSlack * d.Slack, Version: x.table.Version}
+	slack := usedSlack * d.Slack
+	return tlquota.Limit{
+		Rate:    f * q.Rate,
+		Burst:   f * q.Burst,
+		Slack:   slack,
+		Most:    q.Rate*d.Window.Seconds() + q.Burst + slack,
+		Version: x.table.Version,
+	}
 }
 
 // chargeQuota charges the request to its organisation's quota, and refuses one over it.
--- a/io/tlmeter/meter.go
+++ b/io/tlmeter/meter.go
@@ -177,6 +177,7 @@
 		Rate:         c.Limit.Rate,
 		Burst:        c.Limit.Burst,
 		Slack:        c.Limit.Slack,
+		Most:         c.Limit.Most,
 		Version:      c.Limit.Version,
 		Cost:         c.Cost,
 		Spent:        encodeSpent(told.Spent),
@@ -251,7 +252,7 @@
 	}
 	g := m.take(Charge{
 		Organisation: c.Organisation,
-		Limit:        tlquota.Limit{Rate: c.Rate, Burst: c.Burst, Slack: c.Slack, Version: c.Version},
+		Limit:        tlquota.Limit{Rate: c.Rate, Burst: c.Burst, Slack: c.Slack, Most: max(c.Most, 0), Version: c.Version},
 		Cost:         c.Cost,
 	}, decodeSpent(c.Spent))
 	return tlwire.QuotaAnswer{IsGranted: g.IsGranted, Wait: g.Wait, Level: g.Level}, nil
