Wait in a test until all charges are given back

No decision is at fault.

Change: the test waits for the home's level to be whole, then asks as before.

--- a/io/tlmeter/meter_test.go
+++ b/io/tlmeter/meter_test.go
@@ -224,6 +224,7 @@
 	for range 20 {
 		assert.False(t, f.meters[1].Admit(ctx, charge()).IsGranted)
 	}
+	assert.Eventually(t, func() bool { return f.meters[0].Levels()["o"] == 10 }, time.Second, time.Millisecond, "all charges are given back")
 	assert.Equal(t, 10, f.admitted(20))
 }
 
