A target that begins with two slashes is sent as it came

Cause: net/url takes a raw path only where it decodes to the path; both held the encoded one, which was encoded again. A ? without a query was dropped.

Change: the path is decoded, an empty query kept. What net/url can't send unchanged, a path with bytes that no URL may hold, is refused as not run.

--- a/io/tlgateway/gateway.go
+++ b/io/tlgateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"trefoillanding/core/tlroute"
 	"trefoillanding/core/tlverdict"
+	"trefoillanding/io/tlsend"
 )
 
 const (
@@ -103,6 +104,9 @@
 	if x.call.ID == "" {
 		return tlverdict.New(tlverdict.BadHeader, "the request has no id")
 	}
+	if !tlsend.CanSend(x.target()) {
+		return tlverdict.New(tlverdict.BadHeader, "the path holds bytes that no URL may hold")
+	}
 	if x.timeLeft() < minTimeLeft {
 		return tlverdict.New(tlverdict.WaitTooLong, "too little time left before the deadline")
 	}
--- a/io/tlsend/request.go
+++ b/io/tlsend/request.go
@@ -63,14 +63,22 @@
 	return http.NoBody, 0
 }
 
-// targetURL returns the URL that makes the Transport send target unchanged.
+// CanSend reports whether a target can be sent exactly as received: net/http would encode
+// bytes that no URL may hold in one that begins with two slashes.
+func CanSend(target string) bool {
+	return !strings.HasPrefix(target, "//") || targetURL("", target).RequestURI() == target
+}
+
+// targetURL returns the URL that makes the Transport send target unchanged, if CanSend.
 func targetURL(address, target string) *url.URL {
 	u := &url.URL{Scheme: "http", Host: address}
-	if strings.HasPrefix(target, "//") {
-		path, query, _ := strings.Cut(target, "?")
-		u.Path, u.RawPath, u.RawQuery = path, path, query
+	if !strings.HasPrefix(target, "//") {
+		u.Opaque = target
 		return u
 	}
-	u.Opaque = target
+	// An opaque URL that begins with two slashes gets a scheme before it.
+	u.RawPath, u.RawQuery, u.ForceQuery = strings.Cut(target, "?")
+	// A path that can't be decoded is none that CanSend.
+	u.Path, _ = url.PathUnescape(u.RawPath)
 	return u
 }
--- a/io/tlsend/sender_test.go
+++ b/io/tlsend/sender_test.go
@@ -113,6 +113,33 @@
 	assert.Equal(t, "pay", body)
 }
 
+// Guards against a request that runs with another path or query than it was sent with.
+func TestSendKeepsAnyTargetUnchanged(t *testing.T) {
+	lines := make(chan string, 1)
+	e := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		line, _ := r.ReadString('\n')
+		lines <- line
+		if _, err := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader("GET / HTTP/1.1\r\n"), r))); err == nil {
+			writeAnswer(c, "1", "ok")
+		}
+	})
+	for _, target := range []string{
+		"/a%2Fb", "/a|b?", "//a%2Fb/c?d=%2f", "//a", "//", "///a//%2e%2E", "//a?", "//a?b=?c", "//a%20b", "//a!$&'()*+,;=:@[]", "//%E4%BD%A0",
+	} {
+		t.Run(target, func(t *testing.T) {
+			require.True(t, CanSend(target))
+			q := newGetRequest("1")
+			q.Target = target
+			_, err := newSender(t).Send(context.Background(), e, q, tlcall.Send{})
+			require.NoError(t, err)
+			assert.Equal(t, "GET "+target+" HTTP/1.1\r\n", <-lines)
+		})
+	}
+	for _, target := range []string{"//a|b", "//a%zz", "//a\xe4", `//a"b`, "//a#b"} {
+		assert.False(t, CanSend(target), target)
+	}
+}
+
 // By default net/http's Transport retries a GET when a reused connection fails,
 // so that an endpoint could run the request twice.
 func TestSendDoesNotRetryWhenReusedConnectionFails(t *testing.T) {
