--- a/core/tlcapacity/rows.go
+++ b/core/tlcapacity/rows.go
@@ -68,7 +68,7 @@
 		{"gossip, membership: linear bound", Control, Memory, []Factor{{"further instances", nodes - 50}, peerHeap.asFactor("MB", megabytesPerKilobyte)}, "one entry for each instance; connections grow with the logarithm"},
 		{"configuration", Control, Memory, []Factor{configHeap.asFactor("MB", megabytesPerMebibyte)}, "one state and its lookups, whole at every node"},
 		{"instance list", Control, Memory, []Factor{{"entries", listEntries}, listHeap.asFactor("MB", micro)}, "whole at every node"},
-		{"homes of organisations", FewNodes, Memory, []Factor{{"organisations, all at one node", organisations}, organisedHeap.asFactor("MB", micro)}, "a token bucket and a window of slots each, at most 10,000"},
+		{"homes of organisations", FewNodes, Memory, []Factor{{"organisations, all at one node", organisations}, organisedHeap.asFactor("MB", micro)}, "a token bucket and two windows of slots each, at most 10,000"},
 		{"claims home", FewNodes, Memory, []Factor{{"claims kept in a stream", retainedClaims / claimStreams}, claimHeap.asFactor("MB", micro)}, "answers are read from the log again"},
 		{"owner: grants of quotas", Request, Memory, []Factor{{"requests/s", nodeRequestsPerS}, {"seconds of a window", quotaWindow}, grantHeap.asFactor("MB", micro)}, "what a new home is told; at most one entry a request"},
 		{"owner, relay", Request, Memory, []Factor{{"streams", streamsPerNode}, streamHeap.asFactor("MB", megabytesPerKilobyte)}, "a connection to the engine and one to the caller"},
--- a/core/tlcapacity/slope.go
+++ b/core/tlcapacity/slope.go
@@ -61,10 +61,10 @@
 	blockBytes      = Slope{"block of a prompt in a submission", 9.225, "B", messageCommand}
 	stepBytes       = Slope{"step", 176, "B", messageCommand}
 	reportBytes     = Slope{"report", 176, "B", messageCommand}
-	quotaBytes      = Slope{"question about a quota, both ways", 160, "B", messageCommand}
+	quotaBytes      = Slope{"question about a quota, both ways", 170, "B", messageCommand}
 	slotBytes       = Slope{"slot of a contended service, question, answer and end", 309.0, "B", messageCommand}
-	grantHeap       = Slope{"granted request remembered", 204, "B", grantCommand}
-	organisedHeap   = Slope{"organisation counted at its home", 483, "B", grantCommand}
+	grantHeap       = Slope{"granted request remembered", 219, "B", grantCommand}
+	organisedHeap   = Slope{"organisation counted at its home", 771, "B", grantCommand}
 	quotaTime       = Slope{"question about a quota, both ends", 0.0938, "ms", quotaCommand}
 	messageTime     = Slope{"one-way message, both ends", 0.04, "ms", peerCommand}
 	changeBytes     = Slope{"record of a change of one pool, target size", 830, "B", configCommand}
