Give the stream of a caller that reads late the time that it takes

Cause: TestCallerThatReadsLateDoesNotMoveItsStream, seen failing once with an unexpected EOF.

Change: its routes have more time than any test takes, as those of TestSlowStreamIsSearchedAnotherEngineForOnce. What it asserts stays.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -54,6 +54,15 @@
 	return c
 }
 
+// lengthenTimeouts gives all routes more time than any test takes.
+func (w *testCluster) lengthenTimeouts() {
+	c := tlstand.Config(2)
+	for n := range c.Routes {
+		c.Routes[n].TimeoutMs = float64(2 * testTimeout.Milliseconds())
+	}
+	w.store.PutJSON(platform.TopicConfig, platform.KeyConfig, c)
+}
+
 func TestSilenceEndsNoStreamThatNoOtherEngineCanTake(t *testing.T) {
 	cases := []struct {
 		name           string
@@ -148,6 +157,7 @@
 			return true
 		}
 	}
+	w.lengthenTimeouts()
 	i := w.startInstance("a")
 	c := patientCall("id-1")
 	c.Host = tlstand.Host
@@ -190,11 +200,7 @@
 	d1, d2 := w.startEngine("d1", "decode"), w.startEngine("d2", "decode")
 	d1.EventInterval, d2.EventInterval = 1700*time.Millisecond, 1700*time.Millisecond
 	d1.Events, d2.Events = 4, 4
-	c := tlstand.Config(2)
-	for n := range c.Routes {
-		c.Routes[n].TimeoutMs = float64(2 * testTimeout.Milliseconds())
-	}
-	w.store.PutJSON(platform.TopicConfig, platform.KeyConfig, c)
+	w.lengthenTimeouts()
 	i := w.startInstance("a")
 	a := w.call(i, patientCall("id-1"))
 	assert.True(t, a.isComplete)
