Events whose lines end with a carriage return and a line feed are forwarded

Cause: an event's end was looked for as two line feeds in a row; the standard of server-sent events allows a carriage return before each.

Change: an event ends with an empty line, which may hold a carriage return. The bytes are passed on as they came.

--- a/core/tlevent/splitter.go
+++ b/core/tlevent/splitter.go
@@ -14,7 +14,6 @@
 )
 
 var (
-	eventSeparator = []byte("\n\n")
 	lineSeparator  = []byte("\n")
 	fieldSeparator = []byte(":")
 )
@@ -48,15 +47,15 @@
 		s.buffer = append(s.buffer[:0], s.buffer[s.whole:]...)
 		s.whole = 0
 	}
-	// A separator may begin with the last byte that was there before.
-	from := max(len(s.buffer)-1, 0)
+	// The end of an event may begin with the last two bytes that were there before.
+	from := max(len(s.buffer)-2, 0)
 	s.buffer = append(s.buffer, b...)
 	for {
-		end := bytes.Index(s.buffer[from:], eventSeparator)
+		end := eventEnd(s.buffer[from:])
 		if end < 0 {
 			break
 		}
-		end += from + len(eventSeparator)
+		end += from
 		if s.isMalformed = !s.take(s.buffer[s.whole:end]); s.isMalformed {
 			break
 		}
@@ -69,6 +68,23 @@
 	return s.buffer[:s.whole]
 }
 
+// eventEnd returns the index after the first empty line that follows another one; -1 if there
+// is none. Lines end with a line feed, or a carriage return and a line feed.
+func eventEnd(b []byte) int {
+	at := 0
+	for {
+		n := bytes.IndexByte(b[at:], '\n')
+		if n < 0 {
+			return -1
+		}
+		at += n + 1
+		rest := bytes.TrimPrefix(b[at:], []byte("\r"))
+		if bytes.HasPrefix(rest, lineSeparator) {
+			return len(b) - len(rest) + 1
+		}
+	}
+}
+
 // IsMalformed reports whether what followed the last event is none.
 func (s *Splitter) IsMalformed() bool {
 	return s.isMalformed
--- a/core/tlevent/splitter_test.go
+++ b/core/tlevent/splitter_test.go
@@ -74,6 +74,10 @@
 		{"15 JSON", "", first + "{\"error\": \"boom\"}\n\n", first, true},
 		{"16 a head", "", first + "HTTP/1.1 500 Failed\r\nContent-Length: 4\r\n\r\nboom\n\n", first, true},
 		{"17 lines that end with a carriage return", "", "id: 1\r\ndata: a\r\n\n", "id: 1\r\ndata: a\r\n\n", false},
+		{"18 all lines end so, the empty one too", "", "id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", "id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", false},
+		{"19 one way and the other", "", "id: 1\r\n\r\nid: 2\n\nid: 3\n\r\n", "id: 1\r\n\r\nid: 2\n\nid: 3\n\r\n", false},
+		{"20 a carriage return within a line", "", "data: a\rb\n\r", "", false},
+		{"21 the same event twice", "", "id: 1\r\n\r\nid: 1\r\n\r\n", "id: 1\r\n\r\n", true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
