An instance that drains is taken for draining until it says otherwise

Cause: a question about another instance told that its sender is alive, and so that it doesn't drain: a draining instance came back among the live ones of whoever it asked, where it may be a home again until its next heartbeat. And what a peer had heard of an instance's next process kept the drain of the one before.

Change: a sign of life that doesn't tell keeps what is known of that process.

Result: TestInstanceDrainsUntilItSaysOtherwiseOrStartsAgain, whose last step failed before; its first had no such call.

--- a/core/tlmember/sighting.go
+++ b/core/tlmember/sighting.go
@@ -55,7 +55,7 @@
 	}
 	s := v.state(t.Name)
 	if t.HeardAgo > 0 {
-		v.RecordHeard(now.Add(-t.HeardAgo), t.Name, t.Incarnation, s.draining)
+		v.RecordSign(now.Add(-t.HeardAgo), t.Name, t.Incarnation)
 	}
 	since := now.Add(-t.DoubtedFor)
 	if t.DoubtedFor > 0 && t.Incarnation >= s.incarnation && since.After(s.heardAt) {
--- a/core/tlmember/status_test.go
+++ b/core/tlmember/status_test.go
@@ -28,6 +28,25 @@
 	assert.Equal(t, StateGone, v.All(now.Add(time.Minute))[3].State)
 }
 
+// Guards against a draining instance that is taken for live again, and may become a home,
+// since it asked about another, and against its next process that is taken for draining.
+func TestInstanceDrainsUntilItSaysOtherwiseOrStartsAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := New("a", Timeouts{SuspectAfter: time.Second, GoneAfter: time.Second})
+	v.SetInstances(now, tlwire.InstanceList{Instances: []tlwire.Instance{
+		{Name: "b", Kind: tlwire.InstanceKindEntry, State: tlwire.InstanceStateLive, Incarnation: 3},
+	}})
+	state := func() State { return v.All(now)[0].State }
+	at := func(s int) time.Time { return now.Add(time.Duration(s) * time.Second) }
+	v.RecordHeard(at(1), "b", 3, true)
+	v.RecordSign(at(2), "b", 3)
+	assert.Equal(t, StateDraining, state(), "it asked about another")
+	v.ApplySighting(at(4), tlwire.Sighting{Name: "b", Incarnation: 3, HeardAgo: time.Second})
+	assert.Equal(t, StateDraining, state(), "a peer has heard from it")
+	v.ApplySighting(at(6), tlwire.Sighting{Name: "b", Incarnation: 4, HeardAgo: time.Second})
+	assert.Equal(t, StateLive, state(), "a peer has heard from its next process")
+}
+
 func TestRestartIsKnownFromItsFirstSign(t *testing.T) {
 	now := time.Unix(1000, 0)
 	v := New("a", Timeouts{SuspectAfter: time.Second, GoneAfter: time.Second})
--- a/core/tlmember/view.go
+++ b/core/tlmember/view.go
@@ -84,6 +84,12 @@
 	}
 }
 
+// RecordSign records the same of a sign of life that doesn't tell whether the instance drains.
+func (v *View) RecordSign(at time.Time, name string, incarnation uint64) {
+	s := v.state(name)
+	v.RecordHeard(at, name, incarnation, s.draining && incarnation == s.incarnation)
+}
+
 // Suspect records that an instance is unreachable or was silent for too long.
 func (v *View) Suspect(now time.Time, name string) {
 	if name != v.self {
--- a/io/tlpeer/gossip.go
+++ b/io/tlpeer/gossip.go
@@ -274,7 +274,7 @@
 	now := g.mesh.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.view.RecordHeard(now, from.Name, from.Incarnation, false)
+	g.view.RecordSign(now, from.Name, from.Incarnation)
 	if q.Name == g.mesh.o.Name {
 		return tlwire.Sighting{Name: q.Name, Incarnation: g.mesh.o.Incarnation, HeardAgo: 1}, nil
 	}
