Catch SIGHUP from the start, and fuzz the targets of requests

Change: signals are caught before the settings are read. FuzzTargetIsSentUnchanged writes a request and compares its line.

That a signal in the first milliseconds is caught was not tested.

--- a/cmd/trefoillanding-gateway/main.go
+++ b/cmd/trefoillanding-gateway/main.go
@@ -83,15 +83,16 @@
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
+	// First of all: until then SIGHUP, which is for new settings, ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	s, err := readSettings(c.String("settings"))
 	if err != nil {
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.Gateway.MemoryBytes)))
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	w := tltrace.NewWriter(os.Stdout, maxQueuedLogLines)
 	l := newLog(w, s.Log)
 	i, err := gateway.New(s, l)
--- a/io/tlsend/sender_test.go
+++ b/io/tlsend/sender_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -140,6 +142,23 @@
 	}
 }
 
+func FuzzTargetIsSentUnchanged(f *testing.F) {
+	for _, target := range []string{"/", "//a%2Fb?c", "/a:b", "*", "//a?", "/../a", "//\xe4", "/a#b", "///?//"} {
+		f.Add(target)
+	}
+	f.Fuzz(func(t *testing.T, target string) {
+		// The server of callers accepts no other.
+		if _, err := url.ParseRequestURI(target); err != nil || !strings.HasPrefix(target, "/") || !CanSend(target) {
+			t.Skip()
+		}
+		var sent bytes.Buffer
+		q := newRequest(context.Background(), "127.0.0.1:1", target, newGetRequest("1"), http.Header{})
+		require.NoError(t, q.Write(&sent))
+		line, _, _ := strings.Cut(sent.String(), "\r\n")
+		assert.Equal(t, "GET "+target+" HTTP/1.1", line)
+	})
+}
+
 // By default net/http's Transport retries a GET when a reused connection fails,
 // so that an endpoint could run the request twice.
 func TestSendDoesNotRetryWhenReusedConnectionFails(t *testing.T) {
