--- a/core/tlquota/fleet_test.go
+++ b/core/tlquota/fleet_test.go
@@ -233,72 +233,36 @@
 
 // playHomesThatChange plays each trouble for organisations with quotas of the given rates.
 func playHomesThatChange(t *testing.T, rates ...float64) {
-	const from, span = usualFor, 24 * time.Second
-	at := func(s float64) time.Duration { return from + time.Duration(s*float64(time.Second)) }
-	type event struct {
-		at time.Duration
-		do func(f *simFleet, now time.Time)
-	}
-	killHome := func(f *simFleet, now time.Time) { f.kill(now, f.home(now, simInstances-1), 2*time.Second) }
-	freezeHome := func(f *simFleet, now time.Time) { f.freeze(now, f.home(now, simInstances-1), 2*time.Second) }
-	estrangeHome := func(f *simFleet, now time.Time) {
-		f.estranged[f.home(now, simInstances-1)] = now.Add(2 * time.Second)
-	}
-	slowHome := func(f *simFleet, now time.Time) { f.slowUntil = now.Add(1500 * time.Millisecond) }
-	killThird := func(f *simFleet, now time.Time) { f.killSome(now, simInstances/3) }
-	killMost := func(f *simFleet, now time.Time) { f.killSome(now, simInstances*3/4) }
-	killAll := func(f *simFleet, now time.Time) { f.killSome(now, simInstances) }
-	split := func(few int) func(f *simFleet, now time.Time) {
-		return func(f *simFleet, now time.Time) { f.split(now, few, 2*time.Second) }
-	}
-	var restarts []event
-	for k := range simInstances {
-		restarts = append(restarts, event{at(float64(k/5) * 1.2), func(f *simFleet, now time.Time) { f.kill(now, k, 700*time.Millisecond) }})
-	}
-	cases := []struct {
-		name   string
-		events []event
-	}{
-		{"1 calm", nil},
-		{"2 the home is killed, and the next", []event{{at(1), killHome}, {at(4), killHome}, {at(7), killHome}}},
-		{"3 the home stands still, and the next", []event{{at(1), freezeHome}, {at(5), freezeHome}, {at(8), freezeHome}}},
-		{"4 the home is not the home in its own view", []event{{at(1), estrangeHome}, {at(5), estrangeHome}}},
-		{"5 the home is slow", []event{{at(1), slowHome}, {at(5), slowHome}}},
-		{"6 a third of the instances are killed, twice", []event{{at(1), killThird}, {at(5), killThird}}},
-		{"7 all restart, five at a time", restarts},
-		{"8 the home stands still, a third are killed, the next is slow", []event{{at(1), freezeHome}, {at(2), killThird}, {at(4.5), slowHome}, {at(6), estrangeHome}}},
-		{"9 the fleet is split in halves, twice", []event{{at(1), split(5)}, {at(5), split(5)}}},
-		{"10 a quarter are cut from the rest, three times", []event{{at(1), split(3)}, {at(4), split(3)}, {at(7), split(3)}}},
-		{"11 some and the home are cut from the rest, twice", []event{{at(1), split(1)}, {at(5), split(1)}}},
-		{"12 most instances are killed, twice", []event{{at(1), killMost}, {at(5), killMost}}},
-		{"13 all instances are killed, twice", []event{{at(1), killAll}, {at(5), killAll}}},
-		{"14 a third are killed in a split, then the home, and it is split again", []event{{at(1), split(5)}, {at(2), killThird}, {at(3.5), killHome}, {at(6), split(3)}}},
-	}
-	for _, c := range cases {
+	for _, c := range homeTroubles() {
 		for _, rate := range rates {
 			t.Run(fmt.Sprintf("%s, quota of %g", c.name, rate), func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(5) {
-					r := rand.New(rand.NewPCG(seed, 52))
 					operator := Limit{Rate: rate, Burst: rate}
-					f := newSimFleet(r, Limit{Rate: 1.05 * rate, Burst: 1.05 * rate, Slack: 0.4 * slack, Most: rate*window.Seconds() + rate + 0.4*slack, Version: 1})
-					events := c.events
-					for now := start; now.Before(start.Add(from + span)); {
-						load := usualLoad
-						if since := now.Sub(start); since > from-time.Second && since < from+12*time.Second {
-							load = hotLoad
-						}
-						now = now.Add(time.Duration(r.ExpFloat64() * meanCost / (rate * load) * float64(time.Second)))
-						for len(events) > 0 && now.Sub(start) >= events[0].at {
-							events[0].do(f, now)
-							events = events[1:]
-						}
-						f.request(now, r.IntN(simInstances), drawCost(r))
-					}
-					assert.LessOrEqual(t, f.grants.most(), allowed(operator), "seed %d", seed)
-					assert.GreaterOrEqual(t, f.grants.sum(), 0.75*rate*(usualLoad*(from+span-13*time.Second).Seconds()+13), "seed %d: what is granted in all", seed)
+					grants := playTrouble(rand.New(rand.NewPCG(seed, 52)), rate, c.events)
+					assert.LessOrEqual(t, grants.most(), allowed(operator), "seed %d", seed)
+					assert.GreaterOrEqual(t, grants.sum(), 0.75*rate*(usualLoad*(usualFor+troubleFor-13*time.Second).Seconds()+13), "seed %d: what is granted in all", seed)
 				}
 			})
 		}
 	}
 }
+
+// playTrouble has an organisation with a quota of a rate send its usual, then far more while
+// things happen, and returns what it is granted.
+func playTrouble(r *rand.Rand, rate float64, events []event) grants {
+	f := newSimFleet(r, Limit{Rate: 1.05 * rate, Burst: 1.05 * rate, Slack: 0.4 * slack, Most: rate*window.Seconds() + rate + 0.4*slack, Version: 1})
+	for now := start; now.Before(start.Add(usualFor + troubleFor)); {
+		load := usualLoad
+		if since := now.Sub(start); since > usualFor-time.Second && since < usualFor+12*time.Second {
+			load = hotLoad
+		}
+		now = now.Add(time.Duration(r.ExpFloat64() * meanCost / (rate * load) * float64(time.Second)))
+		for len(events) > 0 && now.Sub(start) >= events[0].at {
+			events[0].do(f, now)
+			events = events[1:]
+		}
+		f.request(now, r.IntN(simInstances), drawCost(r))
+	}
+	return f.grants
+}
