One way in the simulated fleet to tell when an end is noticed

Cause: isHeldForLive computed for a candidate's outages what isNoticed computes for splits and deaths, with the same two delays.

Change: it calls isNoticed. No assertion or case changes.

--- a/core/tlquota/fleet_test.go
+++ b/core/tlquota/fleet_test.go
@@ -101,7 +101,7 @@
 // after the silence that gossip allows, a return sooner.
 func (f *simFleet) isHeldForLive(now time.Time, k, c int) bool {
 	for _, o := range f.outages[c] {
-		if !now.Before(o.from.Add(900*time.Millisecond+f.noticing[k][c])) && now.Before(o.to.Add(200*time.Millisecond+f.noticing[k][c])) {
+		if f.isNoticed(now, k, c, o.from, o.to) {
 			return false
 		}
 	}
