An answer whose status line HTTP/1 does not allow is none

What callers saw: after an answer of status 000, 099 or +20, of a plain endpoint or a stream, their connection ended without an answer. 600, 999 and an unasked 101 were passed on, and so was an answer of HTTP/2.0.

Cause: net/http reads any three characters that make a number as a status, and any version of one digit each. The gateway's WriteHeader panics below 100; a trial on logs "request met a fault of the gateway", "invalid WriteHeader code 0".

Change: tlanswer refuses a version other than HTTP/1, a status outside of 100 to 599 and a 101 that the request did not ask for. The connection ends, the error names what came, and the answer counts as no answer: the endpoint has failed, the request may have run, and AnswerUnproved counts it.

--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -85,7 +85,7 @@
 // Write writes to the connection.
 func (c echoConn) Write(b []byte) (int, error) {
 	head, rest, ok := bytes.Cut(b, []byte("\r\n"))
-	if !ok || !bytes.HasPrefix(head, []byte("HTTP/1.1 ")) {
+	if !ok || !bytes.HasPrefix(head, []byte("HTTP/")) {
 		return c.Conn.Write(b)
 	}
 	if _, err := io.WriteString(c.Conn, string(head)+"\r\n"+tlstand.AttemptIDHeaderLine(c.id)+string(rest)); err != nil {
--- a/io/tlanswer/error.go
+++ b/io/tlanswer/error.go
@@ -9,16 +9,27 @@
 const (
 	// Unproved is the end of a connection that proves nothing, as the request was not written whole.
 	Unproved Defect = "the answer ended with its connection before the request was written"
+	// BadVersion is a version other than HTTP/1.
+	BadVersion Defect = "the answer is not of HTTP/1"
+	// BadStatus is a status outside of 100 to 599.
+	BadStatus Defect = "the answer has a status that none has"
+	// BadSwitch is a switch to another protocol that the request did not ask for.
+	BadSwitch Defect = "the answer switches to another protocol unasked"
 )
 
 // Error describes an answer that counts as none.
 type Error struct {
 	Defect Defect
+	// Detail is the part of the answer that shows the defect, quoted; it may be empty.
+	Detail string
 }
 
-// Error returns the defect.
+// Error returns the defect and its detail.
 func (e *Error) Error() string {
-	return string(e.Defect)
+	if e.Detail == "" {
+		return string(e.Defect)
+	}
+	return string(e.Defect) + ": " + e.Detail
 }
 
 // Verdict returns MayHaveRun: the request was sent, and nothing that came says otherwise.
--- a/io/tlanswer/transport.go
+++ b/io/tlanswer/transport.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 )
 
-// Transport is an http.RoundTripper whose answers have bodies that end without an error only
-// if they are proved to be whole.
+// Transport is an http.RoundTripper that returns only answers that HTTP/1 allows, with bodies
+// that end without an error only if they are proved to be whole.
 type Transport struct {
 	base *http.Transport
 }
@@ -36,8 +36,8 @@
 	t.base.CloseIdleConnections()
 }
 
-// RoundTrip sends a request and returns its answer. Reading the body fails with an *Error if
-// its end is not proved.
+// RoundTrip sends a request and returns its answer; the error is an *Error if the answer is
+// malformed. Reading the body fails with an *Error if its end is not proved.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	var x exchange
 	trace := &httptrace.ClientTrace{
@@ -47,6 +47,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(q, a); err != nil {
+		_ = a.Body.Close()
+		x.end()
+		return nil, err
+	}
 	if EndsWithConnection(a) {
 		x.requireUpload()
 	}
@@ -88,3 +93,10 @@
 		c.endsAnswer.Store(true)
 	}
 }
+
+// end closes the connection: what follows a malformed answer on it is not to be trusted.
+func (x *exchange) end() {
+	if c := x.conn.Load(); c != nil {
+		_ = c.Close()
+	}
+}
--- a/io/tlanswer/transport_test.go
+++ b/io/tlanswer/transport_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -200,3 +201,57 @@
 		}
 	}
 }
+
+// Guards against an answer that HTTP/1 does not allow, and a connection that goes on after it.
+func TestMalformedAnswerIsNone(t *testing.T) {
+	cases := []struct {
+		name, raw string
+		defect    Defect
+	}{
+		{"1 status 000", "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n", BadStatus},
+		{"2 status 099", "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n", BadStatus},
+		{"3 status +20", "HTTP/1.1 +20 Odd\r\nContent-Length: 0\r\n\r\n", BadStatus},
+		{"4 status 600", "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n", BadStatus},
+		{"5 status 999", "HTTP/1.1 999 Odd\r\n\r\nan answer", BadStatus},
+		{"6 status 101 unasked", "HTTP/1.1 101 Odd\r\n\r\n", BadSwitch},
+		{"7 HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", BadVersion},
+		{"8 HTTP/0.9", "HTTP/0.9 200 OK\r\n\r\nan answer", BadVersion},
+		{"9 status 000 after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n", BadStatus},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			isClosed := make(chan bool, 1)
+			address := serve(t, write(c.raw, readRest, func(k *net.TCPConn, _ *http.Request) {
+				_ = k.SetReadDeadline(time.Now().Add(5 * time.Second))
+				_, err := k.Read(make([]byte, 1))
+				isClosed <- err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+			}))
+			_, err := post(context.Background(), t, newTransport(t, &http.Transport{}), address, 10)
+			var malformed *Error
+			require.ErrorAs(t, err, &malformed)
+			assert.Equal(t, c.defect, malformed.Defect)
+			assert.True(t, <-isClosed, "the connection carries no other request")
+		})
+	}
+}
+
+// Guards against a whole answer that is taken for malformed.
+func TestAnswerThatHTTPAllowsCounts(t *testing.T) {
+	for _, raw := range []string{
+		unframed,
+		framed,
+		"HTTP/1.0 200 OK\r\n\r\nan answer",
+		"HTTP/1.1 599 Odd\r\n\r\nan answer",
+		"HTTP/1.1 299\r\n\r\nan answer",
+		"HTTP/1.1 200 OK\nContent-Length: 9\n\nan answer",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nan answer\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + framed,
+		"HTTP/1.1 200 OK\r\nX-Folded: a\r\n Content-Length: 2\r\nX!#$%&'*+-.^_`|~1: caf\xe9\r\n\r\nan answer",
+	} {
+		t.Run(raw, func(t *testing.T) {
+			body, err := post(context.Background(), t, newTransport(t, &http.Transport{}), serve(t, write(raw, readRest)), 10)
+			require.NoError(t, err)
+			assert.Equal(t, "an answer", body)
+		})
+	}
+}
--- a/io/tlsend/sender.go
+++ b/io/tlsend/sender.go
@@ -70,7 +70,7 @@
 	// OnAnswer is called with each answer that is proved to be that to its request, and with
 	// the time at which the request was sent.
 	OnAnswer func(tlendpoint.Endpoint, tlcall.Answer, time.Time)
-	// OnUnproved is called for each answer that isn't.
+	// OnUnproved is called for each answer that isn't, or whose head is malformed.
 	OnUnproved func(tlendpoint.Endpoint, error)
 	// Admit is asked before each request that was not admitted before; nothing is sent if
 	// it returns an error.
@@ -170,6 +170,10 @@
 	a, p, err := s.roundTrip(ctx, e, r, c)
 	if err != nil {
 		s.quiet.end()
+		var malformed *tlanswer.Error
+		if errors.As(err, &malformed) {
+			s.hooks.OnUnproved(e, err)
+		}
 		return nil, sendError(ctx, e, p, err)
 	}
 	a.Body = &openBody{a.Body, sync.OnceFunc(s.quiet.end)}
--- a/io/tlstandin/early.go
+++ b/io/tlstandin/early.go
@@ -79,21 +79,32 @@
 	// Name says what is wrong with the answer.
 	Name string
 	// write writes the answer, with a body.
-	write func(c *net.TCPConn, body string)
+	write func(c *net.TCPConn, q *http.Request, body string)
 }
 
 // BrokenAnswers lists the ways in which answers are broken.
 var BrokenAnswers = []BrokenAnswer{
 	{"reset within the upload", writeAndReset},
+	{"status 000", writeWith("HTTP/1.1 000 Odd\r\n")},
+	{"status 600", writeWith("HTTP/1.1 600 Odd\r\n")},
+	{"HTTP/2.0", writeWith("HTTP/2.0 200 OK\r\n")},
 }
 
 // NewBroken starts a server whose answers are broken in a way and have a body.
 func NewBroken(b BrokenAnswer, body string) (*Early, error) {
-	return NewEarly(func(c *net.TCPConn, _ *http.Request) { b.write(c, body) })
+	return NewEarly(func(c *net.TCPConn, q *http.Request) { b.write(c, q, body) })
 }
 
-func writeAndReset(c *net.TCPConn, body string) {
+func writeAndReset(c *net.TCPConn, _ *http.Request, body string) {
 	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+body)
 	time.Sleep(resetAfter)
 	_ = c.SetLinger(0)
 }
+
+// writeWith returns what writes an answer with a head once the request has been read.
+func writeWith(head string) func(*net.TCPConn, *http.Request, string) {
+	return func(c *net.TCPConn, q *http.Request, body string) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		_, _ = io.WriteString(c, head+"\r\n"+body)
+	}
+}
