An answer that has a field with a malformed name is none

What callers saw: an answer in whose head a field's name held a blank, before the colon or within, was passed on as a success with that line. After "Content-Length : 4" they got all 13 bytes that came, after "Transfer-Encoding : chunked" the chunks' own lines as the body: neither is the endpoint's body.

Cause: net/http keeps a name with blanks as it stands, as one that it doesn't know, so that a field that frames the body counts for nothing. It refuses other bytes that no token holds, and control bytes in values: a bell, a NUL, a tab or a carriage return in a name, an empty name, a bell or a carriage return in a value were answered with a 502 already; these cases stay as tests.

Change: tlanswer asks httpguts.ValidHeaderFieldName of each name in a head, an interim head and a trailer. The answer counts as none, as one of a malformed status does; a body whose trailer is malformed ends with an error.

--- a/io/tlanswer/doc.go
+++ b/io/tlanswer/doc.go
@@ -7,4 +7,7 @@
 // connection, and a socket reports a reset to one call only: if that is the write of the
 // request, the read that follows sees an end like any other. Such an end counts only once the
 // request has been written whole, without a failed write.
+//
+// net/http refuses heads that are malformed in other ways: names with bytes that no token
+// holds, other than blanks, and values with control bytes. It joins folded lines.
 package tlanswer
--- a/io/tlanswer/error.go
+++ b/io/tlanswer/error.go
@@ -15,6 +15,8 @@
 	BadStatus Defect = "the answer has a status that none has"
 	// BadSwitch is a switch to another protocol that the request did not ask for.
 	BadSwitch Defect = "the answer switches to another protocol unasked"
+	// BadName is the name of a field, of an interim answer or a trailer too, that is no token.
+	BadName Defect = "the answer has a field with a malformed name"
 )
 
 // Error describes an answer that counts as none.
--- a/io/tlanswer/head.go
+++ b/io/tlanswer/head.go
@@ -1,8 +1,12 @@
 package tlanswer
 
 import (
+	"errors"
+	"io"
 	"net/http"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // minStatus and maxStatus bound the statuses that RFC 9110 allows; net/http reads any three
@@ -22,5 +26,37 @@
 	case a.StatusCode == http.StatusSwitchingProtocols && q.Header.Get("Upgrade") == "":
 		return &Error{Defect: BadSwitch}
 	}
+	return checkNames(a.Header)
+}
+
+// checkNames returns an *Error if a field has a name that is no token. net/http keeps blanks in
+// names, so that a field that frames the body passes as one that says nothing of it.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &Error{BadName, strconv.Quote(name)}
+		}
+	}
 	return nil
 }
+
+// chunkedBody is the body of an answer in chunks; it ends with an *Error if its trailer is malformed.
+type chunkedBody struct {
+	io.ReadCloser
+	answer *http.Response
+	// endConnection is called if the trailer is malformed.
+	endConnection func()
+}
+
+// Read reads from the body.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if malformed := checkNames(b.answer.Trailer); malformed != nil {
+		b.endConnection()
+		return n, malformed
+	}
+	return n, err
+}
--- a/io/tlanswer/transport.go
+++ b/io/tlanswer/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 )
 
@@ -37,11 +38,15 @@
 }
 
 // RoundTrip sends a request and returns its answer; the error is an *Error if the answer is
-// malformed. Reading the body fails with an *Error if its end is not proved.
+// malformed. Reading the body fails with an *Error if its end is not proved or its trailer is
+// malformed.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	var x exchange
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) { x.begin(i.Conn, max(q.ContentLength, 0)) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			return checkNames(http.Header(h))
+		},
 	}
 	a, err := t.base.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err != nil {
@@ -52,8 +57,11 @@
 		x.end()
 		return nil, err
 	}
-	if EndsWithConnection(a) {
+	switch {
+	case EndsWithConnection(a):
 		x.requireUpload()
+	case len(a.TransferEncoding) > 0:
+		a.Body = &chunkedBody{a.Body, a, x.end}
 	}
 	return a, nil
 }
--- a/io/tlanswer/transport_test.go
+++ b/io/tlanswer/transport_test.go
@@ -217,6 +217,11 @@
 		{"7 HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", BadVersion},
 		{"8 HTTP/0.9", "HTTP/0.9 200 OK\r\n\r\nan answer", BadVersion},
 		{"9 status 000 after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n", BadStatus},
+		{"10 a blank before a colon", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Odd : 1\r\n\r\n", BadName},
+		{"11 a length with a blank before its colon", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nan answer", BadName},
+		{"12 a blank in a name", "HTTP/1.1 204 No Content\r\nX Odd: 1\r\n\r\n", BadName},
+		{"13 a blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + framed, BadName},
+		{"14 a blank in a name of a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Odd: 1\r\n\r\n", BadName},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/tlstandin/early.go
+++ b/io/tlstandin/early.go
@@ -88,6 +88,10 @@
 	{"status 000", writeWith("HTTP/1.1 000 Odd\r\n")},
 	{"status 600", writeWith("HTTP/1.1 600 Odd\r\n")},
 	{"HTTP/2.0", writeWith("HTTP/2.0 200 OK\r\n")},
+	{"a blank in a name", writeWith("HTTP/1.1 200 OK\r\nX Odd: 1\r\n")},
+	{"a length with a blank before its colon", writeWith("HTTP/1.1 200 OK\r\nContent-Length : 4\r\n")},
+	{"a bell in a name", writeWith("HTTP/1.1 200 OK\r\nX\aOdd: 1\r\n")},
+	{"a blank in a name of an interim answer", writeWith("HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n")},
 }
 
 // NewBroken starts a server whose answers are broken in a way and have a body.
