The stand-in of a raced write answers only a request that has begun

Cause: TestEndWaitsForTheWriteUnderWay/3 failed once in scripts/race on, and again within 300 runs by itself. Its log says "Unsolicited response received on idle HTTP channel": the stand-in's answer could be read before the request was on its connection, which net/http drops.

Change: the answer comes with the first write. The assertions stay.

--- a/io/tlanswer/transport_test.go
+++ b/io/tlanswer/transport_test.go
@@ -116,24 +116,27 @@
 // racedConn is a connection whose answer ends before the write of its request returns.
 type racedConn struct {
 	net.Conn
-	answer   io.Reader
-	hasRead  sync.Once
-	ended    chan struct{}
-	writeErr error
-	written  int
+	answer io.Reader
+	// begun is closed with the first write, and ended once the answer has been read.
+	begun, ended         chan struct{}
+	hasWritten, hasEnded sync.Once
+	writeErr             error
+	written              int
 }
 
-// Read reads the answer.
+// Read reads the answer, which comes once the request has begun.
 func (c *racedConn) Read(b []byte) (int, error) {
+	<-c.begun
 	n, err := c.answer.Read(b)
 	if errors.Is(err, io.EOF) {
-		c.hasRead.Do(func() { close(c.ended) })
+		c.hasEnded.Do(func() { close(c.ended) })
 	}
 	return n, err
 }
 
 // Write writes the first bytes at once; all others wait until the answer has ended.
 func (c *racedConn) Write(b []byte) (int, error) {
+	c.hasWritten.Do(func() { close(c.begun) })
 	c.written += len(b)
 	if c.written <= smallBytes {
 		return len(b), nil
@@ -162,7 +165,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			k := &racedConn{answer: strings.NewReader(unframed), ended: make(chan struct{}), writeErr: c.err}
+			k := &racedConn{answer: strings.NewReader(unframed), begun: make(chan struct{}), ended: make(chan struct{}), writeErr: c.err}
 			n := newTransport(t, &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return k, nil }})
 			body, err := post(context.Background(), t, n, "127.0.0.1:1", 2*smallBytes)
 			if c.err == nil {
