A version that TLS has negotiated is allowed, and small things in tlanswer

Cause: read as a newcomer, the check of the version would have refused an instance behind a server of HTTP/2, which the command line, a client of ours since, can be pointed at.

Change: the version is checked where there is no TLS.

--- a/io/tlanswer/error.go
+++ b/io/tlanswer/error.go
@@ -1,7 +1,5 @@
 package tlanswer
 
-import "trefoillanding/core/tlwire"
-
 // Defect says what keeps an answer from counting as one.
 type Defect string
 
@@ -9,17 +7,17 @@
 const (
 	// Unproved is the end of a connection that proves nothing, as the request was not written whole.
 	Unproved Defect = "the answer ended with its connection before the request was written"
-	// BadVersion is a version other than HTTP/1.
+	// BadVersion is a version other than HTTP/1 on a connection without TLS, which negotiates others.
 	BadVersion Defect = "the answer is not of HTTP/1"
 	// BadStatus is a status outside of 100 to 599.
-	BadStatus Defect = "the answer has a status that none has"
+	BadStatus Defect = "the answer has an invalid status"
 	// BadSwitch is a switch to another protocol that the request did not ask for.
 	BadSwitch Defect = "the answer switches to another protocol unasked"
 	// BadName is the name of a field, of an interim answer or a trailer too, that is no token.
-	BadName Defect = "the answer has a field with a malformed name"
+	BadName Defect = "the answer has a field with an invalid name"
 )
 
-// Error describes an answer that counts as none.
+// Error describes an answer that counts as none; its request may have run.
 type Error struct {
 	Defect Defect
 	// Detail is the part of the answer that shows the defect, quoted; it may be empty.
@@ -33,8 +31,3 @@
 	}
 	return string(e.Defect) + ": " + e.Detail
 }
-
-// Verdict returns MayHaveRun: the request was sent, and nothing that came says otherwise.
-func (e *Error) Verdict() tlwire.Verdict {
-	return tlwire.VerdictMayHaveRun
-}
--- a/io/tlanswer/head.go
+++ b/io/tlanswer/head.go
@@ -19,7 +19,7 @@
 // checkHead returns an *Error if HTTP/1 does not allow the head of an answer to a request.
 func checkHead(q *http.Request, a *http.Response) error {
 	switch {
-	case a.ProtoMajor != 1:
+	case a.TLS == nil && a.ProtoMajor != 1:
 		return &Error{BadVersion, strconv.Quote(a.Proto)}
 	case a.StatusCode < minStatus || a.StatusCode > maxStatus:
 		return &Error{BadStatus, strconv.Quote(a.Status)}
--- a/io/tlanswer/transport_test.go
+++ b/io/tlanswer/transport_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -263,3 +264,22 @@
 		})
 	}
 }
+
+// Guards against an operator who reaches no instance behind a server of HTTP/2.
+func TestAnswerOfANegotiatedVersionCounts(t *testing.T) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Equal(t, 2, r.ProtoMajor)
+		_, _ = io.WriteString(w, "an answer")
+	}))
+	s.EnableHTTP2 = true
+	s.StartTLS()
+	t.Cleanup(s.Close)
+	q, err := http.NewRequest(http.MethodGet, s.URL, http.NoBody)
+	require.NoError(t, err)
+	a, err := newTransport(t, s.Client().Transport.(*http.Transport)).RoundTrip(q)
+	require.NoError(t, err)
+	body, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	require.NoError(t, a.Body.Close())
+	assert.Equal(t, "an answer", string(body))
+}
