Interim answers are bounded although they are looked at

What callers would have seen: an endpoint that sends interim heads without end held a call until its deadline, and its connection stayed open.

Cause: net/http bounds the heads of an answer together, but leaves interim heads to Got1xxResponse where that is set.

Change: tlanswer adds up the interim heads of an answer and refuses more bytes than the transport's limit of a head. TestInterimAnswersAreBounded plays heads with and without a field, and a transport without a limit.

Result: these tests pass under the race detector, as do TestBytesWithoutEndHoldNoMemoryAndNoOtherCaller and those of broken heads.

--- a/io/tlanswer/error.go
+++ b/io/tlanswer/error.go
@@ -15,6 +15,8 @@
 	BadSwitch Defect = "the answer switches to another protocol unasked"
 	// BadName is the name of a field, of an interim answer or a trailer too, that is no token.
 	BadName Defect = "the answer has a field with an invalid name"
+	// TooLong is a number of interim heads that together exceed the limit of a head.
+	TooLong Defect = "the interim answers have too many bytes"
 )
 
 // Error describes an answer that counts as none; its request may have run.
--- a/io/tlanswer/head.go
+++ b/io/tlanswer/head.go
@@ -40,6 +40,17 @@
 	return nil
 }
 
+// headSize returns the size of an interim head in bytes, without its reason phrase.
+func headSize(h http.Header) int64 {
+	n := len("HTTP/1.1 100 \r\n\r\n")
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return int64(n)
+}
+
 // chunkedBody is the body of an answer in chunks; it ends with an *Error if its trailer is malformed.
 type chunkedBody struct {
 	io.ReadCloser
--- a/io/tlanswer/transport.go
+++ b/io/tlanswer/transport.go
@@ -1,6 +1,7 @@
 package tlanswer
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -9,6 +10,9 @@
 	"sync/atomic"
 )
 
+// defaultHeadBytes is the limit of an http.Transport that has none set.
+const defaultHeadBytes = 10 << 20
+
 // Transport is an http.RoundTripper that returns only answers that HTTP/1 allows, with bodies
 // that end without an error only if they are proved to be whole.
 type Transport struct {
@@ -45,7 +49,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) { x.begin(i.Conn, max(q.ContentLength, 0)) },
 		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
-			return checkNames(http.Header(h))
+			return x.checkInterim(http.Header(h), t.headBytes())
 		},
 	}
 	a, err := t.base.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
@@ -66,6 +70,11 @@
 	return a, nil
 }
 
+// headBytes returns the limit on the size of the heads of an answer, in bytes.
+func (t *Transport) headBytes() int64 {
+	return cmp.Or(t.base.MaxResponseHeaderBytes, defaultHeadBytes)
+}
+
 // EndsWithConnection reports whether the body of an answer has neither a length nor chunks.
 func EndsWithConnection(a *http.Response) bool {
 	// The length of an answer to HEAD is that of the body that it hasn't.
@@ -85,6 +94,8 @@
 // itself, there is none to follow.
 type exchange struct {
 	conn atomic.Pointer[connection]
+	// interimBytes is the size of the interim heads so far.
+	interimBytes int64
 }
 
 // begin notes that the request, with a body of length bytes, is about to be written on a connection.
@@ -102,6 +113,16 @@
 	}
 }
 
+// checkInterim returns an *Error if the head of an interim answer is malformed, or if those so
+// far have more than limit bytes: net/http leaves that to those who look at them.
+func (x *exchange) checkInterim(h http.Header, limit int64) error {
+	x.interimBytes += headSize(h)
+	if x.interimBytes > limit {
+		return &Error{Defect: TooLong}
+	}
+	return checkNames(h)
+}
+
 // end closes the connection: what follows a malformed answer on it is not to be trusted.
 func (x *exchange) end() {
 	if c := x.conn.Load(); c != nil {
--- a/io/tlanswer/transport_test.go
+++ b/io/tlanswer/transport_test.go
@@ -283,3 +283,34 @@
 	require.NoError(t, a.Body.Close())
 	assert.Equal(t, "an answer", string(body))
 }
+
+// Guards against interim answers that come without end, since they are looked at.
+func TestInterimAnswersAreBounded(t *testing.T) {
+	cases := []struct {
+		name, head string
+		limit      int64
+	}{
+		{"1 with a field", "HTTP/1.1 103 Early Hints\r\nX-Filler: " + strings.Repeat("f", 1000) + "\r\n\r\n", 64 << 10},
+		{"2 empty", "HTTP/1.1 100 \r\n\r\n", 64 << 10},
+		{"3 no limit set", "HTTP/1.1 103 Early Hints\r\nX-Filler: " + strings.Repeat("f", 1000) + "\r\n\r\n", 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			written := make(chan int, 1)
+			address := serve(t, func(k *net.TCPConn, _ *http.Request) {
+				n := 0
+				for err := error(nil); err == nil; n += len(c.head) {
+					_, err = io.WriteString(k, c.head)
+				}
+				written <- n
+			})
+			ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+			defer stop()
+			_, err := post(ctx, t, newTransport(t, &http.Transport{MaxResponseHeaderBytes: c.limit}), address, 10)
+			var tooLong *Error
+			require.ErrorAs(t, err, &tooLong)
+			assert.Equal(t, TooLong, tooLong.Defect)
+			assert.Less(t, int64(<-written), max(c.limit, defaultHeadBytes)+16<<20, "socket buffers take the rest")
+		})
+	}
+}
