Say of TLS what holds: the end of a connection is not checked there

Cause: a comment in tlanswer said that TLS proves the end of a connection by itself.

No code changes.

--- a/io/tlanswer/transport.go
+++ b/io/tlanswer/transport.go
@@ -90,8 +90,8 @@
 	return c
 }
 
-// exchange is a request on its connection. Over TLS, which proves the end of a connection by
-// itself, there is none to follow.
+// exchange is a request on its connection. Over TLS there is none to follow, since what is
+// written is encrypted: the end of a connection is not checked there.
 type exchange struct {
 	conn atomic.Pointer[connection]
 	// interimBytes is the size of the interim heads so far.
--- a/io/tlanswer/transport_test.go
+++ b/io/tlanswer/transport_test.go
@@ -191,6 +191,7 @@
 	require.Error(t, ctx.Err())
 }
 
+// Guards against an upload that never counts as written, or too early, since its head is written in parts.
 func TestHeadEndsWhereverItsWritesAreSplit(t *testing.T) {
 	const request = "POST / HTTP/1.1\r\nA: \r\r\nB: c\r\n\r\nbody"
 	head := strings.Index(request, headEnd) + len(headEnd)
--- a/io/tlstandin/early.go
+++ b/io/tlstandin/early.go
@@ -74,7 +74,7 @@
 	answer(c, q)
 }
 
-// BrokenAnswer is an answer that must not count as one. Read as it stands, it is a success.
+// BrokenAnswer is an answer that must not count as one, though its body looks whole.
 type BrokenAnswer struct {
 	// Name says what is wrong with the answer.
 	Name string
