--- a/review/platform/_three/cases.go
+++ b/review/platform/_three/cases.go
@@ -31,7 +31,9 @@
 func (f *fleet) start(all []spec) ([]*node, error) {
 	var list []*node
 	for _, s := range all {
-		s.Service = "llm"
+		if s.Service == "" {
+			s.Service = "llm"
+		}
 		n, err := f.startReplica(s)
 		if err != nil {
 			return nil, err
--- a/review/platform/_three/replica.go
+++ b/review/platform/_three/replica.go
@@ -54,6 +54,8 @@
 	held      int
 	handles   map[string]time.Time
 	handleSeq int
+	// leaves says that its answers say that it leaves.
+	leaves bool
 }
 
 func runReplica(text string) {
@@ -83,6 +85,12 @@
 func (r *replica) takeCommands() {
 	in := bufio.NewScanner(os.Stdin)
 	for in.Scan() {
+		if in.Text() == "leave" {
+			r.mu.Lock()
+			r.leaves, r.state = true, "draining"
+			r.mu.Unlock()
+			r.log("leaves")
+		}
 		if in.Text() == "drain" {
 			r.mu.Lock()
 			r.state = "draining"
@@ -131,6 +139,8 @@
 		return
 	}
 	switch {
+	case r.Phase == "":
+		r.plain(w, q)
 	case q.URL.Path == "/-/report":
 		r.report(w)
 	case q.URL.Path == "/-/order":
@@ -302,3 +312,19 @@
 	}
 	r.log("completes %s", id)
 }
+
+// plain answers a request of a plain service.
+func (r *replica) plain(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("X-Trefoillanding-Attempt-Id")
+	w.Header().Set("X-Trefoillanding-Attempt-Id", id)
+	r.mu.Lock()
+	leaves := r.leaves
+	r.mu.Unlock()
+	r.log("runs %s", id)
+	time.Sleep(time.Duration(r.EventMs) * time.Millisecond)
+	w.Header().Set("X-Trefoillanding-Response-Seal", "s-"+r.ID)
+	if leaves {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	_, _ = io.WriteString(w, strings.Repeat("x", 800))
+}
