Review case 14: another writer's entry brings a replica that has left back into use

Cause: an entry with a service, an address and a state is taken for a replica's, and one without born for another incarnation.

--- a/review/platform/_three/main.go
+++ b/review/platform/_three/main.go
@@ -19,7 +19,7 @@
 		return
 	}
 	cases := map[string]func(f *fleet, hasTrouble bool) (bool, error){
-		"ends": playEnds, "versions": playVersions, "parts": playParts, "leaving": playLeaving,
+		"ends": playEnds, "versions": playVersions, "parts": playParts, "leaving": playLeaving, "entry": playEntry,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
--- a/review/platform/_three/replica.go
+++ b/review/platform/_three/replica.go
@@ -34,6 +34,8 @@
 	kvTokens       = 58676
 	handleLifetime = 500 * time.Millisecond
 	swapTime       = 6 * time.Second
+	// servesOn is how long a replica serves after it has removed its entry.
+	servesOn = 6 * time.Second
 )
 
 // replica is a language replica. It reports what it does on its standard output, and takes
@@ -56,6 +58,8 @@
 	handleSeq int
 	// leaves says that its answers say that it leaves.
 	leaves bool
+	// hasVanished says that its entry is removed.
+	hasVanished bool
 }
 
 func runReplica(text string) {
@@ -91,6 +95,9 @@
 			r.mu.Unlock()
 			r.log("leaves")
 		}
+		if in.Text() == "vanish" {
+			r.vanish()
+		}
 		if in.Text() == "drain" {
 			r.mu.Lock()
 			r.state = "draining"
@@ -106,8 +113,28 @@
 	fmt.Printf("%d %s %s\n", time.Now().UnixMilli(), r.ID, fmt.Sprintf(format, args...))
 }
 
+// vanish removes the replica's entry; it serves on for some seconds and exits.
+func (r *replica) vanish() {
+	r.mu.Lock()
+	r.hasVanished = true
+	r.mu.Unlock()
+	a, err := http.Post("http://"+r.Store+"/beat?id="+r.ID, "application/json", nil)
+	if err == nil {
+		_ = a.Body.Close()
+	}
+	r.log("has removed its entry")
+	time.AfterFunc(servesOn, func() {
+		r.log("exits")
+		os.Exit(0)
+	})
+}
+
 func (r *replica) beat() {
 	r.mu.Lock()
+	if r.hasVanished {
+		r.mu.Unlock()
+		return
+	}
 	r.beats++
 	b, _ := json.Marshal(map[string]any{
 		"service": r.Service, "address": r.address, "zone": "z1", "version": r.Version, "slots": slots,
--- a/review/platform/_three/store.go
+++ b/review/platform/_three/store.go
@@ -71,6 +71,18 @@
 	return append(append([]byte{byte(len(key))}, key...), value...)
 }
 
+// newestValue returns the newest value of a key.
+func (s *store) newestValue(topic, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := len(s.topics[topic]) - 1; n >= 0; n-- {
+		if k := s.topics[topic][n]; string(k[1:1+k[0]]) == key {
+			return k[1+k[0]:]
+		}
+	}
+	return nil
+}
+
 // put appends a record for a key; no value drops the key.
 func (s *store) put(topic, key string, value []byte) {
 	s.mu.Lock()
