Review cases 12 to 15: renumbered, as a graver one came first

Change: the cases ends, versions, parts and entry are 12 to 15 now; the dropped case and what only it used are removed from the stand-ins.

--- a/review/platform/_three/fleet.go
+++ b/review/platform/_three/fleet.go
@@ -64,11 +64,9 @@
 
 // fleet is a small deployment: a store, gateways and replicas.
 type fleet struct {
-	record *record
-	folder string
-	store  *store
-	// front is the way of the first gateway to replicas and its view of the store; nil if it has none of its own.
-	front    *front
+	record   *record
+	folder   string
+	store    *store
 	gateways []*gateway
 	// onLine, if set, is called with each line that a replica writes.
 	onLine func(n *node, line string)
@@ -91,7 +89,7 @@
 	return l.Addr().String()
 }
 
-func newFleet(k *record, gateways int, hasFront bool) (*fleet, error) {
+func newFleet(k *record, gateways int) (*fleet, error) {
 	if _, err := os.Stat(program); err != nil {
 		return nil, err
 	}
@@ -103,11 +101,6 @@
 	if f.store, err = startStore(); err != nil {
 		return nil, err
 	}
-	if hasFront {
-		if f.front, err = newFront(f.store); err != nil {
-			return nil, err
-		}
-	}
 	f.store.put("keyed.op", "config", []byte(configuration))
 	for n := range gateways {
 		if err := f.startGateway(fmt.Sprintf("edge-%d", n+1)); err != nil {
@@ -121,8 +114,7 @@
 const configuration = `{"version":7,"routes":[
  {"name":"r-1","host":"a.example","path_prefix":"/digest/","kind":"streaming","timeout_ms":14000,"objective_ms":900,"priority":1,
   "service":"llm","max_attempts":2,"session_affinity":true,"resumable":true,"gap_objective_ms":300},
- {"name":"r-2","host":"a.example","path_prefix":"/pay/","kind":"non_idempotent","timeout_ms":4000,"objective_ms":300,"priority":2,"service":"desk","max_attempts":1},
- {"name":"r-3","host":"a.example","path_prefix":"/stock/","kind":"idempotent","timeout_ms":4000,"objective_ms":300,"priority":2,"service":"desk","max_attempts":2}],
+ {"name":"r-2","host":"a.example","path_prefix":"/pay/","kind":"non_idempotent","timeout_ms":4000,"objective_ms":300,"priority":2,"service":"desk","max_attempts":1}],
  "services":[{"name":"desk","health_path":"/health","max_connections":96,"protocol":"h1","tls":false},{"name":"llm","health_path":"/health","max_connections":360,"protocol":"h1","tls":false,
   "engine":{"slots":64,"kv_tokens":58676,"kv_token_bytes":18432,"link_mbps":150000.0,"moves":true,"backups":true,"stride":8,"most":12,
    "kv_ttl_s":0.5,"swap_s":6.0,"pin_ms":4000.0,"hold_ms":2000.0,"models":[{"name":"m"}]}}],
@@ -137,10 +129,6 @@
 		name: name, listen: freeAddress(), readiness: freeAddress(), lookup: freeAddress(), peer: freeAddress(), metrics: freeAddress(),
 		settingsFile: filepath.Join(f.folder, name+".yaml"), ended: make(chan struct{}),
 	}
-	address := f.store.address
-	if f.front != nil && len(f.gateways) == 0 {
-		address = f.front.address
-	}
 	text := fmt.Sprintf(`Name: "%s"
 DataCentre: "z1"
 Region: "r"
@@ -167,7 +155,7 @@
   RetryWindow: 10s
   StoreWrites: 400
   PlatformBounds: '%s'
-`, name, g.listen, g.peer, address, g.readiness, g.lookup, g.metrics, bounds)
+`, name, g.listen, g.peer, f.store.address, g.readiness, g.lookup, g.metrics, bounds)
 	if err := os.WriteFile(g.settingsFile, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/review/platform/_three/main.go
+++ b/review/platform/_three/main.go
@@ -19,7 +19,7 @@
 		return
 	}
 	cases := map[string]func(f *fleet, hasTrouble bool) (bool, error){
-		"ends": playEnds, "versions": playVersions, "parts": playParts, "leaving": playLeaving, "entry": playEntry,
+		"ends": playEnds, "versions": playVersions, "parts": playParts, "crash": playCrash, "entry": playEntry,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
@@ -36,7 +36,7 @@
 		return 2
 	}
 	defer k.close()
-	all, err := newFleet(k, 3, os.Args[1] == "leaving")
+	all, err := newFleet(k, 3)
 	if all != nil {
 		defer all.end()
 		go func() {
--- a/review/platform/_three/replica.go
+++ b/review/platform/_three/replica.go
@@ -42,8 +42,9 @@
 // "drain" on its standard input.
 type replica struct {
 	spec
-	address string
-	born    int64
+	address  string
+	listener net.Listener
+	born     int64
 
 	mu        sync.Mutex
 	state     string
@@ -56,8 +57,6 @@
 	held      int
 	handles   map[string]time.Time
 	handleSeq int
-	// leaves says that its answers say that it leaves.
-	leaves bool
 	// hasVanished says that its entry is removed.
 	hasVanished bool
 }
@@ -74,7 +73,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	r.address = l.Addr().String()
+	r.address, r.listener = l.Addr().String(), l
 	go func() {
 		for {
 			r.beat()
@@ -83,17 +82,15 @@
 	}()
 	go r.takeCommands()
 	_ = http.Serve(l, r)
+	select {}
 }
 
 // takeCommands ends the replica with the process that started it.
 func (r *replica) takeCommands() {
 	in := bufio.NewScanner(os.Stdin)
 	for in.Scan() {
-		if in.Text() == "leave" {
-			r.mu.Lock()
-			r.leaves, r.state = true, "draining"
-			r.mu.Unlock()
-			r.log("leaves")
+		if in.Text() == "unlisten" {
+			_ = r.listener.Close()
 		}
 		if in.Text() == "vanish" {
 			r.vanish()
@@ -344,14 +341,8 @@
 func (r *replica) plain(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("X-Trefoillanding-Attempt-Id")
 	w.Header().Set("X-Trefoillanding-Attempt-Id", id)
-	r.mu.Lock()
-	leaves := r.leaves
-	r.mu.Unlock()
 	r.log("runs %s", id)
 	time.Sleep(time.Duration(r.EventMs) * time.Millisecond)
 	w.Header().Set("X-Trefoillanding-Response-Seal", "s-"+r.ID)
-	if leaves {
-		w.Header().Set("Server-Leaving", "1")
-	}
 	_, _ = io.WriteString(w, strings.Repeat("x", 800))
 }
--- a/review/platform/_three/store.go
+++ b/review/platform/_three/store.go
@@ -23,8 +23,6 @@
 	changed chan struct{}
 	// beats has when each replica last wrote its entry.
 	beats map[string]time.Time
-	// isDown has all calls answered 503.
-	isDown bool
 }
 
 // startStore starts a store on a free loopback port.
@@ -34,37 +32,14 @@
 		return nil, err
 	}
 	s := &store{address: l.Addr().String(), topics: map[string][][]byte{}, changed: make(chan struct{}), beats: map[string]time.Time{}}
-	go func() { _ = http.Serve(l, s.handler(nil)) }()
-	go s.expire()
-	return s, nil
-}
-
-// handler serves the store; rewrite, if set, changes the entries of replicas that are read.
-func (s *store) handler(rewrite func(record []byte) []byte) http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /-/log-append", s.append)
-	m.HandleFunc("GET /-/log-read", func(w http.ResponseWriter, r *http.Request) { s.read(w, r, rewrite) })
-	m.HandleFunc("GET /-/log-newest", func(w http.ResponseWriter, r *http.Request) { s.newest(w, r, rewrite) })
+	m.HandleFunc("GET /-/log-read", s.read)
+	m.HandleFunc("GET /-/log-newest", s.newest)
 	m.HandleFunc("POST /beat", s.beat)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		isDown := s.isDown
-		s.mu.Unlock()
-		if isDown {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		m.ServeHTTP(w, r)
-	})
-}
-
-func (s *store) setDown(isDown bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.isDown = isDown
-	for id := range s.beats {
-		s.beats[id] = time.Now()
-	}
+	go func() { _ = http.Serve(l, m) }()
+	go s.expire()
+	return s, nil
 }
 
 func keyed(key string, value []byte) []byte {
@@ -122,7 +97,7 @@
 		time.Sleep(100 * time.Millisecond)
 		s.mu.Lock()
 		for id, at := range s.beats {
-			if time.Since(at) > 3*heartbeat && !s.isDown {
+			if time.Since(at) > 3*heartbeat {
 				delete(s.beats, id)
 				s.add("keyed.servers", keyed(id, nil))
 			}
@@ -167,7 +142,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]int{"offset": end, "end_offset": end + len(records)})
 }
 
-func (s *store) read(w http.ResponseWriter, r *http.Request, rewrite func([]byte) []byte) {
+func (s *store) read(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, _ := strconv.Atoi(q.Get("from"))
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
@@ -186,9 +161,6 @@
 			b := binary.BigEndian.AppendUint64(nil, uint64(len(all)))
 			b = binary.BigEndian.AppendUint64(b, 0)
 			for _, k := range all[from:] {
-				if rewrite != nil && q.Get("topic") == "keyed.servers" {
-					k = rewrite(k)
-				}
 				b = binary.BigEndian.AppendUint32(b, uint32(len(k)))
 				b = append(b, k...)
 			}
@@ -205,8 +177,7 @@
 	}
 }
 
-func (s *store) newest(w http.ResponseWriter, r *http.Request, rewrite func([]byte) []byte) {
-	isRewritten := rewrite != nil && r.URL.Query().Get("topic") == "keyed.servers"
+func (s *store) newest(w http.ResponseWriter, r *http.Request) {
 	type item struct {
 		Key    string `json:"key"`
 		Value  []byte `json:"value"`
@@ -217,9 +188,6 @@
 	s.mu.Unlock()
 	last := map[string]item{}
 	for n, k := range all {
-		if isRewritten {
-			k = rewrite(k)
-		}
 		key, value := string(k[1:1+k[0]]), k[1+k[0]:]
 		delete(last, key)
 		if len(value) > 0 {
