Log role plans and refusals of begun streams by version

Cause: neither the line of a role plan nor the refusal of a stream that has begun said which engines of its version exist, so that 'no engine has the version' could not be told from 'its engines are all prefill engines'.

Change: 'roles planned' has the engines of each version by role and the requests that need it; 'needed versions without a decode engine' says when that begins and ends; a refusal is preceded by 'engines of the version'.

--- a/core/tlplace/book.go
+++ b/core/tlplace/book.go
@@ -25,6 +25,8 @@
 	// paces holds how the engines differ from each other in speed.
 	paces       paces
 	lastRequest time.Time
+	// needs holds the versions that requests need which no other may run.
+	needs needs
 	// hasPredecessor is set once another home of the service is known to have decided.
 	hasPredecessor bool
 	// lateShare is the share of the room given away while late requests were queued
@@ -49,6 +51,7 @@
 		bookings:  map[string]*Booking{},
 		lateShare: 1,
 		shares:    tlfair.New(),
+		needs:     needs{},
 		random:    r,
 	}
 }
@@ -92,6 +95,7 @@
 func (b *Book) Submit(now time.Time, r Request) []Decision {
 	b.Withdraw(now, r.ID)
 	b.lastRequest = now
+	b.needs.add(&r)
 	r.arrived = now
 	if d, refused := b.refuseEarly(now, &r); refused {
 		return []Decision{d}
@@ -103,6 +107,7 @@
 // Enqueue queues a request without deciding on it until the next Tick.
 func (b *Book) Enqueue(now time.Time, r Request) {
 	b.Withdraw(now, r.ID)
+	b.needs.add(&r)
 	r.arrived = now
 	b.waiting = append(b.waiting, &r)
 }
--- a/core/tlplace/role.go
+++ b/core/tlplace/role.go
@@ -17,6 +17,7 @@
 		DecodeWork:  b.rates.DecodeWork(),
 		HasTraffic:  !b.lastRequest.IsZero() && now.Sub(b.lastRequest) < trafficWindow,
 		Waiting:     len(b.waiting),
+		Needs:       b.roleNeeds(now),
 		IsFirst:     !b.hasPredecessor,
 	}
 	for _, e := range b.order {
--- a/core/tlrole/plan.go
+++ b/core/tlrole/plan.go
@@ -63,6 +63,14 @@
 	return e.Slowness
 }
 
+// nextRole returns the role that the engine has, or changes to.
+func (e Engine) nextRole() tlendpoint.Role {
+	if (e.Role == tlendpoint.Prefill) != e.IsMoving {
+		return tlendpoint.Prefill
+	}
+	return tlendpoint.Decode
+}
+
 // State is the input of a plan for one service.
 type State struct {
 	Engines []Engine
@@ -74,6 +82,8 @@
 	HasTraffic bool
 	// Waiting counts the requests that wait for memory.
 	Waiting int
+	// Needs holds the versions that requests need which no other may run, in order.
+	Needs []Need
 	// SinceChange is the time since an engine joined or left.
 	SinceChange time.Duration
 	// SinceMove is the time since the last move.
@@ -134,7 +144,7 @@
 		if e.IsDraining {
 			continue
 		}
-		if (e.Role == tlendpoint.Prefill) != e.IsMoving {
+		if e.nextRole() == tlendpoint.Prefill {
 			prefill++
 		} else {
 			decode++
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -149,12 +149,26 @@
 		"WaitedMs": d.Waited.Milliseconds(),
 	})
 	if d.Refused != tlplace.NotRefused {
+		g.logEnginesOfVersion()
 		return placement{}, g.finalError(refusalError(d))
 	}
 	g.hasReservation = true
 	return g.resolve(d)
 }
 
+// logEnginesOfVersion logs which engines of the version that began the stream are listed here.
+func (g *generation) logEnginesOfVersion() {
+	if g.version == "" {
+		return
+	}
+	x := g.x
+	list := x.g.deps.Directory.Endpoints(x.service.Name)
+	x.step("engines of the version", logrus.Fields{
+		"Version": g.version,
+		"Engines": tlendpoint.CountVersion(list, g.version).String(),
+	})
+}
+
 // reserve waits for a reservation, which a quarantine of the request ends.
 func (g *generation) reserve() (tlplace.Decision, error) {
 	x := g.x
--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,6 +91,8 @@
 	givenOrders map[string]givenOrder
 	// engineCounts holds how many engines of each service are listed, and since when.
 	engineCounts map[string]engineCount
+	// undecoded holds the versions of each service that were last logged as without a decode engine.
+	undecoded map[string][]string
 	// fenceRetryAt is the earliest time to ask for a fencing number again.
 	fenceRetryAt time.Time
 	done         chan struct{}
@@ -105,6 +108,7 @@
 		givenOrders: map[string]givenOrder{},
 
 		engineCounts: map[string]engineCount{},
+		undecoded:    map[string][]string{},
 
 		done: make(chan struct{}),
 	}
@@ -134,6 +138,7 @@
 
 func (o *Controller) plan(ctx context.Context, service string) {
 	s := o.planState(service)
+	o.noteUndecoded(service, s)
 	moves := tlrole.Plan(tlrole.DefaultOptions(), s)
 	if len(moves) == 0 || o.o.Now().Before(o.fenceRetryAt) {
 		return
@@ -165,9 +170,24 @@
 		"Utilisation": s.PrefillUtilisation,
 		"Waiting":     s.Waiting,
 		"IsFirst":     s.IsFirst,
+		"Versions":    s.Describe(),
 	}).Info("roles planned")
 }
 
+// noteUndecoded logs the versions that requests need and that have no decode engine, when these change.
+func (o *Controller) noteUndecoded(service string, s tlrole.State) {
+	undecoded := s.Undecoded()
+	if slices.Equal(undecoded, o.undecoded[service]) {
+		return
+	}
+	o.undecoded[service] = undecoded
+	o.o.Logger.WithFields(logrus.Fields{
+		"Service":   service,
+		"Undecoded": undecoded,
+		"Versions":  s.Describe(),
+	}).Info("needed versions without a decode engine")
+}
+
 // planState returns the state for a plan, with the smoothed use and the times that only the Controller knows.
 func (o *Controller) planState(service string) tlrole.State {
 	now := o.o.Now()
