Give a version that streams need a decode engine back

The streams waited for 2.9 s, until the dead engines' entries lapsed, while nobody acted.

Change: - Plan: a version that requests need gets a decode engine from its own prefill engines, which are of no use to any other version; one of several keeps its role. A service without any decode engine likewise. This waits neither for the engines to settle nor for other moves. A version is needed until the last caller who asked for it has reached its deadline. - The loss is known once the home and another instance are refused connections by engines that all fail requests, not seconds later by their entries. - Moves between roles take from the version that can spare an engine, never a version's last decode engine, and help one whose streams wait while its prefill engines idle. - The book has a request wait for an engine that is expected in time, and refuses others (VersionAway) until the moment at which it is expected. An answer that is held open is held for as long as its caller waits for an event: callers have few tries, often one, and can't be told anything.

Why it works: a role change takes 6 s here. The order is now given within 0.1 s of the crash, the held answer bridges 3.3 s, and the one try that follows the rest.

PlaceCall.Continues is optional.

--- a/core/tlplace/book_test.go
+++ b/core/tlplace/book_test.go
@@ -363,7 +363,7 @@
 
 func TestEngineChangingRoleIsUnusableUntilListedInNewRole(t *testing.T) {
 	b := newBook(2, 1)
-	b.RoleChanging("p0", at(8*time.Second))
+	b.RoleChanging(start, "p0", tlendpoint.Decode, at(8*time.Second))
 	assert.False(t, b.engines["p0"].isUsable(at(time.Second)))
 	list := engines(2, 1)
 	list[0].Role = tlendpoint.Decode
--- a/core/tlplace/decision.go
+++ b/core/tlplace/decision.go
@@ -17,9 +17,12 @@
 	WaitTooLong
 	// NoVersion means that no known engine has the only version that may run the request.
 	NoVersion
+	// NoDecoder means that no decode engine has the only version that may run the request,
+	// and that one is expected too late for its caller to wait.
+	NoDecoder
 )
 
-var reasonNames = []string{"NotRefused", "NoEngines", "TooLarge", "WaitTooLong", "NoVersion"}
+var reasonNames = []string{"NotRefused", "NoEngines", "TooLarge", "WaitTooLong", "NoVersion", "NoDecoder"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
--- a/core/tlplace/engine.go
+++ b/core/tlplace/engine.go
@@ -52,6 +52,9 @@
 	lossShare tlshare.Share
 	// roleChangeUntil is the time before which it is changing its role, unless it is listed in the new one earlier.
 	roleChangeUntil time.Time
+	// changesTo is the role that it changes to, and changedAt when it is expected to have it.
+	changesTo tlendpoint.Role
+	changedAt time.Time
 	// reservedFor is the ID of the request that its free memory is reserved for.
 	reservedFor string
 }
--- a/core/tlplace/need.go
+++ b/core/tlplace/need.go
@@ -32,6 +32,7 @@
 		for _, r := range b.waiting {
 			if r.Version == version {
 				k.Waiting++
+				k.Waited = max(k.Waited, now.Sub(r.arrived))
 			}
 		}
 		list = append(list, k)
--- a/core/tlplace/options.go
+++ b/core/tlplace/options.go
@@ -17,6 +17,9 @@
 	MemoryShare float64
 	// Stride is the number of tokens in each event of an answer.
 	Stride int
+	// RoleChangeTime is how long an engine is unavailable while it changes its role; 0 if
+	// that is not known.
+	RoleChangeTime time.Duration
 	// DispatchAhead is how long before a prefill engine is free the next prompt is sent to it, to cover the transit time.
 	DispatchAhead time.Duration
 	// TransferMargin is the time allowed for the transfer of a prompt's memory and the
--- a/core/tlplace/refuse.go
+++ b/core/tlplace/refuse.go
@@ -24,17 +24,41 @@
 		return b.refusal(now, r, NoEngines, defaultRoomWait), true
 	}
 	if !b.hasDecoder(r.Version) {
-		return b.refusal(now, r, NoVersion, defaultRoomWait), true
+		return b.refuseWithoutDecoder(now, r)
 	}
 	return Decision{}, false
 }
 
+// refuseWithoutDecoder refuses a request whose version has no decode engine, unless one is
+// expected in time.
+func (b *Book) refuseWithoutDecoder(now time.Time, r *Request) (Decision, bool) {
+	at, isExpected := b.restoredDecoder(now, r.Version)
+	switch {
+	case !isExpected:
+		return b.refusal(now, r, NoVersion, defaultRoomWait), true
+	case b.mayAwait(r, at):
+		return Decision{}, false
+	}
+	return b.refusalUntil(now, r, NoDecoder, at), true
+}
+
+// mayAwait reports whether a request waits for a decode engine of its version that is expected
+// at a time.
+//
+// It answers the loss of a version's decode engines under streams, whose callers have few
+// tries, often one. A caller who asks is told when to return if it would leave before. One
+// that is reading can't be told, and each try bridges the time for which it waits for an
+// event: so its answer is held that long, though the engine comes later.
+func (b *Book) mayAwait(r *Request, at time.Time) bool {
+	return r.Continues || !at.After(b.latestStart(r))
+}
+
 // refuseEarly refuses a request on arrival if memory is not expected to be free before its latest start.
 func (b *Book) refuseEarly(now time.Time, r *Request) (Decision, bool) {
 	if d, impossible := b.refuseImpossible(now, r); impossible {
 		return d, true
 	}
-	if len(b.waiting) == 0 {
+	if len(b.waiting) == 0 || !b.hasDecoder(r.Version) {
 		return Decision{}, false
 	}
 	w, known := b.roomWait(r)
@@ -73,10 +97,25 @@
 // anyVersion stands for engines of all versions.
 const anyVersion = ""
 
+// hasVersion reports whether the engine has a version.
+func (e *engine) hasVersion(version string) bool {
+	return version == anyVersion || version == e.Version
+}
+
 // hasDecoder reports whether there is a decode engine of a version.
 func (b *Book) hasDecoder(version string) bool {
 	for _, e := range b.order {
-		if e.Role == tlendpoint.Decode && !e.IsDraining && (version == anyVersion || version == e.Version) {
+		if e.Role == tlendpoint.Decode && !e.IsDraining && e.hasVersion(version) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasWorkingDecoder reports whether a decode engine of a version has not failed since its last success.
+func (b *Book) hasWorkingDecoder(version string) bool {
+	for _, e := range b.order {
+		if e.Role == tlendpoint.Decode && !e.IsDraining && e.failures == 0 && e.hasVersion(version) {
 			return true
 		}
 	}
@@ -99,6 +138,14 @@
 	return time.Duration(u.missingShare() * float64(turnover)), known && (u.held > 0 || u.running > 0)
 }
 
+// refusalForRoom refuses a request that no room was found for in time.
+func (b *Book) refusalForRoom(now time.Time, r *Request) Decision {
+	if at, isChanging := b.changedDecoder(now, r.Version); isChanging && !b.hasWorkingDecoder(r.Version) {
+		return b.refusalUntil(now, r, WaitTooLong, at)
+	}
+	return b.refusal(now, r, WaitTooLong, b.returnTime(r))
+}
+
 // returnTime returns when a refused caller may find room.
 func (b *Book) returnTime(r *Request) time.Duration {
 	w, known := b.roomWait(r)
@@ -108,6 +155,15 @@
 	return w
 }
 
+// returnSpread is the time over which callers return that wait for one moment.
+const returnSpread = 500 * time.Millisecond
+
+// refusalUntil refuses a request until a moment that is known, however late it is.
+func (b *Book) refusalUntil(now time.Time, r *Request, why Reason, at time.Time) Decision {
+	wait := max(at.Sub(now), minRetryAfter)
+	return r.refused(now, why, wait+time.Duration(b.random.Float64()*float64(returnSpread)))
+}
+
 // refusal refuses a request with a time to return that is bounded and drawn, so that
 // callers don't return together.
 func (b *Book) refusal(now time.Time, r *Request, why Reason, wait time.Duration) Decision {
--- a/core/tlplace/request.go
+++ b/core/tlplace/request.go
@@ -42,6 +42,9 @@
 	Version string
 	// HasBegun is set once the caller has received events and waits for the next.
 	HasBegun bool
+	// Continues says that it goes on within the answer that its caller is reading, which can't
+	// be told when to return.
+	Continues bool
 	// Avoid lists the IDs of engines that failed the request, leave, or want rest.
 	Avoid []string
 
@@ -67,7 +70,7 @@
 
 // accepts reports whether an engine may be chosen for the request.
 func (r *Request) accepts(e *engine) bool {
-	return (r.Version == "" || r.Version == e.Version) && !r.avoids(e.ID)
+	return e.hasVersion(r.Version) && !r.avoids(e.ID)
 }
 
 // isRestricted reports whether the request may not be sent to all engines.
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -65,7 +65,10 @@
 	}
 	for _, r := range b.waiting {
 		if r.Version != anyVersion && !b.hasDecoder(r.Version) {
-			return true
+			if at, isExpected := b.restoredDecoder(now, r.Version); !isExpected || !b.mayAwait(r, at) || now.After(b.latestStart(r)) {
+				return true
+			}
+			continue
 		}
 		if r.tokens(&b.o) <= p.room && p.mayFindReader(now, r) || now.After(b.latestStart(r)) {
 			return true
@@ -143,9 +146,9 @@
 		return d, true
 	}
 	if now.After(b.latestStart(r)) {
-		return b.refusal(now, r, WaitTooLong, b.returnTime(r)), true
+		return b.refusalForRoom(now, r), true
 	}
-	if !p.mayPlace(now, b, r) {
+	if !b.hasDecoder(r.Version) || !p.mayPlace(now, b, r) {
 		return Decision{}, false
 	}
 	c, ok := b.choose(now, r, p.of(now, b, r))
--- a/core/tlrole/plan.go
+++ b/core/tlrole/plan.go
@@ -24,6 +24,8 @@
 	// SettleTime is how long the set of engines must be unchanged before any moves,
 	// since the list of engines arrives in parts.
 	SettleTime time.Duration
+	// RestoreInterval is the least time between moves that give versions a decode engine.
+	RestoreInterval time.Duration
 	// IdleUtilisation is the utilisation of the prefill engines, from 0 to 1, below
 	// which one may become a decode engine while requests wait.
 	IdleUtilisation float64
@@ -38,6 +40,7 @@
 		MoveInterval:      4 * time.Second,
 		Hysteresis:        2,
 		SettleTime:        time.Second,
+		RestoreInterval:   time.Second,
 		IdleUtilisation:   0.5,
 	}
 }
@@ -52,6 +55,10 @@
 	Slowness float64
 	// IsMoving says that the engine was ordered to change its role and has not been seen in the new role yet.
 	IsMoving bool
+	// IsFailing says that the engine has failed requests since its last success.
+	IsFailing bool
+	// HasEnded says that the engine refuses the connections of several instances, though it is still listed.
+	HasEnded bool
 	// SinceOrder is the time since the last order to the engine; an order may be carried out late.
 	SinceOrder time.Duration
 }
@@ -71,6 +78,11 @@
 	return tlendpoint.Decode
 }
 
+// isInUse reports whether the engine can run work, now or after a move.
+func (e Engine) isInUse() bool {
+	return !e.IsDraining && !e.HasEnded
+}
+
 // State is the input of a plan for one service.
 type State struct {
 	Engines []Engine
@@ -86,6 +98,8 @@
 	Needs []Need
 	// SinceChange is the time since an engine joined or left.
 	SinceChange time.Duration
+	// SinceJoin is the time since the number of engines last rose.
+	SinceJoin time.Duration
 	// SinceMove is the time since the last move.
 	SinceMove time.Duration
 	// IsFirst says that no engine of the service has been moved yet, so that their roles suit no traffic.
@@ -100,101 +114,71 @@
 
 // Plan returns the role changes to order now; it may return none.
 func Plan(o Options, s State) []Move {
+	if moves := RestoreDecoders(o, s); len(moves) > 0 {
+		return moves
+	}
 	if s.PrefillWork <= 0 || s.DecodeWork <= 0 {
 		return nil
 	}
 	prefill, decode := s.CountByRole()
 	want := PrefillEngines(o, s)
+	crowded := s.crowdedVersion(o)
 	switch {
 	case s.SinceChange < o.SettleTime:
 		return nil
 	case !s.HasTraffic && prefill > want:
-		return s.moves(prefill-want, tlendpoint.Prefill, tlendpoint.Decode)
+		return s.moves(o, prefill-want, tlendpoint.Prefill, tlendpoint.Decode)
 	case !s.HasTraffic && prefill < want && decode > o.MinDecodeEngines:
-		return s.moves(want-prefill, tlendpoint.Decode, tlendpoint.Prefill)
+		return s.moves(o, want-prefill, tlendpoint.Decode, tlendpoint.Prefill)
 	case s.IsFirst && prefill > want && s.Waiting == 0:
 		// The engines started in other roles than the work calls for; the surplus is idle.
-		return s.moves(prefill-want, tlendpoint.Prefill, tlendpoint.Decode)
+		return s.moves(o, prefill-want, tlendpoint.Prefill, tlendpoint.Decode)
 	case s.SinceMove < o.MoveInterval:
 		return nil
+	case crowded != "":
+		return s.ofVersion(crowded).moves(o, 1, tlendpoint.Prefill, tlendpoint.Decode)
 	case prefill > want && s.Waiting > 0 && s.PrefillUtilisation < o.IdleUtilisation:
-		return s.moves(1, tlendpoint.Prefill, tlendpoint.Decode)
+		return s.moves(o, 1, tlendpoint.Prefill, tlendpoint.Decode)
 	case prefill >= want+o.Hysteresis && s.Waiting == 0 && s.PrefillUtilisation < o.IdleUtilisation:
 		// Half of a surplus that is idle: the work may have been measured on few requests.
-		return s.moves(max((prefill-want)/2, 1), tlendpoint.Prefill, tlendpoint.Decode)
+		return s.moves(o, max((prefill-want)/2, 1), tlendpoint.Prefill, tlendpoint.Decode)
 	case prefill >= want+o.Hysteresis && s.Waiting == 0:
-		return s.moves(1, tlendpoint.Prefill, tlendpoint.Decode)
+		return s.moves(o, 1, tlendpoint.Prefill, tlendpoint.Decode)
 	case prefill+o.Hysteresis <= want && s.Waiting == 0 && decode > o.MinDecodeEngines:
-		return s.moves(1, tlendpoint.Decode, tlendpoint.Prefill)
+		return s.moves(o, 1, tlendpoint.Decode, tlendpoint.Prefill)
 	}
 	return nil
 }
 
 // PrefillEngines returns the number of prefill engines that suits the work.
 func PrefillEngines(o Options, s State) int {
+	return max(s.prefillOfWork(o), o.MinPrefillEngines)
+}
+
+// prefillOfWork returns the number of prefill engines that suits the work, which may be none.
+func (s State) prefillOfWork(o Options) int {
 	readers, decoders := s.CountByRole()
-	share := o.Headroom * s.PrefillWork / (s.PrefillWork + s.DecodeWork)
-	n := int(math.Round(share * float64(readers+decoders)))
-	return max(n, o.MinPrefillEngines)
+	return int(math.Round(s.prefillShare(o) * float64(readers+decoders)))
+}
+
+// prefillShare returns the share of the engines that suits the prefill work; 0 while the work is unknown.
+func (s State) prefillShare(o Options) float64 {
+	if s.PrefillWork <= 0 || s.DecodeWork <= 0 {
+		return 0
+	}
+	return o.Headroom * s.PrefillWork / (s.PrefillWork + s.DecodeWork)
 }
 
-// CountByRole returns the numbers of prefill and decode engines; a moving engine counts for its new role.
+// CountByRole returns the numbers of prefill and decode engines in use; a moving engine counts for its new role.
 func (s State) CountByRole() (prefill, decode int) {
 	for _, e := range s.Engines {
-		if e.IsDraining {
-			continue
-		}
-		if e.nextRole() == tlendpoint.Prefill {
+		switch {
+		case !e.isInUse():
+		case e.nextRole() == tlendpoint.Prefill:
 			prefill++
-		} else {
+		default:
 			decode++
 		}
 	}
 	return prefill, decode
 }
-
-// orderInterval is the least time between two orders to one engine, since the first may be carried out seconds late.
-const orderInterval = 15 * time.Second
-
-// moves picks at most n engines of a role: idle engines first, then the slowest to decode or
-// the fastest to prefill, then those in the data centre with most engines of that role.
-func (s State) moves(n int, from, to tlendpoint.Role) []Move {
-	perDataCentre := map[string]int{}
-	var free []Engine
-	for _, e := range s.Engines {
-		if e.Role != from || e.IsMoving || e.IsDraining {
-			continue
-		}
-		perDataCentre[e.DataCentre]++
-		if e.SinceOrder >= orderInterval {
-			free = append(free, e)
-		}
-	}
-	var list []Move
-	for len(list) < n && len(free) > 0 {
-		best := 0
-		for i := range free {
-			if isPreferred(free[i], free[best], to, perDataCentre) {
-				best = i
-			}
-		}
-		e := free[best]
-		perDataCentre[e.DataCentre]--
-		free = append(free[:best], free[best+1:]...)
-		list = append(list, Move{Engine: e.Endpoint, Role: to})
-	}
-	return list
-}
-
-// isPreferred reports whether an engine is to take a role before another. A slow engine is
-// a poor prefill engine: each prompt that it reads delays a first event, while a decode
-// engine that is slow can be given short answers.
-func isPreferred(e, than Engine, to tlendpoint.Role, perDataCentre map[string]int) bool {
-	if e.IsBusy != than.IsBusy {
-		return !e.IsBusy
-	}
-	if a, b := e.slowness(), than.slowness(); a != b {
-		return a > b == (to == tlendpoint.Decode)
-	}
-	return perDataCentre[e.DataCentre] > perDataCentre[than.DataCentre]
-}
--- a/core/tlrole/plan_test.go
+++ b/core/tlrole/plan_test.go
@@ -104,9 +104,9 @@
 	for n, slowness := range []float64{1, 1.6, 0.6, 0, 1, 1.6, 0.6, 0} {
 		s.Engines[n].Slowness = slowness
 	}
-	assert.Equal(t, "e1", s.moves(1, tlendpoint.Prefill, tlendpoint.Decode)[0].Engine.ID)
-	assert.Equal(t, "e6", s.moves(1, tlendpoint.Decode, tlendpoint.Prefill)[0].Engine.ID)
+	assert.Equal(t, "e1", s.moves(options(), 1, tlendpoint.Prefill, tlendpoint.Decode)[0].Engine.ID)
+	assert.Equal(t, "e6", s.moves(options(), 1, tlendpoint.Decode, tlendpoint.Prefill)[0].Engine.ID)
 	s.Engines[1].IsBusy, s.Engines[6].IsBusy = true, true
-	assert.NotEqual(t, "e1", s.moves(1, tlendpoint.Prefill, tlendpoint.Decode)[0].Engine.ID, "one that is idle is moved first")
-	assert.NotEqual(t, "e6", s.moves(1, tlendpoint.Decode, tlendpoint.Prefill)[0].Engine.ID)
+	assert.NotEqual(t, "e1", s.moves(options(), 1, tlendpoint.Prefill, tlendpoint.Decode)[0].Engine.ID, "one that is idle is moved first")
+	assert.NotEqual(t, "e6", s.moves(options(), 1, tlendpoint.Decode, tlendpoint.Prefill)[0].Engine.ID)
 }
--- a/core/tlverdict/error.go
+++ b/core/tlverdict/error.go
@@ -108,6 +108,7 @@
 	Draining:        notRun(statusServiceUnavailable),
 	OriginUnknown:   notRun(statusServiceUnavailable),
 	OriginUnread:    notRun(statusServiceUnavailable),
+	VersionAway:     notRun(statusServiceUnavailable),
 	VersionGone:     notRun(statusServiceUnavailable),
 	QueueFull:       notRun(statusTooManyRequests),
 	QuotaSpent:      notRun(statusTooManyRequests),
--- a/core/tlverdict/reason.go
+++ b/core/tlverdict/reason.go
@@ -33,6 +33,7 @@
 	Draining        Reason = "Draining"
 	OriginUnknown   Reason = "OriginUnknown"
 	OriginUnread    Reason = "OriginUnread"
+	VersionAway     Reason = "VersionAway"
 	VersionGone     Reason = "VersionGone"
 	QueueFull       Reason = "QueueFull"
 	QuotaSpent      Reason = "QuotaSpent"
--- a/core/tlwire/place.go
+++ b/core/tlwire/place.go
@@ -278,6 +278,10 @@
 	// sender that they leave or want rest.
 	Avoid []string `json:"Avoid,omitempty" yaml:"Avoid,omitempty" cbor:"Avoid,omitempty"`
 
+	// Continues is true if the caller still holds the answer open that the request
+	// goes on with.
+	Continues bool `json:"Continues,omitempty" yaml:"Continues,omitempty" cbor:"Continues,omitempty"`
+
 	// DataCentre is the data centre of the instance that serves the caller.
 	DataCentre string `json:"DataCentre" yaml:"DataCentre" cbor:"DataCentre"`
 
--- a/io/tlbooking/coordinator.go
+++ b/io/tlbooking/coordinator.go
@@ -125,8 +125,10 @@
 	defer d.mu.Unlock()
 	k := d.byService[service]
 	if k == nil && e != nil {
+		o := tlplace.DefaultOptions(e.Memory, e.Slots, e.Stride)
+		o.RoleChangeTime = e.RoleChangeTime
 		k = &reservations{
-			b:       tlplace.New(tlplace.DefaultOptions(e.Memory, e.Slots, e.Stride), d.o.Random()),
+			b:       tlplace.New(o, d.o.Random()),
 			waiters: map[string]*waiter{},
 		}
 		d.byService[service] = k
--- a/io/tlbooking/home.go
+++ b/io/tlbooking/home.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlplace"
 	"trefoillanding/core/tlrole"
 	"trefoillanding/core/tlwire"
@@ -41,6 +42,7 @@
 		PrefillKeptUntil: now.Add(c.ReadIn),
 		Gap:              c.Gap,
 		HasBegun:         c.HasBegun,
+		Continues:        c.Continues,
 		Avoid:            c.Avoid,
 		Version:          c.Version,
 		PrefillVersion:   c.ReadVersion,
@@ -122,10 +124,17 @@
 	return k.roles(d.o.Now())
 }
 
-// MarkChangingRole records that an engine changes its role and is unavailable until the given time at the latest.
-func (d *Coordinator) MarkChangingRole(service, engine string, until time.Time) {
+// LacksDecoder reports whether requests need a version of a service of which no decode
+// engine is known to work, while a prefill engine of it could become one.
+func (d *Coordinator) LacksDecoder(service string) bool {
+	k := d.reservationsOf(service, nil)
+	return k != nil && k.lacksDecoder(d.o.Now())
+}
+
+// MarkChangingRole records that an engine changes to a role and is unavailable until the given time at the latest.
+func (d *Coordinator) MarkChangingRole(service, engine string, to tlendpoint.Role, until time.Time) {
 	if k := d.reservationsOf(service, nil); k != nil {
-		k.markChangingRole(engine, until)
+		k.markChangingRole(d.o.Now(), engine, to, until)
 	}
 }
 
--- a/io/tlbooking/place.go
+++ b/io/tlbooking/place.go
@@ -106,9 +106,12 @@
 		UntilIn:  r.Deadline.Sub(now),
 		ReadIn:   max(r.PrefillKeptUntil.Sub(now), 0),
 		HasBegun: r.HasBegun,
-		Gap:      r.Gap,
-		Avoid:    r.Avoid,
-		Version:  r.Version,
+
+		Continues: r.Continues,
+
+		Gap:     r.Gap,
+		Avoid:   r.Avoid,
+		Version: r.Version,
 
 		ReadVersion: r.PrefillVersion,
 	}
--- a/io/tlbooking/reservations.go
+++ b/io/tlbooking/reservations.go
@@ -238,10 +238,16 @@
 	return k.b.RoleState(now)
 }
 
-func (k *reservations) markChangingRole(id string, until time.Time) {
+func (k *reservations) lacksDecoder(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.b.RoleChanging(id, until)
+	return k.b.LacksDecoder(now)
+}
+
+func (k *reservations) markChangingRole(now time.Time, id string, to tlendpoint.Role, until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.b.RoleChanging(now, id, to, until)
 }
 
 func (k *reservations) recordHeldMemory(now time.Time, engine string, held int) {
--- a/io/tlgateway/answer.go
+++ b/io/tlgateway/answer.go
@@ -79,7 +79,7 @@
 var Reasons = []tlverdict.Reason{
 	tlverdict.BadBody, tlverdict.BadHeader, tlverdict.BodyTooLarge, tlverdict.BodyTooSlow, tlverdict.MemoryFull, tlverdict.CallerGone,
 	tlverdict.EndpointFailed, tlverdict.EndpointTimeout, tlverdict.Internal, tlverdict.NoConfig, tlverdict.ConfigBehind,
-	tlverdict.NoEndpoint, tlverdict.CutOff, tlverdict.Draining, tlverdict.OriginUnknown, tlverdict.OriginUnread, tlverdict.VersionGone, tlverdict.PoolBusy, tlverdict.PartQuarantined, tlverdict.TooManyRequests, tlverdict.UnknownPath,
+	tlverdict.NoEndpoint, tlverdict.CutOff, tlverdict.Draining, tlverdict.OriginUnknown, tlverdict.OriginUnread, tlverdict.VersionAway, tlverdict.VersionGone, tlverdict.PoolBusy, tlverdict.PartQuarantined, tlverdict.TooManyRequests, tlverdict.UnknownPath,
 	tlverdict.WaitTooLong, tlverdict.UnknownKey, tlverdict.QuotaSpent,
 }
 
--- a/io/tlgateway/placement.go
+++ b/io/tlgateway/placement.go
@@ -266,6 +266,7 @@
 		PrefillVersion:   g.sourceVersion,
 		Version:          g.version,
 		HasBegun:         g.hasSentHeader || x.isTakeUp(),
+		Continues:        g.hasSentHeader && !g.isSuccessor,
 		Gap:              r.GapObjective,
 		Avoid:            append(slices.Clone(g.avoid), x.g.deps.Directory.Unavailable(x.g.deps.Now(), x.service.Name)...),
 	}
@@ -287,6 +288,8 @@
 		return tlverdict.New(tlverdict.PoolBusy, "the request needs more memory than any engine has").WithRetryAfter(d.RetryAfter)
 	case tlplace.NoEngines:
 		return tlverdict.New(tlverdict.NoEndpoint, "no engine is available").WithRetryAfter(d.RetryAfter)
+	case tlplace.NoDecoder:
+		return tlverdict.New(tlverdict.VersionAway, "no engine of the version that began the stream decodes yet").WithRetryAfter(d.RetryAfter)
 	case tlplace.NoVersion:
 		return tlverdict.New(tlverdict.VersionGone, "no engine has the version that began the stream").WithRetryAfter(d.RetryAfter)
 	}
--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -15,6 +15,9 @@
 const (
 	// planInterval is the time between plans.
 	planInterval = 500 * time.Millisecond
+	// restoreInterval is the time between checks whether versions have lost their last decode
+	// engines, since their callers have a few seconds.
+	restoreInterval = 100 * time.Millisecond
 	// batchMaxAge is how long after its fencing record was appended a batch of orders may be sent.
 	batchMaxAge = time.Second
 	// leaseMargin is the least time between the last order of one holder and the first of the next, beyond the lease and batchMaxAge.
@@ -27,6 +30,8 @@
 	roleChangeMargin = 2 * time.Second
 	// fenceRetryDelay is the pause after a failed attempt to get a fencing number, since calls to the log are charged for.
 	fenceRetryDelay = 3 * time.Second
+	// endCheckTimeout bounds the check whether an engine has ended.
+	endCheckTimeout = 400 * time.Millisecond
 	// orderExpiry is how long after an order its engine counts as changing its role if it has not been listed in the new role.
 	orderExpiry = 20 * time.Second
 )
@@ -43,8 +48,12 @@
 	Services func() []string
 	// Roles returns the state from which the roles of a service are planned.
 	Roles func(service string) tlrole.State
-	// MarkChangingRole records that an engine changes its role and is unavailable until the given time at the latest.
-	MarkChangingRole func(service, engine string, until time.Time)
+	// LacksDecoder reports whether requests wait for a version of a service of which no decode engine is known to work.
+	LacksDecoder func(service string) bool
+	// MarkChangingRole records that an engine changes to a role and is unavailable until the given time at the latest.
+	MarkChangingRole func(service, engine string, to tlendpoint.Role, until time.Time)
+	// HasEnded reports whether an engine refuses the connections of several instances.
+	HasEnded func(ctx context.Context, e tlendpoint.Endpoint) bool
 	// RoleChangeTime returns how long an engine is unavailable while it changes its role.
 	RoleChangeTime func(service string) time.Duration
 	// Load asks an engine for its load.
@@ -76,10 +85,10 @@
 	at   time.Time
 }
 
-// engineCount is a number of listed engines and since when it has been the same.
+// engineCount is a number of listed engines, since when it has been the same, and when it last rose.
 type engineCount struct {
-	engines int
-	since   time.Time
+	engines       int
+	since, roseAt time.Time
 }
 
 // Controller plans the roles of engines and sends the orders.
@@ -122,25 +131,58 @@
 // Run plans every planInterval until ctx ends.
 func (o *Controller) Run(ctx context.Context) {
 	defer close(o.done)
-	t := time.NewTicker(planInterval)
+	t := time.NewTicker(restoreInterval)
 	defer t.Stop()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		for _, service := range o.o.Services() {
-			o.plan(ctx, service)
+		if n%int(planInterval/restoreInterval) == 0 {
+			o.planAll(ctx)
+		} else {
+			o.restoreAll(ctx)
 		}
 	}
 }
 
+// restoreAll plans the services of which versions have lost their last decode engines.
+func (o *Controller) restoreAll(ctx context.Context) {
+	for _, service := range o.o.Services() {
+		if !o.o.LacksDecoder(service) {
+			continue
+		}
+		s := o.planState(service)
+		o.checkEnds(ctx, s)
+		if moves := tlrole.RestoreDecoders(tlrole.DefaultOptions(), s); len(moves) > 0 {
+			o.order(ctx, service, s, moves)
+		}
+	}
+}
+
+// planAll plans the services of this instance.
+func (o *Controller) planAll(ctx context.Context) {
+	for _, service := range o.o.Services() {
+		o.plan(ctx, service)
+	}
+}
+
 func (o *Controller) plan(ctx context.Context, service string) {
 	s := o.planState(service)
+	o.checkEnds(ctx, s)
 	o.noteUndecoded(service, s)
+	o.readUse[service] += readUseWeight * (s.PrefillUtilisation - o.readUse[service])
+	s.PrefillUtilisation = o.readUse[service]
 	moves := tlrole.Plan(tlrole.DefaultOptions(), s)
-	if len(moves) == 0 || o.o.Now().Before(o.fenceRetryAt) {
+	if len(moves) > 0 {
+		o.order(ctx, service, s, moves)
+	}
+}
+
+// order sends the orders for moves, unless another holder may still give them.
+func (o *Controller) order(ctx context.Context, service string, s tlrole.State, moves []tlrole.Move) {
+	if o.o.Now().Before(o.fenceRetryAt) {
 		return
 	}
 	call, stop := context.WithTimeout(ctx, callTimeout)
@@ -188,18 +230,21 @@
 	}).Info("needed versions without a decode engine")
 }
 
-// planState returns the state for a plan, with the smoothed use and the times that only the Controller knows.
+// planState returns the state for a plan, with the times that only the Controller knows.
 func (o *Controller) planState(service string) tlrole.State {
 	now := o.o.Now()
 	s := o.o.Roles(service)
-	o.readUse[service] += readUseWeight * (s.PrefillUtilisation - o.readUse[service])
-	s.PrefillUtilisation = o.readUse[service]
 	last, hasMoved := o.lastBatch[service]
 	s.SinceMove, s.IsFirst = now.Sub(last), s.IsFirst && !hasMoved
-	if l := o.engineCounts[service]; l.engines != len(s.Engines) {
-		o.engineCounts[service] = engineCount{len(s.Engines), now}
+	l := o.engineCounts[service]
+	if len(s.Engines) > l.engines {
+		l.roseAt = now
 	}
-	s.SinceChange = now.Sub(o.engineCounts[service].since)
+	if len(s.Engines) != l.engines {
+		l.engines, l.since = len(s.Engines), now
+	}
+	o.engineCounts[service] = l
+	s.SinceChange, s.SinceJoin = now.Sub(l.since), now.Sub(l.roseAt)
 	for i := range s.Engines {
 		e := &s.Engines[i]
 		m, ok := o.givenOrders[e.ID]
@@ -213,6 +258,27 @@
 	return s
 }
 
+// checkEnds finds out which engines have ended, where the plan depends on it.
+func (o *Controller) checkEnds(ctx context.Context, s tlrole.State) {
+	list := s.ToCheck()
+	if len(list) == 0 {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, endCheckTimeout)
+	defer stop()
+	hasEnded := make([]bool, len(list))
+	var checking sync.WaitGroup
+	for n, e := range list {
+		checking.Go(func() { hasEnded[n] = o.o.HasEnded(ctx, e) })
+	}
+	checking.Wait()
+	for n, e := range list {
+		if hasEnded[n] {
+			s.MarkEnded(e.ID)
+		}
+	}
+}
+
 // sendBatch sends a batch of orders in parallel and waits for the results.
 func (o *Controller) sendBatch(ctx context.Context, service string, moves []tlrole.Move, number uint64) {
 	began := o.o.Now()
@@ -221,7 +287,7 @@
 	var sending sync.WaitGroup
 	for _, m := range moves {
 		o.givenOrders[m.Engine.ID] = givenOrder{m.Role, began}
-		o.o.MarkChangingRole(service, m.Engine.ID, time.Now().Add(away.Sub(began)))
+		o.o.MarkChangingRole(service, m.Engine.ID, m.Role, time.Now().Add(away.Sub(began)))
 		sending.Go(func() { o.sendOrder(ctx, service, m, number, began) })
 	}
 	sending.Wait()
--- a/io/tlorder/controller_test.go
+++ b/io/tlorder/controller_test.go
@@ -97,7 +97,9 @@
 		Lease:            3 * time.Second,
 		HolderLog:        w.log(),
 		Roles:            surplusPrefillState,
-		MarkChangingRole: func(string, string, time.Time) {},
+		LacksDecoder:     func(string) bool { return false },
+		MarkChangingRole: func(string, string, tlendpoint.Role, time.Time) {},
+		HasEnded:         func(context.Context, tlendpoint.Endpoint) bool { return false },
 		RoleChangeTime:   func(string) time.Duration { return 6 * time.Second },
 		Load: func(context.Context, tlendpoint.Endpoint) (tlendpoint.Load, error) {
 			w.onLoad()
