An engine that gets no order does not count as changing its role

Where the engine that is to decode for a lost version can't be asked for its load, or refuses the order, no other engine of the version was ordered for 20 s, longer than any caller waits.

Cause: the controller noted an order as given before it was sent, and took nothing back. An engine that an earlier holder had ordered was ordered again by the next, as reports were not read for an order in progress.

An engine that is carrying out an order counts as changing. An order without an answer still counts as given, since it may be carried out.

Evidence: TestAnotherEngineIsOrderedWhereTheFirstGetsNoOrder, three of its four cases failed before (no order to the second engine in 5 s; a second order to an engine that was changing), all pass.

--- a/core/tlendpoint/load.go
+++ b/core/tlendpoint/load.go
@@ -6,6 +6,8 @@
 	Incarnation int64
 	// AcceptedOrders is the number of orders that the engine has accepted since its start.
 	AcceptedOrders int64
+	// IsCarryingOut says that the engine is carrying out an order.
+	IsCarryingOut bool
 	// HeldTokens is the KV memory that can't be evicted, in tokens.
 	HeldTokens int
 }
--- a/core/tlplace/decoder_test.go
+++ b/core/tlplace/decoder_test.go
@@ -150,8 +150,12 @@
 		{"5 an engine is changing its role", []string{"pv1", "pv1b", "dv2"}, "v1", func(b *Book) {
 			b.RoleChanging(start, "pv1", tlendpoint.Decode, at(8*time.Second))
 		}, false},
-		{"6 no engine of it lives", []string{"pv2", "dv2"}, "v1", nil, false},
-		{"7 the service has no decode engine", []string{"pv1"}, "", func(b *Book) { b.Submit(start, request("any", 1000, 0)) }, true},
+		{"6 one was to, and does not", []string{"pv1", "pv1b", "dv2"}, "v1", func(b *Book) {
+			b.RoleChanging(start, "pv1", tlendpoint.Decode, at(8*time.Second))
+			b.RoleKept("pv1")
+		}, true},
+		{"7 no engine of it lives", []string{"pv2", "dv2"}, "v1", nil, false},
+		{"8 the service has no decode engine", []string{"pv1"}, "", func(b *Book) { b.Submit(start, request("any", 1000, 0)) }, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/tlplace/role.go
+++ b/core/tlplace/role.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// RoleKept puts an engine into use again that does not change its role after all.
+func (b *Book) RoleKept(id string) {
+	if e := b.engines[id]; e != nil {
+		e.roleChangeUntil = time.Time{}
+	}
+}
+
 // isChangingTo reports whether the engine is changing to a role.
 func (e *engine) isChangingTo(now time.Time, r tlendpoint.Role) bool {
 	return e.Role != r && e.changesTo == r && now.Before(e.roleChangeUntil)
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -34,6 +35,7 @@
 		Roles:            i.coordinator.Roles,
 		LacksDecoder:     i.coordinator.LacksDecoder,
 		MarkChangingRole: i.coordinator.MarkChangingRole,
+		MarkKeepingRole:  i.coordinator.MarkKeepingRole,
 		HasEnded:         i.hasEnded,
 		RoleChangeTime:   i.roleChangeTime,
 		Load:             i.engineLoad,
@@ -74,7 +76,8 @@
 	return platform.DecodeReport(body)
 }
 
-// orderRole orders an engine to take a role; it fails unless the engine accepts.
+// orderRole orders an engine to take a role; it fails unless the engine accepts, with
+// ErrRefused if the engine has refused.
 func (i *Instance) orderRole(ctx context.Context, e tlendpoint.Endpoint, r tlendpoint.Role, fence uint64, orders int64) error {
 	method, path, body, err := platform.OrderCall(r, i.settings.Name, fence, orders)
 	if err != nil {
@@ -84,12 +87,20 @@
 	if err != nil {
 		return err
 	}
-	if status != http.StatusOK && status != http.StatusAccepted {
-		return fmt.Errorf("engine answered with status %d", status)
+	switch status {
+	case http.StatusOK, http.StatusAccepted:
+		return nil
+	case http.StatusConflict:
+		return errOtherOrder
+	default:
+		return fmt.Errorf("%w: it answered with status %d", tlorder.ErrRefused, status)
 	}
-	return nil
 }
 
+// errOtherOrder is returned for an order to an engine that has just accepted another one,
+// which may be the same.
+var errOtherOrder = errors.New("the engine has accepted another order")
+
 func (i *Instance) callEngine(ctx context.Context, e tlendpoint.Endpoint, c tlcall.Send, method, path string, body []byte) (int, []byte, error) {
 	h := http.Header{}
 	if body != nil {
--- a/io/tlbooking/home.go
+++ b/io/tlbooking/home.go
@@ -138,6 +138,13 @@
 	}
 }
 
+// MarkKeepingRole records that an engine does not change its role after all.
+func (d *Coordinator) MarkKeepingRole(service, engine string) {
+	if k := d.reservationsOf(service, nil); k != nil {
+		k.markKeepingRole(engine)
+	}
+}
+
 // RecordHeldMemory records the memory, in tokens, that an engine reports as held.
 func (d *Coordinator) RecordHeldMemory(service, engine string, held int) {
 	if k := d.reservationsOf(service, nil); k != nil {
--- a/io/tlbooking/reservations.go
+++ b/io/tlbooking/reservations.go
@@ -250,6 +250,12 @@
 	k.b.RoleChanging(now, id, to, until)
 }
 
+func (k *reservations) markKeepingRole(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.b.RoleKept(id)
+}
+
 func (k *reservations) recordHeldMemory(now time.Time, engine string, held int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -52,13 +53,16 @@
 	LacksDecoder func(service string) bool
 	// MarkChangingRole records that an engine changes to a role and is unavailable until the given time at the latest.
 	MarkChangingRole func(service, engine string, to tlendpoint.Role, until time.Time)
+	// MarkKeepingRole records that an engine does not change its role after all.
+	MarkKeepingRole func(service, engine string)
 	// HasEnded reports whether an engine refuses the connections of several instances.
 	HasEnded func(ctx context.Context, e tlendpoint.Endpoint) bool
 	// RoleChangeTime returns how long an engine is unavailable while it changes its role.
 	RoleChangeTime func(service string) time.Duration
 	// Load asks an engine for its load.
 	Load func(ctx context.Context, e tlendpoint.Endpoint) (tlendpoint.Load, error)
-	// Order sends an engine an order to take a role, and returns an error unless the engine has carried it out or accepted it.
+	// Order sends an engine an order to take a role, and returns an error unless the engine has
+	// carried it out or accepted it: ErrRefused if it never will, any other if it may.
 	Order func(ctx context.Context, e tlendpoint.Endpoint, r tlendpoint.Role, fence uint64, orders int64) error
 	// Now returns the time of a clock that includes the time during which the host was suspended.
 	Now func() time.Time
@@ -79,6 +83,9 @@
 // CounterNames lists the counters of a Controller.
 var CounterNames = []string{Ordered, OrderFailed, FenceFailed, SentTooLate}
 
+// ErrRefused is returned for an order that the engine has refused.
+var ErrRefused = errors.New("the engine refused the order")
+
 // givenOrder is the role ordered for an engine and when.
 type givenOrder struct {
 	role tlendpoint.Role
@@ -285,15 +292,23 @@
 	o.lastBatch[service] = began
 	away := began.Add(o.o.RoleChangeTime(service) + roleChangeMargin)
 	var sending sync.WaitGroup
-	for _, m := range moves {
+	isGiven := make([]bool, len(moves))
+	for n, m := range moves {
 		o.givenOrders[m.Engine.ID] = givenOrder{m.Role, began}
 		o.o.MarkChangingRole(service, m.Engine.ID, m.Role, time.Now().Add(away.Sub(began)))
-		sending.Go(func() { o.sendOrder(ctx, service, m, number, began) })
+		sending.Go(func() { isGiven[n] = o.sendOrder(ctx, service, m, number, began) })
 	}
 	sending.Wait()
+	for n, m := range moves {
+		if !isGiven[n] {
+			o.givenOrders[m.Engine.ID] = givenOrder{m.Engine.Role, began}
+			o.o.MarkKeepingRole(service, m.Engine.ID)
+		}
+	}
 }
 
-func (o *Controller) sendOrder(ctx context.Context, service string, m tlrole.Move, number uint64, began time.Time) {
+// sendOrder sends an order; it reports whether the engine may carry it out.
+func (o *Controller) sendOrder(ctx context.Context, service string, m tlrole.Move, number uint64, began time.Time) (isGiven bool) {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
 	l := o.o.Logger.WithFields(logrus.Fields{
@@ -306,18 +321,24 @@
 	if err != nil {
 		o.o.Count(OrderFailed)
 		l.WithField("Cause", err.Error()).Info("order not given: engine load not available")
-		return
+		return false
+	}
+	if load.IsCarryingOut {
+		// An earlier holder may have given this very order.
+		l.Info("order not given: another one is being carried out")
+		return true
 	}
 	if o.o.Now().Sub(began) > batchMaxAge {
 		o.o.Count(SentTooLate)
 		l.Info("order not given: too late")
-		return
+		return false
 	}
 	if err := o.o.Order(ctx, m.Engine, m.Role, number, load.AcceptedOrders); err != nil {
 		o.o.Count(OrderFailed)
 		l.WithField("Cause", err.Error()).Info("order failed")
-		return
+		return !errors.Is(err, ErrRefused)
 	}
 	o.o.Count(Ordered)
 	l.Info("order given")
+	return true
 }
--- a/io/tlorder/controller_test.go
+++ b/io/tlorder/controller_test.go
@@ -99,6 +99,7 @@
 		Roles:            surplusPrefillState,
 		LacksDecoder:     func(string) bool { return false },
 		MarkChangingRole: func(string, string, tlendpoint.Role, time.Time) {},
+		MarkKeepingRole:  func(string, string) {},
 		HasEnded:         func(context.Context, tlendpoint.Endpoint) bool { return false },
 		RoleChangeTime:   func(string) time.Duration { return 6 * time.Second },
 		Load: func(context.Context, tlendpoint.Endpoint) (tlendpoint.Load, error) {
--- a/io/tlorder/restore_test.go
+++ b/io/tlorder/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -79,3 +80,54 @@
 		})
 	}
 }
+
+// Guards against an engine that counts as changing its role though it never got the order, so
+// that no other engine is ordered for 20 s.
+func TestAnotherEngineIsOrderedWhereTheFirstGetsNoOrder(t *testing.T) {
+	failing := func(list ...error) func(*Controller) {
+		return func(o *Controller) {
+			order := o.o.Order
+			o.o.Order = func(ctx context.Context, e tlendpoint.Endpoint, r tlendpoint.Role, fence uint64, orders int64) error {
+				if len(list) > 0 {
+					err := list[0]
+					list = list[1:]
+					return err
+				}
+				return order(ctx, e, r, fence, orders)
+			}
+		}
+	}
+	loadOf := func(id string, l tlendpoint.Load, err error) func(*Controller) {
+		return func(o *Controller) {
+			o.o.Load = func(_ context.Context, e tlendpoint.Endpoint) (tlendpoint.Load, error) {
+				if e.ID == id {
+					return l, err
+				}
+				return tlendpoint.Load{}, nil
+			}
+		}
+	}
+	cases := []struct {
+		name   string
+		change func(*Controller)
+		orders []string
+		kept   []string
+	}{
+		{"1 its load can't be had", loadOf("p0", tlendpoint.Load{}, errors.New("no route")), []string{"p1"}, []string{"p0"}},
+		{"2 it refuses the order", failing(fmt.Errorf("%w: status 412", ErrRefused)), []string{"p1"}, []string{"p0"}},
+		{"3 it may have got the order", failing(errors.New("no answer")), nil, nil},
+		{"4 it is carrying out the order of an earlier holder", loadOf("p0", tlendpoint.Load{IsCarryingOut: true}, nil), nil, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestbed()
+			o := w.lostVersion("a")
+			var kept []string
+			o.o.MarkKeepingRole = func(_, engine string) { kept = append(kept, engine) }
+			c.change(o)
+			w.play(t, o, 5*time.Second)
+			assert.Equal(t, c.orders, w.ordered())
+			assert.Equal(t, c.kept, kept)
+		})
+	}
+}
