A new home waits for the former holder's lease from when it becomes the home

The first order of a new home came 6 s after it was needed, however long it had been the home, if another instance had ever given one; with the role change that is later than most callers wait.

Cause: the lease of the former holder was counted from when its record was first read, which was at the first order; and a refusal by the lease was repeated after 3 s, not once the lease had run out.

Change: an instance that becomes the home of services reads the holders' records once, one call for all of them; it asks again when the lease has run out.

A former holder's record must still have been the newest for the lease, the age of a batch and a margin, so that no two give orders within a lease.

--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -109,6 +109,8 @@
 	engineCounts map[string]engineCount
 	// undecoded holds the versions of each service that were last logged as without a decode engine.
 	undecoded map[string][]string
+	// homeOf holds the services that were planned in the last round.
+	homeOf map[string]bool
 	// fenceRetryAt is the earliest time to ask for a fencing number again.
 	fenceRetryAt time.Time
 	done         chan struct{}
@@ -125,6 +127,7 @@
 
 		engineCounts: map[string]engineCount{},
 		undecoded:    map[string][]string{},
+		homeOf:       map[string]bool{},
 
 		done: make(chan struct{}),
 	}
@@ -157,7 +160,7 @@
 // restoreAll plans the services of which versions have lost their last decode engines.
 func (o *Controller) restoreAll(ctx context.Context) {
 	for _, service := range o.o.Services() {
-		if !o.o.LacksDecoder(service) {
+		if !o.homeOf[service] || !o.o.LacksDecoder(service) {
 			continue
 		}
 		s := o.planState(service)
@@ -168,13 +171,34 @@
 	}
 }
 
-// planAll plans the services of this instance.
+// planAll plans the services of this instance. Once it has become the home of some, it first
+// reads who gave their orders, so that the lease of that holder runs out meanwhile.
 func (o *Controller) planAll(ctx context.Context) {
+	before := o.homeOf
+	o.homeOf = map[string]bool{}
+	isNew := false
 	for _, service := range o.o.Services() {
+		o.homeOf[service] = true
+		isNew = isNew || !before[service]
+	}
+	if isNew {
+		o.observeHolders(ctx)
+	}
+	for service := range o.homeOf {
 		o.plan(ctx, service)
 	}
 }
 
+// observeHolders reads who gave the last orders of each service. A failure costs time only:
+// the records are read again before an order.
+func (o *Controller) observeHolders(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
+	if err := o.fence.observe(ctx); err != nil {
+		o.o.Logger.WithField("Cause", err.Error()).Info("holders of orders not read")
+	}
+}
+
 func (o *Controller) plan(ctx context.Context, service string) {
 	s := o.planState(service)
 	o.checkEnds(ctx, s)
@@ -197,7 +221,7 @@
 	number, err := o.fence.acquire(call, service)
 	if err != nil {
 		o.o.Count(FenceFailed)
-		o.fenceRetryAt = o.o.Now().Add(fenceRetryDelay)
+		o.fenceRetryAt = o.o.Now().Add(min(o.fence.heldFor(service, err), fenceRetryDelay))
 		o.o.Logger.WithFields(logrus.Fields{"Service": service, "Cause": err.Error()}).Info("no fencing number")
 		return
 	}
--- a/io/tlorder/fence.go
+++ b/io/tlorder/fence.go
@@ -54,10 +54,8 @@
 	if f.mayHaveLostHolder(b.Era) {
 		return 0, errWentBack
 	}
-	for _, r := range b.Records {
-		if r.Key == service && string(r.Value) != f.holder && !f.hasExpired(service, r.Offset) {
-			return 0, errHeld
-		}
+	if f.isHeld(service, b) {
+		return 0, errHeld
 	}
 	p, err := f.log.Append(ctx, service, []byte(f.holder), b.End)
 	if err != nil {
@@ -69,6 +67,39 @@
 	return p.Number(), nil
 }
 
+// observe reads who holds each service, so that the time until they expire begins to run.
+func (f *fence) observe(ctx context.Context) error {
+	b, err := f.log.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	f.mayHaveLostHolder(b.Era)
+	for _, r := range b.Records {
+		f.isHeld(r.Key, b)
+	}
+	return nil
+}
+
+// isHeld reports whether another holder may still give the orders of a service.
+func (f *fence) isHeld(service string, b tlkeyed.Batch) bool {
+	for _, r := range b.Records {
+		if r.Key == service && string(r.Value) != f.holder && !f.hasExpired(service, r.Offset) {
+			return true
+		}
+	}
+	return false
+}
+
+// heldFor returns the time after a failure to acquire a number until it may be tried again:
+// until the other holder's lease has run out where that was the cause, else fenceRetryDelay.
+func (f *fence) heldFor(service string, cause error) time.Duration {
+	s, ok := f.seen[service]
+	if !ok || !errors.Is(cause, errHeld) {
+		return fenceRetryDelay
+	}
+	return s.at.Add(f.handover()).Sub(f.now())
+}
+
 // mayHaveLostHolder reports whether the log went back so recently that a holder whose
 // record it lost may still give orders. An instance that starts after that has not
 // seen the era before.
--- a/io/tlorder/restore_test.go
+++ b/io/tlorder/restore_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"trefoillanding/core/tlendpoint"
 	"trefoillanding/core/tlrole"
@@ -131,3 +132,41 @@
 		})
 	}
 }
+
+// Guards against streams that wait for the lease of a holder that is long gone: a new home
+// counts the time from when it became the home, not from the first order that it has to give.
+func TestNewHomeGivesOrdersOnceTheLeaseHasRunOut(t *testing.T) {
+	cases := []struct {
+		name string
+		// homeFor is how long the instance has been the home when the version is lost.
+		homeFor time.Duration
+		within  time.Duration
+	}{
+		{"1 it has been the home for long", 10 * time.Second, 500 * time.Millisecond},
+		{"2 it becomes the home at that moment", 0, 5500 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestbed()
+			_, err := w.log().Append(t.Context(), "s", []byte("former"), 0)
+			require.NoError(t, err)
+			o := w.lostVersion("a")
+			o.o.Roles = func(string) tlrole.State { return tlrole.State{} }
+			w.play(t, o, c.homeFor)
+			o.o.Roles = lostVersionState
+			lost := w.clock()
+			w.settleEngines(o)
+			w.play(t, o, 12*time.Second)
+			require.NotEmpty(t, w.orders)
+			assert.LessOrEqual(t, w.orders[0].at.Sub(lost), c.within)
+			if c.homeFor == 0 {
+				assert.GreaterOrEqual(t, w.orders[0].at.Sub(lost), 3*time.Second+batchMaxAge)
+			}
+		})
+	}
+}
+
+// settleEngines has a Controller take its present engines for settled.
+func (w *testbed) settleEngines(o *Controller) {
+	o.engineCounts["s"] = engineCount{engines: len(o.o.Roles("s").Engines)}
+}
