A service of one version gets a decode engine back too

Where all decode engines of a service are lost and its prefill engines live, with one version alone, streams that were held and their take-ups were still refused once the dead engines' entries lapsed (NoEngines, Retry-After 1.0 to 1.5 s), although the order to a prefill engine had been given by then.

Cause: the book refused what it had no decode engine at all for before it looked whether one is expected.

Change: one path for both. Requests of any version wait, or are told when to return, only once an engine has been ordered, since the list of engines may be incomplete at a start.

--- a/core/tlplace/decision.go
+++ b/core/tlplace/decision.go
@@ -17,7 +17,7 @@
 	WaitTooLong
 	// NoVersion means that no known engine has the only version that may run the request.
 	NoVersion
-	// NoDecoder means that no decode engine has the only version that may run the request,
+	// NoDecoder means that no decode engine has the only version that may run the request yet,
 	// and that one is expected too late for its caller to wait.
 	NoDecoder
 )
--- a/core/tlplace/decoder_test.go
+++ b/core/tlplace/decoder_test.go
@@ -44,8 +44,10 @@
 		{"2 one was ordered a moment ago", []string{"pv1", "dv2"}, time.Second, 1500 * time.Millisecond, false, NoDecoder, 7 * time.Second},
 		{"3 one was ordered long enough ago", []string{"pv1", "dv2"}, time.Second, 5 * time.Second, false, NotRefused, 0},
 		{"4 the caller holds its answer", []string{"pv1", "dv2"}, 0, time.Second, true, NotRefused, 0},
-		{"5 no engine of the version lives", []string{"pv2", "dv2"}, 0, time.Second, false, NoVersion, time.Second},
-		{"6 no engine of the version lives, and the caller holds its answer", []string{"pv2", "dv2"}, 0, time.Second, true, NoVersion, time.Second},
+		{"5 no other version has a decode engine either", []string{"pv1", "pv2"}, 0, time.Second, false, NoDecoder, 7 * time.Second},
+		{"6 the same, and the caller holds its answer", []string{"pv1"}, 0, time.Second, true, NotRefused, 0},
+		{"7 no engine of the version lives", []string{"pv2", "dv2"}, 0, time.Second, false, NoVersion, time.Second},
+		{"8 no engine of the version lives, and the caller holds its answer", []string{"pv2", "dv2"}, 0, time.Second, true, NoVersion, time.Second},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -70,6 +72,38 @@
 	}
 }
 
+// Guards against new requests that are refused again and again, though an engine is about to
+// decode for a service that has lost all decode engines.
+func TestNewRequestOfAServiceWithoutDecodeEngines(t *testing.T) {
+	cases := []struct {
+		name            string
+		orderedAt, asks time.Duration
+		refused         Reason
+		returns         time.Duration
+	}{
+		{"1 none is ordered", 0, 5 * time.Second, NoEngines, time.Second},
+		{"2 one was ordered a moment ago", 4 * time.Second, 5 * time.Second, NoEngines, 5 * time.Second},
+		{"3 one was ordered long enough ago", time.Second, 5 * time.Second, NotRefused, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := changeableBook("pv1", "pv1b")
+			if c.orderedAt > 0 {
+				b.RoleChanging(at(c.orderedAt), "pv1", tlendpoint.Decode, at(c.orderedAt+8*time.Second))
+			}
+			list := b.Submit(at(c.asks), request("r", 1000, c.asks))
+			if c.refused == NotRefused {
+				assert.Empty(t, list)
+				return
+			}
+			require.Len(t, list, 1)
+			assert.Equal(t, c.refused, list[0].Refused)
+			assert.GreaterOrEqual(t, list[0].RetryAfter, c.returns)
+			assert.Less(t, list[0].RetryAfter, c.returns+time.Second)
+		})
+	}
+}
+
 func TestRequestThatWaitsForADecodeEngineOfItsVersionIsPlacedThere(t *testing.T) {
 	b := changeableBook("pv1", "pv1b", "dv2")
 	b.RoleChanging(start, "pv1", tlendpoint.Decode, at(8*time.Second))
--- a/core/tlplace/refuse.go
+++ b/core/tlplace/refuse.go
@@ -20,30 +20,30 @@
 	if r.tokens(&b.o) > b.o.bookable() {
 		return b.refusal(now, r, TooLarge, maxRetryAfter), true
 	}
-	if !b.hasDecoder(anyVersion) {
-		return b.refusal(now, r, NoEngines, defaultRoomWait), true
-	}
 	if !b.hasDecoder(r.Version) {
 		return b.refuseWithoutDecoder(now, r)
 	}
 	return Decision{}, false
 }
 
-// refuseWithoutDecoder refuses a request whose version has no decode engine, unless one is
+// refuseWithoutDecoder refuses a request for which there is no decode engine, unless one is
 // expected in time.
 func (b *Book) refuseWithoutDecoder(now time.Time, r *Request) (Decision, bool) {
-	at, isExpected := b.restoredDecoder(now, r.Version)
+	at, isExpected := b.expectedDecoder(now, r.Version)
 	switch {
-	case !isExpected:
-		return b.refusal(now, r, NoVersion, defaultRoomWait), true
-	case b.mayAwait(r, at):
+	case isExpected && b.mayAwait(r, at):
 		return Decision{}, false
+	case isExpected && r.Version != anyVersion:
+		return b.refusalUntil(now, r, NoDecoder, at), true
+	case isExpected:
+		return b.refusalUntil(now, r, NoEngines, at), true
+	case !b.hasDecoder(anyVersion):
+		return b.refusal(now, r, NoEngines, defaultRoomWait), true
 	}
-	return b.refusalUntil(now, r, NoDecoder, at), true
+	return b.refusal(now, r, NoVersion, defaultRoomWait), true
 }
 
-// mayAwait reports whether a request waits for a decode engine of its version that is expected
-// at a time.
+// mayAwait reports whether a request waits for a decode engine that is expected at a time.
 //
 // It answers the loss of a version's decode engines under streams, whose callers have few
 // tries, often one. A caller who asks is told when to return if it would leave before. One
--- a/core/tlplace/role.go
+++ b/core/tlplace/role.go
@@ -123,14 +123,15 @@
 	return hasPrefill
 }
 
-// restoredDecoder returns when a version that has no decode engine is expected to have one:
+// expectedDecoder returns when a version that has no decode engine is expected to have one:
 // once an engine has changed its role, whether or not it has been ordered to yet. It returns
-// false if no engine of the version lives that could.
-func (b *Book) restoredDecoder(now time.Time, version string) (time.Time, bool) {
+// false if no engine of the version lives that could. Where there is no decode engine at all,
+// the list of engines may be incomplete, so that only an order counts for anyVersion.
+func (b *Book) expectedDecoder(now time.Time, version string) (time.Time, bool) {
 	if at, ok := b.changedDecoder(now, version); ok {
 		return at, true
 	}
-	if b.o.RoleChangeTime <= 0 {
+	if b.o.RoleChangeTime <= 0 || version == anyVersion {
 		return time.Time{}, false
 	}
 	for _, e := range b.order {
--- a/core/tlplace/tick.go
+++ b/core/tlplace/tick.go
@@ -60,12 +60,10 @@
 // now. With all engines full or all prefill engines busy neither is usually the case,
 // and the home of a large fleet calls Tick at every report.
 func (b *Book) canDecideAny(now time.Time, p *pass) bool {
-	if !b.hasDecoder(anyVersion) {
-		return true
-	}
 	for _, r := range b.waiting {
-		if r.Version != anyVersion && !b.hasDecoder(r.Version) {
-			if at, isExpected := b.restoredDecoder(now, r.Version); !isExpected || !b.mayAwait(r, at) || now.After(b.latestStart(r)) {
+		if !b.hasDecoder(r.Version) {
+			at, isExpected := b.expectedDecoder(now, r.Version)
+			if !isExpected || !b.mayAwait(r, at) || now.After(b.latestStart(r)) {
 				return true
 			}
 			continue
--- a/gateway/version_role_test.go
+++ b/gateway/version_role_test.go
@@ -22,8 +22,8 @@
 )
 
 // newRoleFleet starts instances before engines that change their roles by order: two prefill
-// and two decode engines of v1, and four decode engines of v2.
-func newRoleFleet(t testing.TB, instances int, takes time.Duration) *versionFleet {
+// and two decode engines of v1, and four decode engines of v2 unless v1 is the only version.
+func newRoleFleet(t testing.TB, instances int, takes time.Duration, isOnly bool) *versionFleet {
 	f := &versionFleet{w: newTestCluster(t), byVersion: map[string][]*tlstand.Endpoint{}}
 	c := tlstand.Config(1)
 	c.Services[1].Engine.SwapS = takes.Seconds()
@@ -33,7 +33,9 @@
 	f.w.store.PutJSON(platform.TopicConfig, platform.KeyConfig, c)
 	f.startRoles("v1", "prefill", takes, 2)
 	f.startRoles("v1", "decode", takes, 2)
-	f.startRoles("v2", "decode", takes, 4)
+	if !isOnly {
+		f.startRoles("v2", "decode", takes, 4)
+	}
 	f.startInstances(instances)
 	return f
 }
@@ -128,16 +130,19 @@
 		lose  loss
 		takes time.Duration
 		tries int
+		// isOnly says that no other version serves.
+		isOnly bool
 	}{
-		{"1 the engine is back while answers are held", crash, shortRoleChange, 1},
-		{"2 the engine is back within the only try of a caller", crash, longRoleChange, 1},
-		{"3 the engines leave", leave, shortRoleChange, 1},
-		{"4 the engines crash one after the other", crashInTurn, shortRoleChange, 1},
+		{"1 the engine is back while answers are held", crash, shortRoleChange, 1, false},
+		{"2 the engine is back within the only try of a caller", crash, longRoleChange, 1, false},
+		{"3 the engines leave", leave, shortRoleChange, 1, false},
+		{"4 the engines crash one after the other", crashInTurn, shortRoleChange, 1, false},
+		{"5 no other version serves", crash, longRoleChange, 1, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := newRoleFleet(t, 2, c.takes)
+			f := newRoleFleet(t, 2, c.takes, c.isOnly)
 			all := f.beginAt("v1", 6)
 			c.lose(f, f.byVersion["v1"][2:])
 			var finishing sync.WaitGroup
@@ -156,7 +161,7 @@
 // Guards against a version that is kept alive though nobody needs it.
 func TestPrefillEnginesOfAVersionWithoutStreamsKeepTheirRole(t *testing.T) {
 	t.Parallel()
-	f := newRoleFleet(t, 2, shortRoleChange)
+	f := newRoleFleet(t, 2, shortRoleChange, false)
 	crash(f, f.byVersion["v1"][2:])
 	var calling sync.WaitGroup
 	for n := range 30 {
--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -16,9 +16,9 @@
 const (
 	// planInterval is the time between plans.
 	planInterval = 500 * time.Millisecond
-	// restoreInterval is the time between checks whether versions have lost their last decode
+	// restoreCheckInterval is the time between checks whether versions have lost their last decode
 	// engines, since their callers have a few seconds.
-	restoreInterval = 100 * time.Millisecond
+	restoreCheckInterval = 100 * time.Millisecond
 	// batchMaxAge is how long after its fencing record was appended a batch of orders may be sent.
 	batchMaxAge = time.Second
 	// leaseMargin is the least time between the last order of one holder and the first of the next, beyond the lease and batchMaxAge.
@@ -141,7 +141,7 @@
 // Run plans every planInterval until ctx ends.
 func (o *Controller) Run(ctx context.Context) {
 	defer close(o.done)
-	t := time.NewTicker(restoreInterval)
+	t := time.NewTicker(restoreCheckInterval)
 	defer t.Stop()
 	for n := 0; ; n++ {
 		select {
@@ -149,7 +149,7 @@
 			return
 		case <-t.C:
 		}
-		if n%int(planInterval/restoreInterval) == 0 {
+		if n%int(planInterval/restoreCheckInterval) == 0 {
 			o.planAll(ctx)
 		} else {
 			o.restoreAll(ctx)
--- a/io/tlorder/restore_test.go
+++ b/io/tlorder/restore_test.go
@@ -43,13 +43,13 @@
 
 // play has a Controller plan as Run does, for a time.
 func (w *testbed) play(t *testing.T, o *Controller, d time.Duration) {
-	for n := range int(d / restoreInterval) {
-		if n%int(planInterval/restoreInterval) == 0 {
+	for n := range int(d / restoreCheckInterval) {
+		if n%int(planInterval/restoreCheckInterval) == 0 {
 			o.planAll(t.Context())
 		} else {
 			o.restoreAll(t.Context())
 		}
-		w.advance(restoreInterval)
+		w.advance(restoreCheckInterval)
 	}
 }
 
