--- a/core/tlplace/doc.go
+++ b/core/tlplace/doc.go
@@ -15,6 +15,10 @@
 // engines' speed is measured (package tlrate) and unknown at first; what is unknown
 // refuses nobody.
 //
+// A request that has begun goes on at its version of the engines alone. Where that has lost
+// its decode engines, it waits for a prefill engine to change its role, or is told when to
+// return.
+//
 // It also handles failing engines and networks: an engine that loses answers gets
 // a request only where no other has room, and while answers stall between data
 // centres, engines in the owner's data centre are preferred.
--- a/io/tlorder/doc.go
+++ b/io/tlorder/doc.go
@@ -8,6 +8,11 @@
 // than batchMaxAge and the lease together, so that the holder never changes
 // within a lease.
 //
+// A new home reads the holders' records as it becomes one, so that the time of an earlier
+// holder runs out before an order is needed. Versions that have lost their decode engines
+// are planned more often than the rest, since their callers have a few seconds; engines that
+// all fail requests count as lost once they refuse the connections of several instances.
+//
 // A holder that was paused between record and order notices it by a clock that
 // includes suspensions. An order that is sent too late all the same has a lower
 // fencing number than those of a later holder, and engines that check the number
