--- a/core/tlcapacity/rows.go
+++ b/core/tlcapacity/rows.go
@@ -53,6 +53,7 @@
 		{"configuration applier and follower", Control, Processor, []Factor{{"changes of the configuration/s", changesPerS}, changeTime.asFactor("ms", 1)}, "a pure fold, lookups built anew"},
 		{"choice of homes", Control, Processor, []Factor{{"pools", poolCount}, {"rounds/s", homeRoundsPerS}, homeTime.asFactor("ms", 1)}, "hashes only where the pool is in this data centre"},
 		{"busiest home: load, observation", FewNodes, Processor, []Factor{maxPoolsPerHome.asFactor("pools", 1), {"engines", poolEngines}, {"questions/s", pollsPerS + observationsPerS}, pollTime.asFactor("ms", 1)}, "rendezvous hashing, without a bound on pools"},
+		{"busiest home: plans of roles", FewNodes, Processor, []Factor{maxPoolsPerHome.asFactor("pools", 1), {"engines", poolEngines}, {"plans/s", rolePlansPerS}, rolePlanTime.asFactor("ms", millisecondsPerMicrosecond)}, "ten plans a second only until an engine of the version is ordered, two otherwise"},
 		{"claims home", FewNodes, Processor, []Factor{{"claims and outcomes/s", 1000}, claimTime.asFactor("ms", millisecondsPerMicrosecond)}, "a fold by the home of the stream only"},
 		{"home, scheduler", Request, Processor, []Factor{{"requests/s", nodeRequestsPerS}, requestTime.asFactor("ms", millisecondsPerMicrosecond)}, "one pool of 14 engines"},
 		{"owner and home: messages", Request, Processor, []Factor{{"requests/s", nodeRequestsPerS}, {"messages", messagesPerRequest}, messageTime.asFactor("ms", 1)}, "CBOR over kept WebSockets"},
--- a/core/tlcapacity/slope.go
+++ b/core/tlcapacity/slope.go
@@ -35,6 +35,7 @@
 	schedCommand    = "go test -run '^$' -bench . -benchtime 20000x -count 3 ./core/tlsched"
 	streamsCommand  = "go test -run '^$' -bench OpenStreams -benchtime 5x ./io/tlengine"
 	claimCommand    = "go test -run '^$' -bench ClaimMemory -benchtime 1x ./io/tlledger"
+	rolePlanCommand = "go test -run '^$' -bench RolePlanOfALostVersion ./core/tlplace"
 	foldCommand     = "go test -run '^$' -bench Fold -benchtime 5x ./core/tlclaim"
 	grantCommand    = "go test -run '^$' -bench SpendingMemory -benchtime 3x ./core/tlquota"
 	quotaCommand    = "go test -run '^$' -bench Admit -benchtime 5000x ./io/tlmeter"
@@ -79,6 +80,7 @@
 	tokenTime       = Slope{"token handed on, both sides", 30, "us", streamsCommand}
 	streamHeap      = Slope{"open stream, both sides", 77, "KB", streamsCommand}
 	claimHeap       = Slope{"claim kept", 150, "B", claimCommand}
+	rolePlanTime    = Slope{"plan of roles while a version is lost, an engine of 1,000", 0.61, "us", rolePlanCommand}
 	claimTime       = Slope{"claim folded", 4.4, "us", foldCommand}
 	homeAppends     = Slope{"appends of a home that is asked for claims without pause", 50, "/s", appenderCommand}
 )
@@ -88,6 +90,6 @@
 	return []Slope{
 		gossipBytes, pollBytes, eventBytes, pollTime, forwardBytes, idleHeap, peerHeap, logReadBytes, listBytes, listTime, sameListBytes,
 		sameListTime, listHeap, streamBytes, submitBytes, blockBytes, stepBytes, reportBytes, quotaBytes, slotBytes, grantHeap, organisedHeap, quotaTime, messageTime, changeBytes,
-		stateBytes, changeTime, configHeap, idleTime, homeTime, maxPoolsPerHome, rankTime, requestTime, tokenTime, streamHeap, claimHeap, claimTime, homeAppends,
+		stateBytes, changeTime, configHeap, idleTime, homeTime, maxPoolsPerHome, rankTime, requestTime, tokenTime, streamHeap, claimHeap, rolePlanTime, claimTime, homeAppends,
 	}
 }
--- a/core/tlcapacity/target.go
+++ b/core/tlcapacity/target.go
@@ -45,6 +45,7 @@
 // factors that convert units (micro: bytes to MB, or microseconds to seconds).
 const (
 	pollsPerS                  = 2.0
+	rolePlansPerS              = 10.0
 	observationsPerS           = 0.5
 	homeRoundsPerS             = 1.5
 	sweepsPerS                 = 1.0 / 60
