Check at most three times a second whether engines have ended

What would be seen: found by reading, before it reached anybody. While all decode engines of a needed version fail requests and live, as after a reset of all connections, the home dialled each of them ten times a second, and asked another instance where one refused. A new connection may hold a slot.

Cause: the check that looks ten times a second for lost versions dialled each time, also while no order could be given.

--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -31,8 +31,10 @@
 	roleChangeMargin = 2 * time.Second
 	// fenceRetryDelay is the pause after a failed attempt to get a fencing number, since calls to the log are charged for.
 	fenceRetryDelay = 3 * time.Second
-	// endCheckTimeout bounds the check whether an engine has ended.
-	endCheckTimeout = 400 * time.Millisecond
+	// endCheckTimeout bounds the check whether engines have ended, and endCheckInterval is the
+	// least time between two for a service: a connection may hold a slot at an engine that lives.
+	endCheckTimeout  = 400 * time.Millisecond
+	endCheckInterval = 300 * time.Millisecond
 	// orderExpiry is how long after an order its engine counts as changing its role if it has not been listed in the new role.
 	orderExpiry = 20 * time.Second
 )
@@ -109,6 +111,8 @@
 	engineCounts map[string]engineCount
 	// undecoded holds the versions of each service that were last logged as without a decode engine.
 	undecoded map[string][]string
+	// endChecks holds the last check of each service whether engines have ended.
+	endChecks map[string]endCheck
 	// homeOf holds the services that were planned in the last round.
 	homeOf map[string]bool
 	// fenceRetryAt is the earliest time to ask for a fencing number again.
@@ -127,6 +131,7 @@
 
 		engineCounts: map[string]engineCount{},
 		undecoded:    map[string][]string{},
+		endChecks:    map[string]endCheck{},
 		homeOf:       map[string]bool{},
 
 		done: make(chan struct{}),
@@ -159,12 +164,15 @@
 
 // restoreAll plans the services of which versions have lost their last decode engines.
 func (o *Controller) restoreAll(ctx context.Context) {
+	if o.o.Now().Before(o.fenceRetryAt) {
+		return
+	}
 	for _, service := range o.o.Services() {
 		if !o.homeOf[service] || !o.o.LacksDecoder(service) {
 			continue
 		}
 		s := o.planState(service)
-		o.checkEnds(ctx, s)
+		o.checkEnds(ctx, service, s)
 		if moves := tlrole.RestoreDecoders(tlrole.DefaultOptions(), s); len(moves) > 0 {
 			o.order(ctx, service, s, moves)
 		}
@@ -201,7 +209,7 @@
 
 func (o *Controller) plan(ctx context.Context, service string) {
 	s := o.planState(service)
-	o.checkEnds(ctx, s)
+	o.checkEnds(ctx, service, s)
 	o.noteUndecoded(service, s)
 	o.readUse[service] += readUseWeight * (s.PrefillUtilisation - o.readUse[service])
 	s.PrefillUtilisation = o.readUse[service]
@@ -289,27 +297,6 @@
 	return s
 }
 
-// checkEnds finds out which engines have ended, where the plan depends on it.
-func (o *Controller) checkEnds(ctx context.Context, s tlrole.State) {
-	list := s.ToCheck()
-	if len(list) == 0 {
-		return
-	}
-	ctx, stop := context.WithTimeout(ctx, endCheckTimeout)
-	defer stop()
-	hasEnded := make([]bool, len(list))
-	var checking sync.WaitGroup
-	for n, e := range list {
-		checking.Go(func() { hasEnded[n] = o.o.HasEnded(ctx, e) })
-	}
-	checking.Wait()
-	for n, e := range list {
-		if hasEnded[n] {
-			s.MarkEnded(e.ID)
-		}
-	}
-}
-
 // sendBatch sends a batch of orders in parallel and waits for the results.
 func (o *Controller) sendBatch(ctx context.Context, service string, moves []tlrole.Move, number uint64) {
 	began := o.o.Now()
--- a/io/tlorder/restore_test.go
+++ b/io/tlorder/restore_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// Guards against connections to engines that live and only fail requests, ten times a second:
+// each may hold a slot there.
+func TestEndOfEnginesThatFailIsCheckedSeldom(t *testing.T) {
+	w := newTestbed()
+	o := w.lostVersion("a")
+	checks := 0
+	o.o.HasEnded = func(context.Context, tlendpoint.Endpoint) bool {
+		checks++
+		return false
+	}
+	w.play(t, o, 10*time.Second)
+	assert.LessOrEqual(t, checks, int(10*time.Second/endCheckInterval)+1)
+	assert.Greater(t, checks, 10)
+}
+
 // Guards against an engine that counts as changing its role though it never got the order, so
 // that no other engine is ordered for 20 s.
 func TestAnotherEngineIsOrderedWhereTheFirstGetsNoOrder(t *testing.T) {
