An order without an answer keeps no other engine from being ordered

The streams of a version that has lost its decode engines waited for such an order for up to 20 s, while another prefill engine of the version idled.

Cause: an order without an answer counted as given, and a version with an engine that changes its role as one that has a decode engine.

Change: the plan knows which orders were answered. One that was not keeps its engine from being ordered again, as before, and counts in the balance of roles; a version that needs a decode engine gets another one a second later. Both may decode in the end.

--- a/core/tlrole/plan.go
+++ b/core/tlrole/plan.go
@@ -55,6 +55,8 @@
 	Slowness float64
 	// IsMoving says that the engine was ordered to change its role and has not been seen in the new role yet.
 	IsMoving bool
+	// IsUnanswered says that the engine gave no answer to the order, which it may carry out late or never.
+	IsUnanswered bool
 	// IsFailing says that the engine has failed requests since its last success.
 	IsFailing bool
 	// HasEnded says that the engine refuses the connections of several instances, though it is still listed.
--- a/core/tlrole/restore.go
+++ b/core/tlrole/restore.go
@@ -1,6 +1,7 @@
 package tlrole
 
 import (
+	"slices"
 	"time"
 
 	"trefoillanding/core/tlendpoint"
@@ -31,8 +32,8 @@
 // if there are several: a decode engine that has to read all prompts itself takes streams
 // up one by one.
 func restoreOf(o Options, s State) []Move {
-	prefill, decode := s.CountByRole()
-	if decode > 0 || prefill == 0 {
+	prefill, _ := s.CountByRole()
+	if prefill == 0 || slices.ContainsFunc(s.Engines, Engine.isDecoder) {
 		return nil
 	}
 	keep := min(max(s.prefillOfWork(o), 1), prefill-1)
@@ -42,6 +43,11 @@
 	return s.moves(o, prefill-keep, tlendpoint.Prefill, tlendpoint.Decode)
 }
 
+// isDecoder reports whether the engine decodes, or is about to.
+func (e Engine) isDecoder() bool {
+	return e.isInUse() && e.nextRole() == tlendpoint.Decode && !e.IsUnanswered
+}
+
 // MaxChecks is the largest number of failing decode engines of a version that are checked
 // for their end in one plan; with more, the version counts as having a decode engine until
 // their entries lapse.
--- a/core/tlrole/version.go
+++ b/core/tlrole/version.go
@@ -63,10 +63,15 @@
 	if len(s.Needs) == 0 {
 		return nil
 	}
-	counts := s.CountByVersion()
+	isDecoded := map[string]bool{}
+	for _, e := range s.Engines {
+		if e.isDecoder() {
+			isDecoded[e.Version] = true
+		}
+	}
 	var list []string
 	for _, n := range s.Needs {
-		if counts[n.Version].Decode == 0 {
+		if !isDecoded[n.Version] {
 			list = append(list, n.Version)
 		}
 	}
--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -88,10 +88,11 @@
 // ErrRefused is returned for an order that the engine has refused.
 var ErrRefused = errors.New("the engine refused the order")
 
-// givenOrder is the role ordered for an engine and when.
+// givenOrder is the role ordered for an engine and when, and whether the engine has answered.
 type givenOrder struct {
-	role tlendpoint.Role
-	at   time.Time
+	role       tlendpoint.Role
+	at         time.Time
+	isAnswered bool
 }
 
 // engineCount is a number of listed engines, since when it has been the same, and when it last rose.
@@ -293,6 +294,7 @@
 		}
 		e.SinceOrder = now.Sub(m.at)
 		e.IsMoving = e.Role != m.role && e.SinceOrder < orderExpiry
+		e.IsUnanswered = e.IsMoving && !m.isAnswered
 	}
 	return s
 }
@@ -303,23 +305,36 @@
 	o.lastBatch[service] = began
 	away := began.Add(o.o.RoleChangeTime(service) + roleChangeMargin)
 	var sending sync.WaitGroup
-	isGiven := make([]bool, len(moves))
+	results := make([]orderResult, len(moves))
 	for n, m := range moves {
-		o.givenOrders[m.Engine.ID] = givenOrder{m.Role, began}
 		o.o.MarkChangingRole(service, m.Engine.ID, m.Role, time.Now().Add(away.Sub(began)))
-		sending.Go(func() { isGiven[n] = o.sendOrder(ctx, service, m, number, began) })
+		sending.Go(func() { results[n] = o.sendOrder(ctx, service, m, number, began) })
 	}
 	sending.Wait()
 	for n, m := range moves {
-		if !isGiven[n] {
-			o.givenOrders[m.Engine.ID] = givenOrder{m.Engine.Role, began}
+		g := givenOrder{role: m.Role, at: began, isAnswered: results[n] == orderAnswered}
+		if results[n] == orderNotGiven {
+			g.role = m.Engine.Role
 			o.o.MarkKeepingRole(service, m.Engine.ID)
 		}
+		o.givenOrders[m.Engine.ID] = g
 	}
 }
 
-// sendOrder sends an order; it reports whether the engine may carry it out.
-func (o *Controller) sendOrder(ctx context.Context, service string, m tlrole.Move, number uint64, began time.Time) (isGiven bool) {
+// orderResult is what has become of an order.
+type orderResult int
+
+const (
+	// orderNotGiven means that the engine won't carry the order out.
+	orderNotGiven orderResult = iota
+	// orderUnanswered means that it may, at once or late.
+	orderUnanswered
+	// orderAnswered means that it carries the order out, or one like it.
+	orderAnswered
+)
+
+// sendOrder sends an order and returns what has become of it.
+func (o *Controller) sendOrder(ctx context.Context, service string, m tlrole.Move, number uint64, began time.Time) orderResult {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
 	l := o.o.Logger.WithFields(logrus.Fields{
@@ -332,24 +347,27 @@
 	if err != nil {
 		o.o.Count(OrderFailed)
 		l.WithField("Cause", err.Error()).Info("order not given: engine load not available")
-		return false
+		return orderNotGiven
 	}
 	if load.IsCarryingOut {
 		// An earlier holder may have given this very order.
 		l.Info("order not given: another one is being carried out")
-		return true
+		return orderAnswered
 	}
 	if o.o.Now().Sub(began) > batchMaxAge {
 		o.o.Count(SentTooLate)
 		l.Info("order not given: too late")
-		return false
+		return orderNotGiven
 	}
 	if err := o.o.Order(ctx, m.Engine, m.Role, number, load.AcceptedOrders); err != nil {
 		o.o.Count(OrderFailed)
 		l.WithField("Cause", err.Error()).Info("order failed")
-		return !errors.Is(err, ErrRefused)
+		if errors.Is(err, ErrRefused) {
+			return orderNotGiven
+		}
+		return orderUnanswered
 	}
 	o.o.Count(Ordered)
 	l.Info("order given")
-	return true
+	return orderAnswered
 }
