Read the holders of orders only for services that have engines

An instance reads the holders of orders when it becomes the home of services; it did so for services without a single engine too, for which there is no order to give. Homes of services with engines call the store for their orders in any case.

Change: services without engines are left out until they have some.

The test of a new home now has the service's engines from the start, without a need, as the time counts from there; its bounds are the same.

--- a/io/tlorder/controller.go
+++ b/io/tlorder/controller.go
@@ -114,7 +114,7 @@
 	undecoded map[string][]string
 	// endChecks holds the last check of each service whether engines have ended.
 	endChecks map[string]endCheck
-	// homeOf holds the services that were planned in the last round.
+	// homeOf holds the services with engines that were planned in the last round.
 	homeOf map[string]bool
 	// fenceRetryAt is the earliest time to ask for a fencing number again.
 	fenceRetryAt time.Time
@@ -180,13 +180,17 @@
 	}
 }
 
-// planAll plans the services of this instance. Once it has become the home of some, it first
-// reads who gave their orders, so that the lease of that holder runs out meanwhile.
+// planAll plans the services of this instance. Once it has become the home of some that have
+// engines, it first reads who gave their orders, so that the lease of that holder runs out
+// meanwhile.
 func (o *Controller) planAll(ctx context.Context) {
 	before := o.homeOf
 	o.homeOf = map[string]bool{}
 	isNew := false
 	for _, service := range o.o.Services() {
+		if len(o.o.Roles(service).Engines) == 0 {
+			continue
+		}
 		o.homeOf[service] = true
 		isNew = isNew || !before[service]
 	}
--- a/io/tlorder/restore_test.go
+++ b/io/tlorder/restore_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoillanding/core/tlendpoint"
+	"trefoillanding/core/tlkeyed"
 	"trefoillanding/core/tlrole"
 )
 
@@ -166,7 +167,12 @@
 			_, err := w.log().Append(t.Context(), "s", []byte("former"), 0)
 			require.NoError(t, err)
 			o := w.lostVersion("a")
-			o.o.Roles = func(string) tlrole.State { return tlrole.State{} }
+			// No request needs v1 yet.
+			o.o.Roles = func(s string) tlrole.State {
+				k := lostVersionState(s)
+				k.Needs = nil
+				return k
+			}
 			w.play(t, o, c.homeFor)
 			o.o.Roles = lostVersionState
 			lost := w.clock()
@@ -181,6 +187,44 @@
 	}
 }
 
+// Guards against calls to the store by instances that have no orders to give.
+func TestHoldersAreReadOnceAndOnlyForServicesWithEngines(t *testing.T) {
+	cases := []struct {
+		name  string
+		state tlrole.State
+		reads int
+	}{
+		{"1 the service has engines", unmeasuredState(8), 1},
+		{"2 it has none", tlrole.State{}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestbed()
+			o := w.controller("a")
+			o.o.Services = func() []string { return []string{"s"} }
+			o.o.LacksDecoder = func(string) bool { return false }
+			o.o.Roles = func(string) tlrole.State { return c.state }
+			reads := 0
+			newest := o.fence.log.Newest
+			o.fence.log.Newest = func(ctx context.Context) (tlkeyed.Batch, error) {
+				reads++
+				return newest(ctx)
+			}
+			w.play(t, o, 10*time.Second)
+			assert.Equal(t, c.reads, reads)
+		})
+	}
+}
+
+// unmeasuredState returns a state with so many decode engines whose work is unknown.
+func unmeasuredState(n int) tlrole.State {
+	var s tlrole.State
+	for k := range n {
+		s.Engines = append(s.Engines, tlrole.Engine{Endpoint: tlendpoint.Endpoint{ID: fmt.Sprint("e", k), Role: tlendpoint.Decode}})
+	}
+	return s
+}
+
 // settleEngines has a Controller take its present engines for settled.
 func (w *testbed) settleEngines(o *Controller) {
 	o.engineCounts["s"] = engineCount{engines: len(o.o.Roles("s").Engines)}
